A request goes the whole way, thin, and its answer streams back

Cause: nothing existed.

Change: a workspace of small crates. A caller's HTTP request goes through an entry, over h2 and bincode to a sidecar, to a backend server, and the answer streams back piece by piece with an offset each. The policies are pure event and command machines. The handshake checks the version and proves the fleet key in both directions. Message types are generated from schemas/wire.proto and committed.

Conclusion: types, messages, events and commands are in place to work on side by side. Routing and queueing are baselines (least loaded, first come first served); claims, resumption and poison are not there yet.

--- /dev/null
+++ b/crates/lentil_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API and instance list.
--- /dev/null
+++ b/crates/lentil_policy/src/lib.rs
@@ -0,0 +1,20 @@
+//! Every decision of the router.
+//!
+//! Nothing here sleeps, reads a clock, draws hidden random numbers or opens a
+//! socket. A shell turns I/O into events, passes them in with the time, calls
+//! `tick`, and carries out the commands that come back. The daemons, the replay
+//! and the fault search run this same code.
+//!
+//! - [`entry`]: the life of a caller's request at an entry process.
+//! - [`sidecar`]: the work of one backend server.
+//! - [`route`]: which runner gets a request.
+//! - [`queue`]: which waiting request a backend server runs next.
+//! - [`protocol`]: what entries and sidecars say to each other.
+//! - [`store`]: what a policy asks of the platform's object API.
+
+pub mod entry;
+pub mod protocol;
+pub mod queue;
+pub mod route;
+pub mod sidecar;
+pub mod store;
--- /dev/null
+++ b/crates/lentil_policy/src/queue/fifo.rs
@@ -0,0 +1,97 @@
+//! Baseline queue: first come, first served.
+
+use std::{collections::VecDeque, time};
+
+use lentil_types::{AttemptId, Instant, Pieces, Tokens};
+
+use crate::{protocol, queue};
+
+/// Settings of a [`Fifo`].
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Most jobs that run at once.
+    pub slots: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { slots: 16 }
+    }
+}
+
+/// Runs jobs in the order in which they came. A baseline.
+#[derive(Debug, Default)]
+pub struct Fifo {
+    settings: Settings,
+    jobs: VecDeque<queue::Job>,
+    running: Vec<queue::Job>,
+}
+
+impl Fifo {
+    /// An empty queue.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+}
+
+impl queue::Queue for Fifo {
+    fn push(&mut self, _now: Instant, job: queue::Job) -> Result<(), queue::QueueFull> {
+        self.jobs.push_back(job);
+        Ok(())
+    }
+
+    fn pop(&mut self, _now: Instant) -> Option<queue::Job> {
+        if self.running() >= self.settings.slots {
+            return None;
+        }
+        let job = self.jobs.pop_front()?;
+        self.running.push(job.clone());
+        Some(job)
+    }
+
+    fn expire(&mut self, now: Instant) -> Vec<queue::Job> {
+        let is_late = |job: &queue::Job| job.deadline <= now;
+        let (late, kept): (Vec<_>, Vec<_>) = self.jobs.drain(..).partition(is_late);
+        self.jobs = kept.into();
+        late
+    }
+
+    fn remove(&mut self, id: AttemptId) -> Option<queue::Job> {
+        let at = self.jobs.iter().position(|job| job.id == id)?;
+        self.jobs.remove(at)
+    }
+
+    fn finish(&mut self, _now: Instant, id: AttemptId, _usage: &protocol::Usage) {
+        self.running.retain(|job| job.id != id);
+    }
+
+    fn expected_wait(
+        &self,
+        _now: Instant,
+        _work: &protocol::Work,
+        _cached: Pieces,
+    ) -> time::Duration {
+        time::Duration::ZERO
+    }
+
+    fn on_engine_load(&mut self, _now: Instant, _running: u32, _backlog: Tokens) {}
+
+    fn waiting(&self) -> u32 {
+        count(self.jobs.len())
+    }
+
+    fn running(&self) -> u32 {
+        count(self.running.len())
+    }
+
+    fn backlog(&self) -> Tokens {
+        self.jobs.iter().map(|job| job.work.prompt).sum()
+    }
+}
+
+fn count(len: usize) -> u32 {
+    u32::try_from(len).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/lentil_replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replays recorded traces through the policy.
--- /dev/null
+++ b/crates/lentil_types/src/lib.rs
@@ -0,0 +1,40 @@
+//! Ids, sizes, rates and outcomes that every crate of lentilglade shares.
+//!
+//! Every type here is a newtype or a named enum with `Display` and `FromStr`,
+//! so that a request id cannot be passed for an attempt, nor bytes for tokens.
+//!
+//! ```
+//! use lentil_types::{Class, ServiceName};
+//!
+//! let service: ServiceName = "sortmind".parse()?;
+//! assert_eq!(service.to_string(), "sortmind");
+//! assert_eq!("urgent".parse::<Class>()?, Class::Urgent);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod class;
+mod id;
+mod name;
+mod outcome;
+mod piece;
+mod rate;
+mod runner_state;
+mod size;
+mod table;
+mod time;
+mod version;
+
+pub use class::Class;
+pub use id::{Attempt, AttemptId, BootId, Fingerprint, ParseIdError, RequestId};
+pub use name::{
+    IdempotencyKey, ModelName, NameError, NodeName, PlaceName, RegionName, RunnerName, ScopeName,
+    ServiceName, TeamName,
+};
+pub use outcome::{FailReason, Outcome};
+pub use piece::{PIECE_TOKENS, PieceHash, PieceSeed};
+pub use rate::{ParseRateError, TokenRate};
+pub use runner_state::RunnerState;
+pub use size::{Bytes, ParseSizeError, Pieces, Tokens};
+pub use table::Table;
+pub use time::Instant;
+pub use version::{ConfigVersion, FencingNumber, WeightsVersion};
--- /dev/null
+++ b/crates/lentil_types/src/piece.rs
@@ -0,0 +1,63 @@
+//! Cache pieces: prompt prefixes cut to about [`PIECE_TOKENS`] tokens.
+
+use std::fmt;
+
+use xxhash_rust::xxh3;
+
+use crate::{ModelName, ScopeName, WeightsVersion};
+
+/// Tokens in a whole cache piece.
+pub const PIECE_TOKENS: u32 = 1_000;
+
+/// Hash of one cache piece and of everything before it in its prompt.
+///
+/// Chains start from a [`PieceSeed`], so equal text in another cache scope,
+/// for another model or for other weights has other hashes.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct PieceHash(pub u64);
+
+impl PieceHash {
+    /// The hash of the piece that follows this one with the text `bytes`.
+    #[must_use]
+    pub fn chain(self, bytes: &[u8]) -> Self {
+        Self(xxh3::xxh3_64_with_seed(bytes, self.0))
+    }
+}
+
+impl fmt::Display for PieceHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Start of a chain of [`PieceHash`]es. The engine gets it as its cache salt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct PieceSeed(pub PieceHash);
+
+impl PieceSeed {
+    /// The seed of one cache scope, model and weights version.
+    pub fn new(scope: &ScopeName, model: &ModelName, weights: WeightsVersion) -> Self {
+        let start = PieceHash(u64::from(weights.0));
+        let scoped = start.chain(scope.as_bytes());
+        Self(scoped.chain(model.as_bytes()))
+    }
+}
+
+impl fmt::Display for PieceSeed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/lentil_types/src/time.rs
@@ -0,0 +1,53 @@
+//! Time as the policy sees it.
+
+use std::{fmt, ops, time};
+
+/// A point in monotonic time: microseconds since the process or the replay
+/// began. The shells make it from their clock and pass it in.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct Instant(pub u64);
+
+impl Instant {
+    /// The beginning.
+    pub const ZERO: Self = Self(0);
+    /// Later than every other instant: never.
+    pub const NEVER: Self = Self(u64::MAX);
+
+    /// The instant `ms` milliseconds after the beginning.
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(ms.saturating_mul(1_000))
+    }
+
+    /// Time since `earlier`, or zero when that is later than this.
+    pub fn since(self, earlier: Self) -> time::Duration {
+        time::Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl ops::Add<time::Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, span: time::Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl fmt::Display for Instant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06} s", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
--- /dev/null
+++ b/crates/lentil_types/src/version.rs
@@ -0,0 +1,43 @@
+//! Versions and fencing numbers. All of them only grow.
+
+use std::{fmt, num, str};
+
+/// Defines a number that only grows.
+macro_rules! version {
+    ($(#[$doc:meta])* $name:ident($int:ty)) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash,
+            serde::Serialize, serde::Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $int);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl str::FromStr for $name {
+            type Err = num::ParseIntError;
+
+            fn from_str(s: &str) -> Result<Self, Self::Err> {
+                s.parse().map(Self)
+            }
+        }
+    };
+}
+
+version! {
+    /// Version of the operators' text, given by the object API. 0: none yet.
+    ConfigVersion(u64)
+}
+version! {
+    /// Version of a model's weights.
+    WeightsVersion(u32)
+}
+version! {
+    /// Number of a lease's tenure. An order with a lower one is refused.
+    FencingNumber(u64)
+}
--- /dev/null
+++ b/crates/lentil_wire/src/lib.rs
@@ -0,0 +1,33 @@
+//! Messages between the processes: `h2` streams that carry `bincode`.
+//!
+//! A [`Link`] is a connection that this process opened, a [`Peer`] one that it
+//! accepted. Both begin with a handshake that checks the version and proves
+//! the fleet key in both directions. After it, either side's messages travel on
+//! [`Exchange`]s: one `h2` stream each, opened by the [`Link`].
+//!
+//! Messages in the crate's interface are checked types; the generated ones stay
+//! inside.
+
+mod codec;
+mod convert;
+mod error;
+mod exchange;
+#[allow(
+    dead_code,
+    missing_docs,
+    clippy::doc_markdown,
+    reason = "written by lentil_gen"
+)]
+mod generated;
+mod handshake;
+mod link;
+mod message;
+mod peer;
+
+pub use codec::{MAX_FRAME_BYTES, decode, encode};
+pub use error::{ConvertError, WireError};
+pub use exchange::{Exchange, Receiver, Sender};
+pub use handshake::{FleetKey, Identity, MAJOR, MINOR};
+pub use link::Link;
+pub use message::{ConfigText, Message, PoisonNotice};
+pub use peer::Peer;
--- /dev/null
+++ b/crates/lentil_wire/src/message.rs
@@ -0,0 +1,71 @@
+//! The messages.
+
+use lentil_policy::protocol;
+use lentil_types::{AttemptId, ConfigVersion, FailReason, Fingerprint};
+
+/// A configuration text and its version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigText {
+    /// Version that the object API gave it.
+    pub version: ConfigVersion,
+    /// The text; empty when the asker has this version already.
+    pub text: String,
+}
+
+/// A fingerprint that crashed engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoisonNotice {
+    /// The fingerprint.
+    pub fingerprint: Fingerprint,
+    /// Crashes seen with it.
+    pub crashes: u32,
+}
+
+/// A message after the handshake.
+#[derive(Clone, Debug, PartialEq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Message {
+    /// Asks for a bid.
+    Offer(protocol::Offer),
+    /// Answers an offer.
+    Bid(protocol::Bid),
+    /// Runs a request.
+    Dispatch(Box<protocol::Dispatch>),
+    /// The answer has begun.
+    Started(protocol::Started),
+    /// A piece of the answer.
+    Piece(protocol::Piece),
+    /// The answer is whole.
+    End(protocol::End),
+    /// There is no whole answer.
+    Failed(protocol::Failed),
+    /// Stops an attempt.
+    Cancel(AttemptId),
+    /// Asks for proof that an attempt never started.
+    Withdraw(AttemptId),
+    /// Answers a withdrawal.
+    Withdrawn(protocol::Withdrawn),
+    /// Asks a peer how it is, and for its text when that is newer than
+    /// `config`.
+    Ask {
+        /// Version that the asker has.
+        config: ConfigVersion,
+        /// Whether the text is wanted.
+        text: bool,
+    },
+    /// How a backend server is.
+    Load(protocol::Load),
+    /// A configuration text.
+    Text(ConfigText),
+    /// A fingerprint that crashed engines.
+    Poison(PoisonNotice),
+    /// The message before was refused.
+    Refused(FailReason),
+}
+
+impl Message {
+    /// Name of the kind of message.
+    pub fn name(&self) -> &'static str {
+        self.into()
+    }
+}
--- /dev/null
+++ b/crates/lentilglade/src/demo.rs
@@ -0,0 +1,108 @@
+//! Entry, sidecars and stand-ins in one process.
+
+use std::{io, net};
+
+use lentil_config::{Market, ServiceKind};
+use lentil_entry::Entry;
+use lentil_fakes::{Engine, EngineSettings, Plain, PlainSettings};
+use lentil_sidecar::{BackendKind, Sidecar};
+use lentil_types::{BootId, NodeName};
+use lentil_wire::{FleetKey, Identity};
+
+/// Fleet key of a demo. It guards nothing but loopback.
+const DEMO_KEY: &str = "the key of a demo on loopback";
+
+/// A demo could not start.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum DemoError {
+    /// A part could not listen.
+    #[error("cannot listen: {0}")]
+    Io(#[from] io::Error),
+    /// The operators' text makes no node name.
+    #[error(transparent)]
+    Name(#[from] lentil_types::NameError),
+}
+
+/// A whole market in one process, on free loopback ports. It stops when
+/// dropped.
+pub struct Demo {
+    entry: Entry,
+    _sidecars: Vec<Sidecar>,
+    _engines: Vec<Engine>,
+    _plains: Vec<Plain>,
+}
+
+impl Demo {
+    /// Starts a stand-in and a sidecar for every runner of `market`, and an
+    /// entry before them.
+    ///
+    /// # Errors
+    /// [`DemoError`] when a part cannot listen.
+    pub async fn start(mut market: Market) -> Result<Self, DemoError> {
+        let (mut sidecars, mut engines, mut plains) = (Vec::new(), Vec::new(), Vec::new());
+        let mut boot = BootId(0);
+        for service in &mut market.services {
+            let kind = service.kind;
+            for runner in &mut service.runners {
+                boot = BootId(boot.0 + 1);
+                let (backend, kind) = match kind {
+                    ServiceKind::Engine | ServiceKind::KvKeeper => {
+                        let settings = EngineSettings {
+                            boot,
+                            ..EngineSettings::default()
+                        };
+                        let engine = Engine::start(settings)?;
+                        let address = engine.address();
+                        engines.push(engine);
+                        (address, BackendKind::Engine)
+                    }
+                    ServiceKind::Plain => {
+                        let plain = Plain::start(&PlainSettings::default())?;
+                        let address = plain.address();
+                        plains.push(plain);
+                        (address, BackendKind::Plain)
+                    }
+                };
+                let settings = lentil_sidecar::Settings {
+                    listen: loopback(),
+                    backend,
+                    kind,
+                    identity: identity(&runner.name)?,
+                };
+                let sidecar = Sidecar::start(settings).await?;
+                runner.address = sidecar.address();
+                sidecars.push(sidecar);
+            }
+        }
+        let settings = lentil_entry::Settings {
+            listen: loopback(),
+            identity: identity("entry-1")?,
+            market,
+        };
+        let entry = Entry::start(settings).await?;
+        Ok(Self {
+            entry,
+            _sidecars: sidecars,
+            _engines: engines,
+            _plains: plains,
+        })
+    }
+
+    /// Where the entry listens for callers.
+    pub fn address(&self) -> net::SocketAddr {
+        self.entry.address()
+    }
+}
+
+fn loopback() -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn identity(name: &str) -> Result<Identity, DemoError> {
+    let key: FleetKey = DEMO_KEY.parse().expect("the demo's key is long enough");
+    Ok(Identity {
+        node: NodeName::new(name)?,
+        key,
+    })
+}
--- /dev/null
+++ b/crates/lentilglade/src/main.rs
@@ -0,0 +1,86 @@
+//! `lentilglade`: the newcomer's door.
+
+use std::{path, process};
+
+use anyhow::Context as _;
+use lentil_config::Market;
+use lentil_process::{logs, signals};
+use lentilglade::{Demo, Session};
+
+/// Try lentilglade in one process.
+#[derive(argh::FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(argh::FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(DemoArgs),
+}
+
+/// run an entry, sidecars and stand-ins from an operators' text
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct DemoArgs {
+    /// the operators' text
+    #[argh(option, default = "path::PathBuf::from(\"examples/dalton.toml\")")]
+    market: path::PathBuf,
+    /// send a scripted session, print what came of it and stop
+    #[argh(switch)]
+    once: bool,
+}
+
+fn main() -> anyhow::Result<process::ExitCode> {
+    let args: Args = argh::from_env();
+    logs::init(logs::Settings::default())?;
+    let Command::Demo(args) = args.command;
+    smol::block_on(demo(args))
+}
+
+async fn demo(args: DemoArgs) -> anyhow::Result<process::ExitCode> {
+    let text = std::fs::read_to_string(&args.market)
+        .with_context(|| format!("cannot read {}", args.market.display()))?;
+    let market = Market::parse(&text)?;
+    let demo = Demo::start(market.clone()).await?;
+    if args.once {
+        return Ok(run_session(&demo, &market).await);
+    }
+    print_greeting(&demo, &market);
+    signals::terminated().await?;
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn print_greeting(demo: &Demo, market: &Market) {
+    let address = demo.address();
+    println!("{} serves callers at http://{address}", market.region);
+    if let (Some(model), Some(team)) = (market.models.first(), market.teams.first()) {
+        println!(
+            "try: curl -N http://{address}/v1/chat/completions -H 'authorization: Bearer demo-{}' \
+             -d '{{\"model\":\"{}\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\
+             \"hello\"}}]}}'",
+            team.name, model.name
+        );
+    }
+    println!("stop with Ctrl-C");
+}
+
+async fn run_session(demo: &Demo, market: &Market) -> process::ExitCode {
+    let rows = Session::new(demo.address(), market).run(market).await;
+    println!(
+        "{:<36} {:>6} {:>6} {:>10}",
+        "request", "status", "whole", "ms"
+    );
+    for row in &rows {
+        let ms = row.took.as_secs_f64() * 1e3;
+        println!(
+            "{:<36} {:>6} {:>6} {ms:>10.2}",
+            row.request, row.status, row.whole
+        );
+    }
+    if !rows.is_empty() && rows.iter().all(|row| row.whole) {
+        return process::ExitCode::SUCCESS;
+    }
+    process::ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/lentilglade/tests/demo.rs
@@ -0,0 +1,18 @@
+//! The whole path, from a caller to a backend server and back.
+
+use lentil_config::Market;
+use lentilglade::{Demo, Session};
+
+#[rstest::rstest]
+#[case::dalton(include_str!("../../../examples/dalton.toml"))]
+#[case::lombardy(include_str!("../../../examples/lombardy.toml"))]
+fn every_request_of_the_session_is_whole(#[case] text: &str) {
+    let market = Market::parse(text).expect("the example is valid");
+    let rows = smol::block_on(async {
+        let demo = Demo::start(market.clone()).await.expect("the demo starts");
+        Session::new(demo.address(), &market).run(&market).await
+    });
+    let broken: Vec<_> = rows.iter().filter(|row| !row.whole).collect();
+    assert!(broken.is_empty(), "{broken:?}");
+    assert_eq!(rows.len(), 8);
+}
--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Runs everything that CI runs: formatter, linter, tests, documentation, layering.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+step() { printf '\n== %s\n' "$1"; }
+
+step "format"
+cargo fmt --all -- --check
+
+step "lint"
+cargo clippy --workspace --all-targets --locked -- -D warnings
+
+step "layering: lentil_policy does no I/O"
+scripts/check-layering.sh
+
+step "tests"
+cargo test --workspace --locked
+
+step "documentation"
+RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked
