--- /dev/null
+++ b/crates/lentil_process/src/metrics.rs
@@ -0,0 +1,199 @@
+//! Counters and timings, sent as StatsD and shown in the state dump.
+
+use std::{
+    io, net,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time,
+};
+
+use cadence::{Counted as _, Gauged as _, Timed as _};
+use strum::{EnumCount as _, IntoEnumIterator as _};
+
+/// Something that is counted.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    strum::Display,
+    strum::EnumCount,
+    strum::EnumIter,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+#[repr(usize)]
+pub enum Counter {
+    /// Requests that callers sent.
+    Requests,
+    /// Requests refused before they reached the policy.
+    RequestsRefused,
+    /// Requests with a whole answer.
+    OutcomeDone,
+    /// Requests that were proved not to have run.
+    OutcomeNotRun,
+    /// Requests of which it is unknown whether they ran.
+    OutcomeUnknown,
+    /// Attempts sent to a runner.
+    Attempts,
+    /// Attempts after the first of their request.
+    Retries,
+    /// Offers sent to a runner.
+    Offers,
+    /// Bids that came in time.
+    Bids,
+    /// Pieces of answers passed on.
+    Pieces,
+    /// Answers dropped because their attempt was over.
+    LateAnswers,
+    /// Callers that hung up.
+    CallersGone,
+    /// Streams that went on at another attempt.
+    StreamsResumed,
+    /// Requests refused because they crashed engines.
+    PoisonRefused,
+    /// Crashes of the backend server.
+    EngineCrashes,
+    /// Cache events whose numbers had a gap.
+    CacheGaps,
+    /// Peers that did not have the fleet key.
+    Strangers,
+    /// Calls to the platform's object API.
+    StoreCalls,
+    /// Calls to the object API without an answer.
+    StoreLost,
+    /// Configurations put in force.
+    ConfigChanges,
+}
+
+/// Something that is timed.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Timing {
+    /// From a request to the first piece of its answer, in milliseconds.
+    FirstPiece,
+    /// From a request to the end of its answer, in milliseconds.
+    WholeAnswer,
+    /// In a sidecar's queue, in milliseconds.
+    QueueWait,
+}
+
+/// Something that is measured now and then.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Gauge {
+    /// Requests in flight.
+    InFlight,
+    /// Requests that wait at a sidecar.
+    Queued,
+    /// Version of the configuration in force.
+    ConfigVersion,
+}
+
+/// Settings of the metrics.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Where StatsD datagrams go; nowhere when it is missing.
+    pub statsd: Option<net::SocketAddr>,
+    /// What every name begins with.
+    pub prefix: String,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            statsd: None,
+            prefix: "lentilglade".to_owned(),
+        }
+    }
+}
+
+/// Counters and timings of one process. Clones share them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    client: Arc<cadence::StatsdClient>,
+    counts: Arc<[AtomicU64; Counter::COUNT]>,
+}
+
+impl Metrics {
+    /// Metrics that go where `settings` says.
+    ///
+    /// # Errors
+    /// An I/O error when no socket can be opened.
+    pub fn new(settings: &Settings) -> io::Result<Self> {
+        let prefix = settings.prefix.as_str();
+        let client = match settings.statsd {
+            None => cadence::StatsdClient::from_sink(prefix, cadence::NopMetricSink),
+            Some(address) => {
+                let socket = net::UdpSocket::bind(unspecified(address))?;
+                socket.set_nonblocking(true)?;
+                let sink = cadence::BufferedUdpMetricSink::from(address, socket)
+                    .map_err(io::Error::other)?;
+                cadence::StatsdClient::from_sink(prefix, cadence::QueuingMetricSink::from(sink))
+            }
+        };
+        let counts = Arc::new(std::array::from_fn(|_| AtomicU64::new(0)));
+        Ok(Self {
+            client: Arc::new(client),
+            counts,
+        })
+    }
+
+    /// Metrics that are only counted for the state dump.
+    pub fn local() -> Self {
+        let client = cadence::StatsdClient::from_sink("", cadence::NopMetricSink);
+        let counts = Arc::new(std::array::from_fn(|_| AtomicU64::new(0)));
+        Self {
+            client: Arc::new(client),
+            counts,
+        }
+    }
+
+    /// Counts one more.
+    pub fn count(&self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Counts `more` more.
+    pub fn add(&self, counter: Counter, more: u64) {
+        self.counts[counter as usize].fetch_add(more, Ordering::Relaxed);
+        // A datagram that cannot be sent is not worth a failure.
+        let _ = self.client.count(counter.into(), more);
+    }
+
+    /// Reports how long something took.
+    pub fn time(&self, timing: Timing, took: time::Duration) {
+        let _ = self.client.time(timing.into(), took);
+    }
+
+    /// Reports how much there is of something now.
+    pub fn gauge(&self, gauge: Gauge, value: u64) {
+        let _ = self.client.gauge(gauge.into(), value);
+    }
+
+    /// What was counted since the process began.
+    pub fn get(&self, counter: Counter) -> u64 {
+        self.counts[counter as usize].load(Ordering::Relaxed)
+    }
+
+    /// Every counter, for the state dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let row = |counter: Counter| (counter.to_string(), self.get(counter).into());
+        serde_json::Value::Object(Counter::iter().map(row).collect())
+    }
+}
+
+fn unspecified(target: net::SocketAddr) -> net::SocketAddr {
+    match target {
+        net::SocketAddr::V4(_) => (net::Ipv4Addr::UNSPECIFIED, 0).into(),
+        net::SocketAddr::V6(_) => (net::Ipv6Addr::UNSPECIFIED, 0).into(),
+    }
+}
--- /dev/null
+++ b/crates/lentil_process/tests/metrics.rs
@@ -0,0 +1,45 @@
+//! Metrics.
+
+use std::{net, time};
+
+use lentil_process::metrics::{Counter, Gauge, Metrics, Settings, Timing};
+use strum::IntoEnumIterator as _;
+
+#[test]
+fn counts_reach_statsd_and_the_dump() {
+    let statsd = net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    statsd
+        .set_read_timeout(Some(time::Duration::from_secs(30)))
+        .expect("a limit");
+    let address = statsd.local_addr().expect("an address");
+    let settings = Settings {
+        statsd: Some(address),
+        ..Settings::default()
+    };
+    let metrics = Metrics::new(&settings).expect("metrics");
+    metrics.count(Counter::Requests);
+    metrics.add(Counter::Pieces, 3);
+    assert_eq!(metrics.get(Counter::Pieces), 3);
+    assert_eq!(metrics.dump()["requests"], 1);
+    // Datagrams are sent when the last handle is dropped.
+    drop(metrics);
+    let mut buffer = [0; 1500];
+    let read = statsd.recv(&mut buffer).expect("a datagram");
+    let text = String::from_utf8_lossy(&buffer[..read]);
+    assert!(text.contains("lentilglade.requests:1|c"), "{text}");
+    assert!(text.contains("lentilglade.pieces:3|c"), "{text}");
+}
+
+#[test]
+fn the_page_names_every_metric() {
+    let page = include_str!("../../../docs/metrics.md");
+    let counters = Counter::iter().map(|name| name.to_string());
+    let timings = Timing::iter().map(|name| name.to_string());
+    let gauges = Gauge::iter().map(|name| name.to_string());
+    for name in counters.chain(timings).chain(gauges) {
+        assert!(
+            page.contains(&format!("| `{name}` |")),
+            "{name} is not in docs/metrics.md"
+        );
+    }
+}
