A sidecar knows what its engine has cached

Cause: bids said that nothing was cached. Change: cache::CacheView follows the events of one boot id, is dropped whole with it, and reports nothing cached after a missing number until the engine has listed its pieces. SidecarPolicy asks for the list in its tick and puts the view's count into bids and jobs.

--- a/crates/lentil_policy/src/lib.rs
+++ b/crates/lentil_policy/src/lib.rs
@@ -9,9 +9,11 @@
 //! - [`sidecar`]: the work of one backend server.
 //! - [`route`]: which runner gets a request.
 //! - [`queue`]: which waiting request a backend server runs next.
+//! - [`cache`]: what a sidecar knows of its engine's cache.
 //! - [`protocol`]: what entries and sidecars say to each other.
 //! - [`store`]: what a policy asks of the platform's object API.
 
+pub mod cache;
 pub mod entry;
 pub mod protocol;
 pub mod queue;
--- a/crates/lentil_policy/src/sidecar/policy.rs
+++ b/crates/lentil_policy/src/sidecar/policy.rs
@@ -7,7 +7,7 @@
     WeightsVersion,
 };
 
-use crate::{protocol, queue, sidecar};
+use crate::{cache, protocol, queue, sidecar};
 
 /// Settings of a [`SidecarPolicy`].
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +35,7 @@
 pub struct SidecarPolicy {
     settings: Settings,
     queue: Box<dyn queue::Queue>,
+    cache: cache::CacheView,
     runs: Table<AttemptId, Run>,
     boot: BootId,
     weights: WeightsVersion,
@@ -49,6 +50,7 @@
         Self {
             settings,
             queue,
+            cache: cache::CacheView::default(),
             runs: Table::new(),
             boot: BootId::default(),
             weights: WeightsVersion::default(),
@@ -71,7 +73,7 @@
             sidecar::Event::EngineLoad { running, backlog } => {
                 self.queue.on_engine_load(now, running, backlog);
             }
-            sidecar::Event::Cache(_) => {}
+            sidecar::Event::Cache(event) => self.cache.on_event(&event),
             sidecar::Event::Started {
                 id,
                 cached,
@@ -106,6 +108,9 @@
                 self.commands.push(sidecar::Command::Run(dispatch));
             }
         }
+        if self.cache.poll_list(now) {
+            self.commands.push(sidecar::Command::ListCache);
+        }
         std::mem::take(&mut self.commands)
     }
 
@@ -128,7 +133,7 @@
     }
 
     fn on_offer(&mut self, now: Instant, link: sidecar::LinkId, offer: &protocol::Offer) {
-        let cached = Pieces(0);
+        let cached = self.cache.cached(&offer.work.pieces);
         let wait = self.queue.expected_wait(now, &offer.work, cached);
         let bid = protocol::Bid {
             id: offer.id,
@@ -153,7 +158,7 @@
         let job = queue::Job {
             id,
             work: dispatch.offer.work.clone(),
-            cached: Pieces(0),
+            cached: self.cache.cached(&dispatch.offer.work.pieces),
             arrived: now,
             deadline: now + dispatch.offer.budget,
             isolated: dispatch.isolated,
@@ -231,12 +236,18 @@
     fn on_engine_up(&mut self, boot: BootId, weights: WeightsVersion) {
         self.boot = boot;
         self.weights = weights;
+        if weights == WeightsVersion(0) {
+            self.cache.on_down();
+        } else {
+            self.cache.on_up(boot);
+        }
         if self.state == RunnerState::Joining {
             self.state = RunnerState::Live;
         }
     }
 
     fn on_engine_down(&mut self) {
+        self.cache.on_down();
         if self.state == RunnerState::Live {
             self.state = RunnerState::Joining;
         }
