A trace format for recorded traffic, and the replay's subcommands

Cause: routing is to be measured on recorded traffic that holds no prompt. Change: lentil_trace reads and writes JSON Lines with a versioned header, chains as references to earlier requests, typed errors with line numbers. lentil_replay is a dispatcher with one module a subcommand.

--- /dev/null
+++ b/crates/lentil_replay/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! One module a subcommand.
+
+pub mod generate;
--- /dev/null
+++ b/crates/lentil_replay/src/error.rs
@@ -0,0 +1,33 @@
+//! Why a subcommand gave up.
+
+use std::{io, path};
+
+/// Why a subcommand gave up.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum ReplayError {
+    /// A file could not be used.
+    #[error("{}: {source}", path.display())]
+    File {
+        /// The file.
+        path: path::PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// A trace could not be read.
+    #[error("{}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: path::PathBuf,
+        /// Why.
+        source: lentil_trace::ReadError,
+    },
+    /// A trace could not be written.
+    #[error("{}: {source}", path.display())]
+    Write {
+        /// The file.
+        path: path::PathBuf,
+        /// Why.
+        source: lentil_trace::WriteError,
+    },
+}
--- a/crates/lentil_replay/src/lib.rs
+++ b/crates/lentil_replay/src/lib.rs
@@ -1,1 +1,6 @@
-//! Replays recorded traces through the policy.
+//! Replays recorded traces through the policy and checks stated outcomes.
+
+pub mod commands;
+mod error;
+
+pub use error::ReplayError;
--- /dev/null
+++ b/crates/lentil_replay/src/main.rs
@@ -0,0 +1,25 @@
+//! `lentil_replay`: replays recorded traces through the policy.
+
+use std::process::ExitCode;
+
+use lentil_replay::commands;
+
+/// Replays recorded traces through the policy and checks stated outcomes.
+#[derive(argh::FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(argh::FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Generate(commands::generate::Args),
+}
+
+fn main() -> anyhow::Result<ExitCode> {
+    let args: Args = argh::from_env();
+    match args.command {
+        Command::Generate(args) => Ok(commands::generate::run(&args)?),
+    }
+}
--- /dev/null
+++ b/crates/lentil_trace/src/lib.rs
@@ -0,0 +1,24 @@
+//! Recorded traffic as JSON Lines.
+//!
+//! The first line is a [`Header`] with the version of the format. Every other
+//! line is one request. Prompts appear as hash chains of their pieces. A chain
+//! that begins like that of an earlier request names it in `base` (the earlier
+//! request's number from 0, and how many of its pieces are taken over), and
+//! `pieces` holds the rest, in hexadecimal:
+//!
+//! ```json
+//! {"format":"lentilglade-trace","version":1,"source":"dalton/steady"}
+//! {"at":81,"team":"a","class":"normal","service":"s","model":"m","pieces":["0000000000000001"],"prompt":1000,"output":9}
+//! {"at":99,"team":"a","class":"urgent","service":"s","model":"m","base":[0,1],"prompt":1200,"output":9}
+//! ```
+
+mod error;
+mod line;
+mod reader;
+mod record;
+mod writer;
+
+pub use error::{LineError, ReadError, WriteError};
+pub use reader::Reader;
+pub use record::{FORMAT, Header, Record, VERSION};
+pub use writer::Writer;
--- /dev/null
+++ b/crates/lentil_trace/src/line.rs
@@ -0,0 +1,27 @@
+//! A request as its line has it.
+
+use std::borrow::Cow;
+
+use lentil_types::{Class, IdempotencyKey, Instant, ModelName, ServiceName, TeamName, Tokens};
+
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Line<'a> {
+    /// Microseconds since the start of the trace.
+    pub(crate) at: Instant,
+    pub(crate) team: Cow<'a, TeamName>,
+    pub(crate) class: Class,
+    pub(crate) service: Cow<'a, ServiceName>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) model: Option<Cow<'a, ModelName>>,
+    /// An earlier request and how many of its pieces this one begins with.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) base: Option<(usize, usize)>,
+    /// The pieces after those.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) pieces: Vec<String>,
+    pub(crate) prompt: Tokens,
+    pub(crate) output: Tokens,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) key: Option<Cow<'a, IdempotencyKey>>,
+}
