The object API and instance list have a border, a client and a stand-in

Cause: nothing could read, watch or update the platform's objects. Change: lentil_platform has ObjectStore and InstanceList, an HTTP client with time limits whose errors tell refused-unread from lost, an in-memory store, and Guarded, which puts budgets and a circuit breaker (lentil_policy::store_budget) before any store. lentil_fakes has a platform with fault switches. Conclusion: claims, configuration and leases can be built on it.

--- /dev/null
+++ b/crates/lentil_fakes/src/platform.rs
@@ -0,0 +1,329 @@
+//! Stand-in for the platform: object API and instance list.
+
+use std::{
+    net,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time,
+};
+
+use lentil_platform::{Instance, MAX_VALUE_BYTES, Memory, Object, StoreError, VERSION_HEADER};
+use lentil_policy::store::{ObjectKey, ObjectVersion};
+use lentil_types::Table;
+use trillium::Conn;
+use trillium_router::{Router, RouterConnExt as _};
+
+use crate::platform_faults::{Faults, Throttle};
+
+/// Bodies below this size are read; the store checks the exact limit.
+const MAX_BODY_BYTES: u64 = MAX_VALUE_BYTES as u64 + 1;
+
+/// Settings of a [`Platform`].
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformSettings {
+    /// Where it listens; port 0 takes a free one.
+    pub address: net::SocketAddr,
+    /// Reads, watches and lists that it answers a second.
+    pub reads: u32,
+    /// Writes that it takes a second.
+    pub writes: u32,
+    /// How late the instance list is.
+    pub list_lag: time::Duration,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            address: net::SocketAddr::from(([127, 0, 0, 1], 0)),
+            reads: 2_000,
+            writes: 400,
+            list_lag: time::Duration::ZERO,
+        }
+    }
+}
+
+/// Stand-in for the platform. It stops when dropped.
+pub struct Platform {
+    address: net::SocketAddr,
+    core: Arc<Core>,
+    handle: trillium_server_common::ServerHandle,
+}
+
+struct Core {
+    settings: PlatformSettings,
+    memory: Memory,
+    faults: Faults,
+    /// Values that a stale read returns.
+    previous: Mutex<Table<ObjectKey, Object>>,
+    instances: Mutex<Vec<(time::Instant, Vec<Instance>)>>,
+    reads: Mutex<Throttle>,
+    writes: Mutex<Throttle>,
+    calls: Mutex<Table<(String, &'static str), u64>>,
+    refused: AtomicU64,
+}
+
+impl Platform {
+    /// Starts a platform with no objects.
+    ///
+    /// # Errors
+    /// An I/O error when it cannot listen.
+    pub fn start(settings: PlatformSettings) -> std::io::Result<Self> {
+        let listener = net::TcpListener::bind(settings.address)?;
+        let address = listener.local_addr()?;
+        listener.set_nonblocking(true)?;
+        let core = Arc::new(Core::new(settings));
+        let handle = trillium_smol::config()
+            .without_signals()
+            .with_nodelay()
+            .with_prebound_server(trillium_smol::async_net::TcpListener::try_from(listener)?)
+            .spawn(router(&core));
+        Ok(Self {
+            address,
+            core,
+            handle,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// The fault switches.
+    pub fn faults(&self) -> &Faults {
+        &self.core.faults
+    }
+
+    /// What it keeps, past all faults and limits.
+    pub fn memory(&self) -> &Memory {
+        &self.core.memory
+    }
+
+    /// Sets the instance list. Callers see it after the lag.
+    pub fn set_instances(&self, instances: Vec<Instance>) {
+        let visible = time::Instant::now() + self.core.settings.list_lag;
+        lock(&self.core.instances).push((visible, instances));
+    }
+
+    /// Calls so far, by kind of object and action.
+    pub fn calls(&self) -> Vec<((String, &'static str), u64)> {
+        let calls = lock(&self.core.calls);
+        calls
+            .iter()
+            .map(|(key, count)| (key.clone(), *count))
+            .collect()
+    }
+
+    /// Calls refused by the rate limits.
+    pub fn refused(&self) -> u64 {
+        self.core.refused.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.handle.stopper().stop();
+    }
+}
+
+impl Core {
+    fn new(settings: PlatformSettings) -> Self {
+        Self {
+            settings,
+            memory: Memory::new(),
+            faults: Faults::default(),
+            previous: Mutex::default(),
+            instances: Mutex::default(),
+            reads: Mutex::new(Throttle::new(settings.reads)),
+            writes: Mutex::new(Throttle::new(settings.writes)),
+            calls: Mutex::default(),
+            refused: AtomicU64::new(0),
+        }
+    }
+
+    /// Counts a call. Returns the status that ends it, if it may not go on.
+    async fn admit(&self, kind: &str, action: &'static str) -> Option<u16> {
+        let limit = match action {
+            "update" => &self.writes,
+            _ => &self.reads,
+        };
+        *lock(&self.calls).get_or_insert_with((kind.to_owned(), action), || 0) += 1;
+        if self.faults.is_down() {
+            return Some(503);
+        }
+        if !lock(limit).take(time::Instant::now()) {
+            self.refused.fetch_add(1, Ordering::Relaxed);
+            return Some(429);
+        }
+        let slow = self.faults.delay();
+        if !slow.is_zero() {
+            smol::Timer::after(slow).await;
+        }
+        None
+    }
+
+    async fn get(&self, conn: Conn) -> Conn {
+        let Some(key) = key_of(&conn) else {
+            return conn.with_status(400);
+        };
+        match query(&conn, "after") {
+            Some(after) => self.watch(conn, &key, ObjectVersion(after)).await,
+            None => self.read(conn, &key).await,
+        }
+    }
+
+    async fn read(&self, conn: Conn, key: &ObjectKey) -> Conn {
+        if let Some(status) = self.admit(&key.kind, "read").await {
+            return conn.with_status(status);
+        }
+        let stale = self.faults.takes_stale_read();
+        let old = stale.then(|| lock(&self.previous).get(key).cloned());
+        let object = old.flatten().unwrap_or_else(|| self.memory.get(key));
+        answer(conn, object)
+    }
+
+    async fn watch(&self, conn: Conn, key: &ObjectKey, after: ObjectVersion) -> Conn {
+        if let Some(status) = self.admit(&key.kind, "watch").await {
+            return conn.with_status(status);
+        }
+        let wait = time::Duration::from_millis(query(&conn, "wait_ms").unwrap_or(0));
+        let change = async {
+            let object = self.memory.wait_for(key, after).await;
+            if self.faults.stalls_watches() {
+                smol::future::pending::<()>().await;
+            }
+            Some(object)
+        };
+        let timer = async {
+            smol::Timer::after(wait).await;
+            if self.faults.stalls_watches() {
+                smol::future::pending::<()>().await;
+            }
+            None
+        };
+        match smol::future::or(change, timer).await {
+            Some(object) => answer(conn, object),
+            None => conn.with_status(304),
+        }
+    }
+
+    async fn put(&self, mut conn: Conn) -> Conn {
+        let Some(key) = key_of(&conn) else {
+            return conn.with_status(400);
+        };
+        if let Some(status) = self.admit(&key.kind, "update").await {
+            return conn.with_status(status);
+        }
+        let expect = conn.request_headers().get_str("if-match");
+        let Some(expect) = expect.and_then(|text| text.parse().ok()) else {
+            return conn.with_status(428);
+        };
+        let body = conn.request_body().await.with_max_len(MAX_BODY_BYTES);
+        let Ok(value) = body.read_bytes().await else {
+            return conn.with_status(413);
+        };
+        let before = self.memory.get(&key);
+        let written = self.memory.put(&key, ObjectVersion(expect), value);
+        if written.is_ok() {
+            lock(&self.previous).insert(key, before);
+        }
+        if self.faults.takes_lost_answer() {
+            return conn.with_status(500);
+        }
+        match written {
+            Ok(version) => with_version(conn, version).ok(""),
+            Err(StoreError::Conflict(found)) => with_version(conn, found).with_status(412),
+            Err(_) => conn.with_status(413),
+        }
+    }
+
+    async fn list(&self, conn: Conn) -> Conn {
+        let kind = conn.param("kind").unwrap_or_default().to_owned();
+        if let Some(status) = self.admit(&kind, "list").await {
+            return conn.with_status(status);
+        }
+        let row = |listed: &lentil_platform::Listed| serde_json::json!({ "name": listed.name, "version": listed.version.0 });
+        let rows: Vec<_> = self.memory.names(&kind).iter().map(row).collect();
+        json(conn, &serde_json::Value::from(rows))
+    }
+
+    async fn instances(&self, conn: Conn) -> Conn {
+        if let Some(status) = self.admit("instances", "list").await {
+            return conn.with_status(status);
+        }
+        let place = query_text(&conn, "place");
+        let listed = self.visible_instances();
+        let wanted = |instance: &&Instance| place.as_ref().is_none_or(|p| **p == *instance.place);
+        let found: Vec<_> = listed.iter().filter(wanted).collect();
+        json(conn, &serde_json::json!(found))
+    }
+
+    fn visible_instances(&self) -> Vec<Instance> {
+        let now = time::Instant::now();
+        let lists = lock(&self.instances);
+        let visible = lists.iter().rev().find(|(at, _)| *at <= now);
+        visible.map(|(_, list)| list.clone()).unwrap_or_default()
+    }
+}
+
+fn router(core: &Arc<Core>) -> Router {
+    let (read, write, list, instances) = (core.clone(), core.clone(), core.clone(), core.clone());
+    Router::new()
+        .get("/objects/:kind", move |conn: Conn| {
+            let core = list.clone();
+            async move { core.list(conn).await }
+        })
+        .get("/objects/:kind/*", move |conn: Conn| {
+            let core = read.clone();
+            async move { core.get(conn).await }
+        })
+        .put("/objects/:kind/*", move |conn: Conn| {
+            let core = write.clone();
+            async move { core.put(conn).await }
+        })
+        .get("/instances", move |conn: Conn| {
+            let core = instances.clone();
+            async move { core.instances(conn).await }
+        })
+}
+
+fn key_of(conn: &Conn) -> Option<ObjectKey> {
+    Some(ObjectKey {
+        kind: conn.param("kind")?.into(),
+        name: conn.wildcard()?.into(),
+    })
+}
+
+fn query_text(conn: &Conn, name: &str) -> Option<String> {
+    let pairs = conn.querystring().split('&');
+    let value = pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name);
+    value.map(|(_, value)| value.to_owned())
+}
+
+fn query(conn: &Conn, name: &str) -> Option<u64> {
+    query_text(conn, name)?.parse().ok()
+}
+
+fn answer(conn: Conn, object: Object) -> Conn {
+    if object.version == ObjectVersion(0) {
+        return conn.with_status(404);
+    }
+    with_version(conn, object.version).ok(object.value)
+}
+
+fn with_version(conn: Conn, version: ObjectVersion) -> Conn {
+    conn.with_response_header(VERSION_HEADER, version.0.to_string())
+}
+
+fn json(conn: Conn, value: &serde_json::Value) -> Conn {
+    conn.with_response_header("content-type", "application/json")
+        .ok(value.to_string())
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/lentil_platform/src/store.rs
@@ -0,0 +1,92 @@
+//! The object API.
+
+use std::{future, pin, time};
+
+use compact_str::CompactString;
+use lentil_policy::store::{ObjectKey, ObjectVersion, StoreCall, StoreReply};
+
+use crate::StoreError;
+
+/// Largest value, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// What a call of an [`ObjectStore`] returns.
+pub type StoreFuture<'a, T> =
+    pin::Pin<Box<dyn future::Future<Output = Result<T, StoreError>> + Send + 'a>>;
+
+/// An object. Version 0 and no value: it does not exist.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Object {
+    /// Its version.
+    pub version: ObjectVersion,
+    /// Its value.
+    pub value: Vec<u8>,
+}
+
+/// One line of a list of objects.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Name within the kind.
+    pub name: CompactString,
+    /// Version of the object.
+    pub version: ObjectVersion,
+}
+
+/// Keeps versioned objects.
+pub trait ObjectStore: Send + Sync {
+    /// Reads an object. One that does not exist has version 0.
+    fn read<'a>(&'a self, key: &'a ObjectKey) -> StoreFuture<'a, Object>;
+
+    /// Writes `value` if the object still has version `expect`; 0 creates.
+    /// Returns the new version.
+    fn update<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        expect: ObjectVersion,
+        value: Vec<u8>,
+    ) -> StoreFuture<'a, ObjectVersion>;
+
+    /// Waits, at most for `wait`, until the object has a version above `after`.
+    fn watch<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        after: ObjectVersion,
+        wait: time::Duration,
+    ) -> StoreFuture<'a, Option<Object>>;
+
+    /// Names and versions of a kind's objects, in the order of their names.
+    fn list<'a>(&'a self, kind: &'a str) -> StoreFuture<'a, Vec<Listed>>;
+}
+
+/// Carries out a policy's call and says what is known of its effect.
+pub async fn carry_out(store: &dyn ObjectStore, call: StoreCall) -> StoreReply {
+    match call {
+        StoreCall::Read { op, key } => match store.read(&key).await {
+            Ok(Object { version, value }) => StoreReply::Found { op, version, value },
+            Err(error) if error.is_lost() => StoreReply::Lost { op },
+            Err(_) => StoreReply::Refused { op },
+        },
+        StoreCall::Update {
+            op,
+            key,
+            expect,
+            value,
+        } => match store.update(&key, expect, value).await {
+            Ok(version) => StoreReply::Updated { op, version },
+            Err(StoreError::Conflict(_)) => StoreReply::Conflict { op },
+            Err(error) if error.is_lost() => StoreReply::Lost { op },
+            Err(_) => StoreReply::Refused { op },
+        },
+    }
+}
+
+/// Checks the size of a value.
+///
+/// # Errors
+/// [`StoreError::TooLarge`] when it is larger than [`MAX_VALUE_BYTES`].
+pub fn check_value(value: &[u8]) -> Result<(), StoreError> {
+    if value.len() > MAX_VALUE_BYTES {
+        return Err(StoreError::TooLarge { bytes: value.len() });
+    }
+    Ok(())
+}
--- a/crates/lentil_policy/src/lib.rs
+++ b/crates/lentil_policy/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`cache`]: what a sidecar knows of its engine's cache.
 //! - [`protocol`]: what entries and sidecars say to each other.
 //! - [`store`]: what a policy asks of the platform's object API.
+//! - [`store_budget`]: how often this process may call it.
 
 pub mod cache;
 pub mod entry;
@@ -20,3 +21,4 @@
 pub mod route;
 pub mod sidecar;
 pub mod store;
+pub mod store_budget;
