The stand-ins have the whole engine protocol and fault switches

Cause: tests of failures need engines that crash, freeze and spoil streams, and the engine and the plain stand-in had the same server code twice. Change: one server that can crash and come back on its address; an engine with status, cache events, priorities, cancel, resume, KV export and import and orders; a plain service that counts runs by key and can lose an answer. Conclusion: the sidecar and the failure tests can be built on it.

--- /dev/null
+++ b/crates/lentil_fakes/src/engine/answer.rs
@@ -0,0 +1,225 @@
+//! Writes one answer.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task, time,
+};
+
+use futures_lite::{AsyncRead, AsyncWriteExt as _};
+use lentil_types::{Tokens, WeightsVersion};
+
+use super::{
+    request::{Request, Shape},
+    slots::Slot,
+    state::{State, StreamFault},
+};
+
+/// Bytes of an answer that may wait for its reader.
+const PIPE_BYTES: usize = 64 * 1024;
+/// Time between two looks whether the engine has crashed.
+const LIFE_CHECK: time::Duration = time::Duration::from_millis(20);
+
+/// Body of a streamed answer. When its writer stops before it said that the
+/// answer ended, the connection breaks off.
+pub(super) struct AnswerBody {
+    reader: piper::Reader,
+    ended: Arc<AtomicBool>,
+}
+
+impl AsyncRead for AnswerBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &mut [u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let read = task::ready!(Pin::new(&mut self.reader).poll_read(context, buffer))?;
+        if read == 0 && !self.ended.load(Ordering::Acquire) {
+            return task::Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        task::Poll::Ready(Ok(read))
+    }
+}
+
+/// What is known of a run when its prompt is computed.
+pub(super) struct Run {
+    pub(super) request: Request,
+    pub(super) weights: WeightsVersion,
+    pub(super) cached: usize,
+    pub(super) fault: Option<StreamFault>,
+    pub(super) _slot: Slot,
+    pub(super) _running: Running,
+}
+
+/// Counts one running request for as long as it lives.
+pub(super) struct Running(Arc<State>);
+
+impl Running {
+    pub(super) fn new(state: &Arc<State>) -> Self {
+        state.life(|life| life.running += 1);
+        state.counters(|counters| counters.runs += 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0
+            .life(|life| life.running = life.running.saturating_sub(1));
+    }
+}
+
+/// Starts to write an answer. It stops when its reader is gone or the request
+/// is cancelled.
+pub(super) fn start(state: &Arc<State>, run: Run) -> AnswerBody {
+    let (reader, writer) = piper::pipe(PIPE_BYTES);
+    let ended = Arc::new(AtomicBool::new(false));
+    let body = AnswerBody {
+        reader,
+        ended: ended.clone(),
+    };
+    let (cancel, cancelled) = smol::channel::bounded::<()>(1);
+    let id = run.request.id.clone();
+    let state = state.clone();
+    state
+        .cancels
+        .lock()
+        .expect("no holder panics")
+        .push((id.clone(), cancel));
+    let boot = state.life(|life| life.boot);
+    smol::spawn(async move {
+        let mut answer = Writer {
+            state: state.clone(),
+            run,
+            writer,
+            ended,
+        };
+        let write = async { answer.write().await.is_ok() };
+        let cancel = async { cancelled.recv().await.is_err() };
+        let died = async {
+            while state.life(|life| life.boot) == boot {
+                smol::Timer::after(LIFE_CHECK).await;
+            }
+            true
+        };
+        let whole = smol::future::or(write, smol::future::or(cancel, died)).await;
+        if !whole {
+            state.counters(|counters| counters.cancelled += 1);
+        }
+        let mut cancels = state.cancels.lock().expect("no holder panics");
+        cancels.retain(|(other, _)| *other != id);
+    })
+    .detach();
+    body
+}
+
+struct Writer {
+    state: Arc<State>,
+    run: Run,
+    writer: piper::Writer,
+    ended: Arc<AtomicBool>,
+}
+
+impl Writer {
+    async fn write(&mut self) -> io::Result<()> {
+        let words = self.run.request.words;
+        let tokens = self.run.request.prompt_tokens();
+        let cached = self.run.request.cached_tokens(self.run.cached);
+        for offset in self.run.request.start..words + 2 {
+            self.state.gate.pass().await;
+            if offset < words {
+                smol::Timer::after(self.pace()).await;
+            }
+            let chunk = match offset.checked_sub(words) {
+                None => self.word(offset),
+                Some(0) => self.chunk("", Some("stop")),
+                Some(_) => self.usage(tokens, cached),
+            };
+            let other = self.crossed();
+            match self.run.fault {
+                Some(StreamFault::Cut(at)) if at == offset => return Ok(()),
+                Some(StreamFault::End(at)) if at == offset => return self.end(),
+                Some(StreamFault::Stall(at)) if at == offset => smol::future::pending().await,
+                Some(StreamFault::Skip(at)) if at == offset => {}
+                Some(StreamFault::Cross(at)) if at == offset => self.event(offset, &other).await?,
+                Some(StreamFault::Double(at)) if at == offset => {
+                    self.event(offset, &chunk).await?;
+                    self.event(offset, &chunk).await?;
+                }
+                _ => self.event(offset, &chunk).await?,
+            }
+        }
+        self.writer.write_all(b"data: [DONE]\n\n").await?;
+        self.end()
+    }
+
+    fn end(&mut self) -> io::Result<()> {
+        self.ended.store(true, Ordering::Release);
+        Ok(())
+    }
+
+    fn pace(&self) -> time::Duration {
+        let switched = self.state.switches(|switches| switches.pace);
+        switched.unwrap_or(self.state.settings.pace)
+    }
+
+    fn word(&self, offset: usize) -> serde_json::Value {
+        self.chunk(&self.run.request.word(self.run.weights, offset), None)
+    }
+
+    fn chunk(&self, text: &str, finish: Option<&str>) -> serde_json::Value {
+        let request = &self.run.request;
+        let choice = match request.shape {
+            Shape::Chat => {
+                let delta = match text {
+                    "" => serde_json::json!({}),
+                    text => serde_json::json!({ "content": text }),
+                };
+                serde_json::json!({ "index": 0, "delta": delta, "finish_reason": finish })
+            }
+            Shape::Text => {
+                serde_json::json!({ "index": 0, "text": text, "finish_reason": finish })
+            }
+        };
+        serde_json::json!({
+            "id": request.id, "object": self.object(), "model": request.model,
+            "choices": [choice],
+        })
+    }
+
+    fn usage(&self, tokens: Tokens, cached: Tokens) -> serde_json::Value {
+        let request = &self.run.request;
+        serde_json::json!({
+            "id": request.id, "object": self.object(), "model": request.model, "choices": [],
+            "usage": {
+                "prompt_tokens": tokens.0,
+                "completion_tokens": request.words,
+                "total_tokens": tokens.0 + request.words as u64,
+                "prompt_tokens_details": { "cached_tokens": cached.0 },
+            },
+        })
+    }
+
+    /// A piece of another request's answer.
+    fn crossed(&self) -> serde_json::Value {
+        let mut chunk = self.chunk("crossed ", None);
+        chunk["id"] = "another-request".into();
+        chunk
+    }
+
+    fn object(&self) -> &'static str {
+        match self.run.request.shape {
+            Shape::Chat => "chat.completion.chunk",
+            Shape::Text => "text_completion",
+        }
+    }
+
+    async fn event(&mut self, offset: usize, chunk: &serde_json::Value) -> io::Result<()> {
+        let event = format!("id: {offset}\ndata: {chunk}\n\n");
+        self.writer.write_all(event.as_bytes()).await
+    }
+}
--- a/crates/lentil_fakes/src/plain.rs
+++ b/crates/lentil_fakes/src/plain.rs
@@ -1,14 +1,10 @@
 //! Stand-in for a plain service.
 
-use std::{
-    net,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-};
+use std::{collections::BTreeMap, io, net, sync::Arc, sync::Mutex, time};
 
-use trillium::Conn;
+use trillium::{Conn, Status};
+
+use crate::server::{Gate, Server};
 
 /// Settings of a [`Plain`].
 #[derive(Clone, Debug)]
@@ -25,12 +21,33 @@
     }
 }
 
+#[derive(Default)]
+struct Inner {
+    calls: u64,
+    runs: BTreeMap<String, u64>,
+    delay: time::Duration,
+    refusals: u32,
+    lost: u32,
+    body: Option<Vec<u8>>,
+}
+
+#[derive(Default)]
+struct State {
+    inner: Mutex<Inner>,
+    gate: Gate,
+}
+
+impl State {
+    fn with<T>(&self, use_inner: impl FnOnce(&mut Inner) -> T) -> T {
+        use_inner(&mut self.inner.lock().expect("no holder panics"))
+    }
+}
+
 /// Stand-in for a plain service: it answers every call with the number of
 /// calls that it ran. It stops when dropped.
 pub struct Plain {
-    address: net::SocketAddr,
-    calls: Arc<AtomicU64>,
-    handle: trillium_server_common::ServerHandle,
+    state: Arc<State>,
+    server: Server,
 }
 
 impl Plain {
@@ -38,53 +55,136 @@
     ///
     /// # Errors
     /// An I/O error when it cannot listen.
-    pub fn start(settings: &PlainSettings) -> std::io::Result<Self> {
-        let listener = net::TcpListener::bind(settings.address)?;
-        let address = listener.local_addr()?;
-        listener.set_nonblocking(true)?;
-        let calls = Arc::new(AtomicU64::new(0));
-        let handle = trillium_smol::config()
-            .without_signals()
-            .with_nodelay()
-            .with_prebound_server(trillium_smol::async_net::TcpListener::try_from(listener)?)
-            .spawn(answer(calls.clone()));
-        Ok(Self {
-            address,
-            calls,
-            handle,
-        })
+    pub fn start(settings: &PlainSettings) -> io::Result<Self> {
+        let state = Arc::new(State::default());
+        let server = Server::start(settings.address, handler(state.clone()))?;
+        Ok(Self { state, server })
     }
 
     /// Where it listens.
     pub fn address(&self) -> net::SocketAddr {
-        self.address
+        self.server.address()
     }
 
     /// Calls that it ran.
     pub fn calls(&self) -> u64 {
-        self.calls.load(Ordering::Relaxed)
+        self.state.with(|inner| inner.calls)
+    }
+
+    /// How often it ran a call with this idempotency key.
+    pub fn runs(&self, key: &str) -> u64 {
+        self.state
+            .with(|inner| inner.runs.get(key).copied().unwrap_or(0))
+    }
+
+    // -----------------------------------------------------------------------
+    // Faults
+
+    /// Dies: every connection is cut and nothing listens.
+    pub async fn crash(&self) {
+        self.server.crash().await;
+    }
+
+    /// Comes back after [`Plain::crash`].
+    ///
+    /// # Errors
+    /// An I/O error when another process has taken its address.
+    pub async fn restart(&self) -> io::Result<()> {
+        self.server.restart().await
+    }
+
+    /// Stops doing anything while connections stay open.
+    pub async fn freeze(&self) {
+        self.state.gate.close().await;
     }
-}
 
-impl Drop for Plain {
-    fn drop(&mut self) {
-        self.handle.stopper().stop();
+    /// Goes on after [`Plain::freeze`].
+    pub async fn thaw(&self) {
+        self.state.gate.open().await;
+    }
+
+    /// Makes every answer later by this much, after the call ran.
+    pub fn delay_answers(&self, delay: time::Duration) {
+        self.state.with(|inner| inner.delay = delay);
+    }
+
+    /// Refuses this many calls with HTTP 503, unread.
+    pub fn refuse(&self, calls: u32) {
+        self.state.with(|inner| inner.refusals = calls);
+    }
+
+    /// Runs this many calls and cuts the connection before their answers.
+    pub fn lose_answers(&self, calls: u32) {
+        self.state.with(|inner| inner.lost = calls);
+    }
+
+    /// Answers every call with these bytes.
+    pub fn answer_with(&self, body: Vec<u8>) {
+        self.state.with(|inner| inner.body = Some(body));
     }
 }
 
-fn answer(calls: Arc<AtomicU64>) -> impl trillium::Handler {
-    move |mut conn: Conn| {
-        let calls = calls.clone();
+fn handler(state: Arc<State>) -> impl trillium::Handler {
+    move |conn: Conn| {
+        let state = state.clone();
         async move {
-            if conn.request_body_string().await.is_err() {
-                return conn.with_status(400);
-            }
-            let number = calls.fetch_add(1, Ordering::Relaxed) + 1;
-            let body = serde_json::json!({
-                "method": conn.method().to_string(), "path": conn.path(), "call": number,
-            });
-            conn.with_response_header("content-type", "application/json")
-                .ok(body.to_string())
+            state.gate.pass().await;
+            answer(&state, conn).await
+        }
+    }
+}
+
+async fn answer(state: &State, mut conn: Conn) -> Conn {
+    let refuse = state.with(|inner| {
+        let refuse = inner.refusals > 0;
+        inner.refusals -= u32::from(refuse);
+        refuse
+    });
+    if refuse {
+        return conn.with_status(Status::ServiceUnavailable).halt();
+    }
+    if conn.request_body().await.read_bytes().await.is_err() {
+        return conn.with_status(Status::BadRequest).halt();
+    }
+    let body = run(state, &conn);
+    let (delay, lost) = state.with(|inner| {
+        let lost = inner.lost > 0;
+        inner.lost -= u32::from(lost);
+        (inner.delay, lost)
+    });
+    smol::Timer::after(delay).await;
+    state.gate.pass().await;
+    let conn = conn.with_response_header("content-type", "application/json");
+    if lost {
+        return conn.ok(trillium::Body::new_streaming(Broken, None));
+    }
+    conn.ok(body)
+}
+
+/// Runs a call and returns its answer.
+fn run(state: &State, conn: &Conn) -> Vec<u8> {
+    let key = conn.request_headers().get_str("idempotency-key");
+    state.with(|inner| {
+        inner.calls += 1;
+        if let Some(key) = key {
+            *inner.runs.entry(key.to_owned()).or_default() += 1;
         }
+        let body = serde_json::json!({
+            "method": conn.method().to_string(), "path": conn.path(), "call": inner.calls,
+        });
+        inner.body.clone().unwrap_or(body.to_string().into_bytes())
+    })
+}
+
+/// A body that breaks its connection off.
+struct Broken;
+
+impl futures_lite::AsyncRead for Broken {
+    fn poll_read(
+        self: std::pin::Pin<&mut Self>,
+        _context: &mut std::task::Context<'_>,
+        _buffer: &mut [u8],
+    ) -> std::task::Poll<io::Result<usize>> {
+        std::task::Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()))
     }
 }
--- /dev/null
+++ b/crates/lentil_fakes/src/server.rs
@@ -0,0 +1,129 @@
+//! An HTTP server that can crash, come back on the same address, and freeze.
+
+use std::{io, net, sync::Arc};
+
+use smol::{
+    lock::{Mutex, RwLock, RwLockWriteGuardArc},
+    net::{TcpListener, TcpStream},
+};
+use trillium::Handler;
+
+type Transport = trillium_smol::SmolTransport<TcpStream>;
+
+/// Largest head of a request, in bytes. A request names its cache pieces there.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// An HTTP server with faults of whole processes. It stops when dropped.
+pub(crate) struct Server {
+    address: net::SocketAddr,
+    handler: Arc<dyn Handler>,
+    accepting: Mutex<Option<smol::Task<()>>>,
+}
+
+impl Server {
+    /// Starts a server.
+    ///
+    /// # Errors
+    /// An I/O error when it cannot listen.
+    pub(crate) fn start(address: net::SocketAddr, handler: impl Handler) -> io::Result<Self> {
+        let listener = listen(address)?;
+        let address = listener.local_addr()?;
+        let handler: Arc<dyn Handler> = Arc::new(handler);
+        let accepting = smol::spawn(accept(listener, handler.clone()));
+        Ok(Self {
+            address,
+            handler,
+            accepting: Mutex::new(Some(accepting)),
+        })
+    }
+
+    /// Where it listens.
+    pub(crate) fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and cuts every connection.
+    pub(crate) async fn crash(&self) {
+        if let Some(accepting) = self.accepting.lock().await.take() {
+            accepting.cancel().await;
+        }
+    }
+
+    /// Listens again on the same address.
+    ///
+    /// # Errors
+    /// An I/O error when another process has taken the address.
+    pub(crate) async fn restart(&self) -> io::Result<()> {
+        let mut accepting = self.accepting.lock().await;
+        if accepting.is_none() {
+            let listener = listen(self.address)?;
+            *accepting = Some(smol::spawn(accept(listener, self.handler.clone())));
+        }
+        Ok(())
+    }
+}
+
+fn listen(address: net::SocketAddr) -> io::Result<TcpListener> {
+    smol::Async::<net::TcpListener>::bind(address).map(TcpListener::from)
+}
+
+/// Serves connections until dropped, which drops them too.
+async fn accept(listener: TcpListener, handler: Arc<dyn Handler>) {
+    let mut connections: Vec<smol::Task<()>> = Vec::new();
+    loop {
+        connections.retain(|task| !task.is_finished());
+        match listener.accept().await {
+            Ok((stream, _)) => connections.push(smol::spawn(serve(stream, handler.clone()))),
+            Err(error) => log::warn!("cannot accept a connection: {error}"),
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, handler: Arc<dyn Handler>) {
+    if let Err(error) = serve_connection(stream, &handler).await {
+        log::debug!("a connection ended: {error}");
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    handler: &Arc<dyn Handler>,
+) -> trillium_http::Result<()> {
+    stream.set_nodelay(true)?;
+    let config = trillium_http::HttpConfig::default().with_head_max_len(MAX_HEAD_BYTES);
+    let respond = |conn: trillium_http::Conn<Transport>| async move {
+        let conn = handler.run(trillium::Conn::from(conn)).await;
+        handler.before_send(conn).await.into_inner()
+    };
+    let stopper = trillium_http::Stopper::new();
+    let transport = Transport::from(stream);
+    trillium_http::Conn::map_with_config(config, transport, stopper, respond).await?;
+    Ok(())
+}
+
+/// Holds everything that passes while it is closed.
+#[derive(Default)]
+pub(crate) struct Gate {
+    lock: Arc<RwLock<()>>,
+    closed: Mutex<Option<RwLockWriteGuardArc<()>>>,
+}
+
+impl Gate {
+    /// Waits while the gate is closed.
+    pub(crate) async fn pass(&self) {
+        drop(self.lock.read().await);
+    }
+
+    /// Closes the gate.
+    pub(crate) async fn close(&self) {
+        let mut closed = self.closed.lock().await;
+        if closed.is_none() {
+            *closed = Some(self.lock.write_arc().await);
+        }
+    }
+
+    /// Opens the gate.
+    pub(crate) async fn open(&self) {
+        *self.closed.lock().await = None;
+    }
+}
