The operators' text is checked whole, and lentilctl has a frame

Cause: a text was read by serde, which stops at the first fault and knows nothing of names that dangle; the command line had one command.

Change: the text is read from a spanned tree; every fault comes with line, column, the value found and what is allowed, names are checked for doubles, dangling uses and circles. One list of keys drives the reader's unknown-key check and the reference page. diff says what changes between two texts.

--- a/crates/lentil_config/src/lib.rs
+++ b/crates/lentil_config/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! [`Market::parse`] reads and checks it. The rest of the system sees only a
 //! checked [`Market`], in which every name that is used is also defined.
+//! [`diff`] says what changes between two of them, and [`reference`] lists every
+//! key that a text may have.
 //!
 //! ```
 //! let text = r#"
@@ -20,10 +22,17 @@
 //! # Ok::<(), lentil_config::Faults>(())
 //! ```
 
+mod change;
+mod check;
 mod fault;
 mod market;
+mod parse;
+mod reader;
+pub mod reference;
 
+pub use change::{Change, diff};
 pub use fault::{Fault, FaultKind, Faults};
 pub use market::{
-    Call, KeyHash, Market, Model, Objective, Place, Runner, Service, ServiceKind, Team,
+    Call, ClassRule, KeyHash, Market, Model, Objective, Place, Role, Runner, Service, ServiceKind,
+    Team,
 };
--- a/crates/lentil_config/src/market.rs
+++ b/crates/lentil_config/src/market.rs
@@ -1,13 +1,16 @@
 //! What the text says, checked.
 
-use std::net;
+use std::{fmt, net, str, time};
 
 use lentil_types::{
-    Class, ModelName, PlaceName, RegionName, RunnerName, ScopeName, ServiceName, TeamName,
-    WeightsVersion,
+    AdapterName, Class, ModelName, PlaceName, RegionName, RunnerName, ScopeName, ServiceName,
+    TeamName, WeightsVersion,
 };
 
-use crate::{Fault, FaultKind, Faults};
+use crate::{Faults, parse};
+
+/// Digits of a SHA-256 in hexadecimal.
+const HASH_DIGITS: usize = 64;
 
 /// What a market is run for when its aims pull apart.
 #[derive(
@@ -18,7 +21,6 @@
     PartialEq,
     Eq,
     serde::Serialize,
-    serde::Deserialize,
     strum::Display,
     strum::EnumString,
     strum::VariantNames,
@@ -41,7 +43,6 @@
     PartialEq,
     Eq,
     serde::Serialize,
-    serde::Deserialize,
     strum::Display,
     strum::EnumString,
     strum::VariantNames,
@@ -57,40 +58,68 @@
     Plain,
 }
 
+/// What an engine does of a request.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    strum::Display,
+    strum::EnumString,
+    strum::VariantNames,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Role {
+    /// Computes prompts and answers.
+    #[default]
+    Mixed,
+    /// Computes prompts.
+    Prefill,
+    /// Computes answers.
+    Decode,
+}
+
 /// A whole text: everything that exists in one region of an operator.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
 pub struct Market {
     /// The region.
     pub region: RegionName,
     /// What the market is run for.
-    #[serde(default)]
     pub objective: Objective,
     /// Data centres.
-    #[serde(default, rename = "place")]
     pub places: Vec<Place>,
-    /// Models and the weights in force.
-    #[serde(default, rename = "model")]
+    /// Rules of the classes that the text names.
+    pub classes: Vec<ClassRule>,
+    /// Models and the weights wanted.
     pub models: Vec<Model>,
     /// Services and their runners.
-    #[serde(default, rename = "service")]
     pub services: Vec<Service>,
     /// Teams.
-    #[serde(default, rename = "team")]
     pub teams: Vec<Team>,
 }
 
 /// One data centre.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct Place {
     /// Name, unique in the text.
     pub name: PlaceName,
 }
 
+/// Rules of one class of requests.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct ClassRule {
+    /// The class.
+    pub name: Class,
+    /// Time that a request of this class has when it names no deadline.
+    pub deadline: time::Duration,
+}
+
 /// One model.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct Model {
     /// Name, as callers give it.
     pub name: ModelName,
@@ -98,42 +127,35 @@
     pub service: ServiceName,
     /// The weights wanted.
     pub weights: WeightsVersion,
+    /// The adapters wanted.
+    pub adapters: Vec<AdapterName>,
 }
 
 /// One service.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct Service {
     /// Name, unique in the text.
     pub name: ServiceName,
     /// What it is.
     pub kind: ServiceKind,
     /// Services that it needs.
-    #[serde(default)]
     pub depends: Vec<ServiceName>,
     /// Class of requests that do not say theirs.
-    #[serde(default)]
     pub class: Class,
     /// Whether its backend servers report their load.
-    #[serde(default)]
     pub reports_load: bool,
     /// Whether its engines refuse an order with an old fencing number.
-    #[serde(default)]
     pub checks_fencing: bool,
     /// Rollouts keep at least this many runners ready.
-    #[serde(default)]
     pub floor: u32,
     /// Calls that may not be repeated. Others may be.
-    #[serde(default, rename = "once")]
     pub once_calls: Vec<Call>,
     /// Its backend servers.
-    #[serde(default)]
     pub runners: Vec<Runner>,
 }
 
 /// Calls of a plain service, by method and path prefix.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct Call {
     /// HTTP method, in capitals.
     pub method: String,
@@ -142,8 +164,7 @@
 }
 
 /// One backend server of a service.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct Runner {
     /// Name, unique in the text.
     pub name: RunnerName,
@@ -151,31 +172,49 @@
     pub place: PlaceName,
     /// Where its sidecar listens for entries.
     pub address: net::SocketAddr,
+    /// What it does of a request.
+    pub role: Role,
 }
 
 /// One team.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
 pub struct Team {
     /// Name, unique in the text.
     pub name: TeamName,
     /// Share of a contended runner, against the other teams' weights.
-    #[serde(default = "default_weight")]
     pub weight: u32,
     /// Cache scope. Teams share cached prefixes only inside one scope.
     pub scope: ScopeName,
     /// SHA-256 of the team's API keys.
-    #[serde(default)]
     pub keys: Vec<KeyHash>,
 }
 
 /// SHA-256 of an API key, in 64 hexadecimal digits.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
 #[serde(transparent)]
 pub struct KeyHash(pub String);
 
-fn default_weight() -> u32 {
-    1
+/// A text is not the SHA-256 of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a SHA-256 in {HASH_DIGITS} lower-case hexadecimal digits")]
+pub struct ParseKeyHashError;
+
+impl str::FromStr for KeyHash {
+    type Err = ParseKeyHashError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let is_digit = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+        if s.len() == HASH_DIGITS && s.bytes().all(is_digit) {
+            return Ok(Self(s.to_owned()));
+        }
+        Err(ParseKeyHashError)
+    }
+}
+
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
 }
 
 impl Market {
@@ -184,7 +223,7 @@
     /// # Errors
     /// [`Faults`] with every fault of the text.
     pub fn parse(text: &str) -> Result<Self, Faults> {
-        toml::from_str(text).map_err(|error| Faults(vec![syntax_fault(text, &error)]))
+        parse::market(text)
     }
 
     /// The service with this name.
@@ -203,6 +242,33 @@
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.teams.iter().find(|team| team.name.as_str() == name)
     }
+
+    /// The service and the runner with this name.
+    pub fn runner(&self, name: &str) -> Option<(&Service, &Runner)> {
+        let in_service = |service: &'_ Service| {
+            service
+                .runners
+                .iter()
+                .position(|runner| runner.name.as_str() == name)
+        };
+        let found = |service| in_service(service).map(|at| (service, &service.runners[at]));
+        self.services.iter().find_map(found)
+    }
+
+    /// Time that a request of this class has when it names no deadline.
+    pub fn deadline(&self, class: Class) -> time::Duration {
+        let rule = self.classes.iter().find(|rule| rule.name == class);
+        rule.map_or_else(|| default_deadline(class), |rule| rule.deadline)
+    }
+}
+
+/// Time that a request has when neither it nor the text names a deadline.
+fn default_deadline(class: Class) -> time::Duration {
+    match class {
+        Class::Urgent => time::Duration::from_secs(30),
+        Class::Normal => time::Duration::from_secs(120),
+        Class::Patient => time::Duration::from_secs(1_800),
+    }
 }
 
 impl Service {
@@ -213,16 +279,3 @@
             .any(|call| call.method == method && path.starts_with(&call.path))
     }
 }
-
-fn syntax_fault(text: &str, error: &toml::de::Error) -> Fault {
-    let start = error.span().map_or(0, |span| span.start);
-    let before = text.get(..start).unwrap_or(text);
-    let line_start = before.rfind('\n').map_or(0, |at| at + 1);
-    Fault {
-        line: before.matches('\n').count() + 1,
-        column: before[line_start..].chars().count() + 1,
-        kind: FaultKind::Syntax,
-        found: error.message().to_owned(),
-        allowed: "a TOML document as in docs/text-reference.md".to_owned(),
-    }
-}
--- /dev/null
+++ b/crates/lentil_config/src/parse.rs
@@ -0,0 +1,286 @@
+//! From a text to a [`Market`].
+
+use std::{net, time};
+
+use lentil_types::{
+    AdapterName, Class, ModelName, PlaceName, RegionName, RunnerName, ScopeName, ServiceName,
+    TeamName, WeightsVersion,
+};
+use toml::de;
+
+use crate::{
+    FaultKind, Faults, check, market,
+    reader::{At, Fields, Report},
+    reference,
+};
+
+/// Longest deadline, in seconds.
+const MAX_DEADLINE_S: u32 = 86_400;
+/// Largest weight of a team.
+const MAX_WEIGHT: u32 = 1_000;
+/// Methods that a call which may not be repeated can have.
+const METHODS: [&str; 5] = ["POST", "PUT", "PATCH", "DELETE", "GET"];
+
+/// Reads and checks a text.
+pub(crate) fn market(text: &str) -> Result<market::Market, Faults> {
+    let mut report = Report::new(text);
+    let (tree, errors) = de::DeTable::parse_recoverable(text);
+    for error in errors {
+        let span = error.span().unwrap_or_default();
+        report.add(&span, FaultKind::Syntax, error.message(), "a TOML document");
+    }
+    let span = tree.span();
+    let root = Fields::new(&mut report, &reference::ROOT, span, tree.into_inner());
+    let mut names = check::Names::default();
+    let market = read_market(&mut report, root, &mut names);
+    names.check(&mut report);
+    match market {
+        Some(market) if report.is_empty() => Ok(market),
+        _ => Err(report.into_faults()),
+    }
+}
+
+fn read_market<'t>(
+    report: &mut Report<'t>,
+    mut root: Fields<'t>,
+    names: &mut check::Names,
+) -> Option<market::Market> {
+    let region: Option<At<RegionName>> = root.required(report, "region");
+    let objective = value(root.optional(report, "objective"));
+    let places = root.tables(report, "place", &reference::PLACE);
+    let classes = root.tables(report, "class", &reference::CLASS);
+    let models = root.tables(report, "model", &reference::MODEL);
+    let services = root.tables(report, "service", &reference::SERVICE);
+    let teams = root.tables(report, "team", &reference::TEAM);
+    let places = read_all(report, names, places, read_place);
+    let classes = read_all(report, names, classes, read_class);
+    let models = read_all(report, names, models, read_model);
+    let services = read_all(report, names, services, read_service);
+    let teams = read_all(report, names, teams, read_team);
+    let region = region?.value;
+    Some(market::Market {
+        region,
+        objective,
+        places,
+        classes,
+        models,
+        services,
+        teams,
+    })
+}
+
+/// Reads every table and drops those that lack what they must have; their
+/// faults are in the report.
+fn read_all<'t, T>(
+    report: &mut Report<'t>,
+    names: &mut check::Names,
+    tables: Vec<Fields<'t>>,
+    read: impl Fn(&mut Report<'t>, &mut check::Names, Fields<'t>) -> Option<T>,
+) -> Vec<T> {
+    tables
+        .into_iter()
+        .filter_map(|fields| read(report, names, fields))
+        .collect()
+}
+
+fn value<T: Default>(at: Option<At<T>>) -> T {
+    at.map(|at| at.value).unwrap_or_default()
+}
+
+fn values<T>(items: Vec<At<T>>) -> Vec<T> {
+    items.into_iter().map(|at| at.value).collect()
+}
+
+// ---------------------------------------------------------------------------
+// Tables
+
+fn read_place<'t>(
+    report: &mut Report<'t>,
+    names: &mut check::Names,
+    mut fields: Fields<'t>,
+) -> Option<market::Place> {
+    let name: At<PlaceName> = fields.required(report, "name")?;
+    names.define(check::Kind::Place, &name);
+    Some(market::Place { name: name.value })
+}
+
+fn read_class<'t>(
+    report: &mut Report<'t>,
+    names: &mut check::Names,
+    mut fields: Fields<'t>,
+) -> Option<market::ClassRule> {
+    let name: Option<At<Class>> = fields.required(report, "name");
+    let seconds = fields.number(report, "deadline_s", 1..=MAX_DEADLINE_S);
+    let name = name?;
+    names.define(check::Kind::Class, &name);
+    let deadline = time::Duration::from_secs(u64::from(seconds?.value));
+    Some(market::ClassRule {
+        name: name.value,
+        deadline,
+    })
+}
+
+fn read_model<'t>(
+    report: &mut Report<'t>,
+    names: &mut check::Names,
+    mut fields: Fields<'t>,
+) -> Option<market::Model> {
+    let name: Option<At<ModelName>> = fields.required(report, "name");
+    let service: Option<At<ServiceName>> = fields.required(report, "service");
+    let weights = fields.number(report, "weights", 1..=u32::MAX);
+    let adapters: Vec<At<AdapterName>> = fields.values(report, "adapters");
+    if let Some(name) = &name {
+        names.define(check::Kind::Model, name);
+    }
+    if let Some(service) = &service {
+        names.require(check::Kind::Engine, service);
+    }
+    Some(market::Model {
+        name: name?.value,
+        service: service?.value,
+        weights: WeightsVersion(weights?.value),
+        adapters: values(adapters),
+    })
+}
+
+fn read_service<'t>(
+    report: &mut Report<'t>,
+    names: &mut check::Names,
+    mut fields: Fields<'t>,
+) -> Option<market::Service> {
+    let name: Option<At<ServiceName>> = fields.required(report, "name");
+    let kind: Option<At<market::ServiceKind>> = fields.required(report, "kind");
+    let depends: Vec<At<ServiceName>> = fields.values(report, "depends");
+    let class = value(fields.optional(report, "class"));
+    let reports_load = value(fields.optional(report, "reports_load"));
+    let checks_fencing = value(fields.optional(report, "checks_fencing"));
+    let floor = fields.optional_number(report, "floor", 0..=u32::MAX);
+    let calls = fields.tables(report, "once", &reference::CALL);
+    let runners = fields.tables(report, "runners", &reference::RUNNER);
+    check_calls(report, kind.as_ref(), &calls);
+    let once_calls = read_all(report, names, calls, read_call);
+    let runners = read_all(report, names, runners, read_runner);
+    check_floor(report, floor.as_ref(), runners.len());
+    if let Some(name) = &name {
+        names.define_service(name, kind.as_ref().map(|kind| kind.value), &depends);
+    }
+    Some(market::Service {
+        name: name?.value,
+        kind: kind?.value,
+        depends: values(depends),
+        class,
+        reports_load,
+        checks_fencing,
+        floor: value(floor),
+        once_calls,
+        runners,
+    })
+}
+
+fn check_calls(
+    report: &mut Report<'_>,
+    kind: Option<&At<market::ServiceKind>>,
+    calls: &[Fields<'_>],
+) {
+    let Some(kind) = kind.filter(|kind| kind.value != market::ServiceKind::Plain) else {
+        return;
+    };
+    for call in calls {
+        let found = format!("once in a service of kind {}", kind.value);
+        report.add(
+            call.span(),
+            FaultKind::BadValue,
+            found,
+            "only in a service of kind plain",
+        );
+    }
+}
+
+fn check_floor(report: &mut Report<'_>, floor: Option<&At<u32>>, runners: usize) {
+    let Some(floor) = floor.filter(|floor| floor.value as usize > runners) else {
+        return;
+    };
+    let found = format!("floor = {}", floor.value);
+    report.add(
+        &floor.span,
+        FaultKind::BadValue,
+        found,
+        format!("0 to {runners}, its runners"),
+    );
+}
+
+fn read_call<'t>(
+    report: &mut Report<'t>,
+    _names: &mut check::Names,
+    mut fields: Fields<'t>,
+) -> Option<market::Call> {
+    let method: Option<At<String>> = fields.required(report, "method");
+    let path: Option<At<String>> = fields.required(report, "path");
+    let (method, path) = (method?, path?);
+    if !METHODS.contains(&method.value.as_str()) {
+        let found = format!("method = {:?}", method.value);
+        report.add(&method.span, FaultKind::BadValue, found, METHODS.join(", "));
+    }
+    if !path.value.starts_with('/') {
+        let found = format!("path = {:?}", path.value);
+        report.add(
+            &path.span,
+            FaultKind::BadValue,
+            found,
+            "a text that begins with /",
+        );
+    }
+    Some(market::Call {
+        method: method.value,
+        path: path.value,
+    })
+}
+
+fn read_runner<'t>(
+    report: &mut Report<'t>,
+    names: &mut check::Names,
+    mut fields: Fields<'t>,
+) -> Option<market::Runner> {
+    let name: Option<At<RunnerName>> = fields.required(report, "name");
+    let place: Option<At<PlaceName>> = fields.required(report, "place");
+    let address: Option<At<net::SocketAddr>> = fields.required(report, "address");
+    let role = value(fields.optional(report, "role"));
+    if let Some(name) = &name {
+        names.define(check::Kind::Runner, name);
+    }
+    if let Some(place) = &place {
+        names.require(check::Kind::Place, place);
+    }
+    if let Some(address) = &address {
+        names.define(check::Kind::Address, address);
+    }
+    Some(market::Runner {
+        name: name?.value,
+        place: place?.value,
+        address: address?.value,
+        role,
+    })
+}
+
+fn read_team<'t>(
+    report: &mut Report<'t>,
+    names: &mut check::Names,
+    mut fields: Fields<'t>,
+) -> Option<market::Team> {
+    let name: Option<At<TeamName>> = fields.required(report, "name");
+    let weight = fields.optional_number(report, "weight", 1..=MAX_WEIGHT);
+    let scope: Option<At<ScopeName>> = fields.required(report, "scope");
+    let keys: Vec<At<market::KeyHash>> = fields.values(report, "keys");
+    if let Some(name) = &name {
+        names.define(check::Kind::Team, name);
+    }
+    for key in &keys {
+        names.define(check::Kind::Key, key);
+    }
+    Some(market::Team {
+        name: name?.value,
+        weight: weight.map_or(1, |weight| weight.value),
+        scope: scope?.value,
+        keys: values(keys),
+    })
+}
--- /dev/null
+++ b/crates/lentil_config/tests/faults.rs
@@ -0,0 +1,69 @@
+//! Every fault of a text is reported at once, with its place.
+
+use lentil_config::{FaultKind, Market};
+use proptest::prelude::{ProptestConfig, any, proptest};
+
+#[rstest::rstest]
+#[case::many(include_str!("faulty/many.toml"))]
+#[case::syntax(include_str!("faulty/syntax.toml"))]
+fn every_fault_is_reported(#[case] text: &str) {
+    let name = if text.contains("colour") {
+        "many"
+    } else {
+        "syntax"
+    };
+    let faults = Market::parse(text).expect_err("the text is faulty");
+    insta::assert_snapshot!(name, faults);
+}
+
+#[test]
+fn a_cycle_is_named_whole() {
+    let text = include_str!("faulty/many.toml");
+    let faults = Market::parse(text).expect_err("the text is faulty");
+    let cycles: Vec<_> = faults
+        .0
+        .iter()
+        .filter(|fault| fault.kind == FaultKind::Cycle)
+        .collect();
+    assert_eq!(cycles.len(), 2);
+    assert_eq!(cycles[0].found, "sortmind -> rulecache -> sortmind");
+}
+
+#[rstest::rstest]
+#[case::dalton(include_str!("../../../examples/dalton.toml"), 18)]
+#[case::lombardy(include_str!("../../../examples/lombardy.toml"), 9)]
+fn the_examples_are_valid(#[case] text: &str, #[case] engines: usize) {
+    let market = Market::parse(text).expect("the example is valid");
+    assert_eq!(market.services[0].runners.len(), engines);
+    assert_eq!(market.services[2].runners.len(), 3);
+    assert_eq!(market.places.len(), 3);
+    assert_eq!(market.teams.len(), 8);
+}
+
+/// A text that is made of the parts of a valid one, cut and repeated.
+fn shuffled(cuts: &[(usize, usize)]) -> String {
+    let lines: Vec<_> = include_str!("../../../examples/dalton.toml")
+        .lines()
+        .collect();
+    let part = |&(start, len): &(usize, usize)| {
+        let start = start % lines.len();
+        lines[start..(start + len % 12).min(lines.len())].join("\n")
+    };
+    cuts.iter().map(part).collect::<Vec<_>>().join("\n")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+
+    #[test]
+    fn no_text_makes_it_panic(text in any::<String>()) {
+        let _ = Market::parse(&text);
+    }
+
+    #[test]
+    fn no_shuffled_text_makes_it_panic(cuts in proptest::collection::vec(any::<(usize, usize)>(), 1..8)) {
+        if let Err(faults) = Market::parse(&shuffled(&cuts)) {
+            assert!(!faults.0.is_empty());
+        }
+    }
+}
--- a/crates/lentil_types/src/lib.rs
+++ b/crates/lentil_types/src/lib.rs
@@ -27,8 +27,8 @@
 pub use class::Class;
 pub use id::{Attempt, AttemptId, BootId, Fingerprint, ParseIdError, RequestId};
 pub use name::{
-    IdempotencyKey, ModelName, NameError, NodeName, PlaceName, RegionName, RunnerName, ScopeName,
-    ServiceName, TeamName,
+    AdapterName, IdempotencyKey, ModelName, NameError, NodeName, PlaceName, RegionName, RunnerName,
+    ScopeName, ServiceName, TeamName,
 };
 pub use outcome::{FailReason, Outcome};
 pub use piece::{PIECE_TOKENS, PieceHash, PieceSeed};
--- a/crates/lentil_types/src/name.rs
+++ b/crates/lentil_types/src/name.rs
@@ -132,6 +132,10 @@
     /// A model as callers name it.
     ModelName, "model name"
 }
+name! {
+    /// An adapter of a model.
+    AdapterName, "adapter name"
+}
 name! {
     /// A team: a customer with its own key, share and cache scope.
     TeamName, "team name"
--- /dev/null
+++ b/crates/lentilctl/src/dump.rs
@@ -0,0 +1,30 @@
+//! `lentilctl dump`.
+
+use std::net;
+
+use crate::{
+    client,
+    error::CtlError,
+    output::{Answer, Output},
+};
+
+/// print the state of a process as JSON
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "dump")]
+pub(crate) struct Args {
+    /// admin address of the process
+    #[argh(positional)]
+    admin: net::SocketAddr,
+    /// the process's admin key
+    #[argh(option)]
+    key: Option<String>,
+}
+
+pub(crate) async fn run(args: Args, output: Output) -> Result<Answer, CtlError> {
+    let client = client::AdminClient::new(args.admin, args.key);
+    let dump = client.ask("GET", "/dump").await?;
+    let value: serde_json::Value =
+        serde_json::from_str(&dump).map_err(|error| client.unreached(&error))?;
+    output.print(&dump, &value);
+    Ok(Answer::Yes)
+}
--- a/crates/lentilctl/src/main.rs
+++ b/crates/lentilctl/src/main.rs
@@ -1,13 +1,28 @@
 //! The operators' command line.
+//!
+//! Exit codes: 0 done; 1 the answer is no (a faulty text, texts that differ, a
+//! process that is not ready); 2 a call that cannot be carried out as written;
+//! 3 the other side was not reached; 4 somebody else changed the text first.
+//! `--json` prints one JSON document instead of text, also for errors.
 
-use std::{path, process};
+mod check;
+mod client;
+mod diff;
+mod drain;
+mod dump;
+mod error;
+mod output;
+mod reference;
+mod trace;
 
-use anyhow::Context as _;
-use lentil_config::Market;
+use std::process;
 
 /// Looks after a lentilglade system.
 #[derive(argh::FromArgs)]
 struct Args {
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
     #[argh(subcommand)]
     command: Command,
 }
@@ -15,28 +30,60 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand)]
 enum Command {
-    Check(CheckArgs),
+    Check(check::Args),
+    Diff(diff::Args),
+    Dump(dump::Args),
+    Drain(drain::Args),
+    Trace(trace::Args),
+    Reference(reference::Args),
 }
 
-/// check an operators' text and print every fault
-#[derive(argh::FromArgs)]
-#[argh(subcommand, name = "check")]
-struct CheckArgs {
-    /// the text
-    #[argh(positional)]
-    file: path::PathBuf,
+fn main() -> process::ExitCode {
+    let args = parse();
+    let output = output::Output { json: args.json };
+    let outcome = match args.command {
+        Command::Check(args) => check::run(&args, output),
+        Command::Diff(args) => diff::run(&args, output),
+        Command::Dump(args) => smol::block_on(dump::run(args, output)),
+        Command::Drain(args) => smol::block_on(drain::run(args, output)),
+        Command::Trace(args) => smol::block_on(trace::run(args)),
+        Command::Reference(_) => Ok(reference::run()),
+    };
+    match outcome {
+        Ok(output::Answer::Yes) => process::ExitCode::SUCCESS,
+        Ok(output::Answer::No) => process::ExitCode::from(1),
+        Err(error) => {
+            output.error(&error);
+            process::ExitCode::from(error.exit_code())
+        }
+    }
 }
 
-fn main() -> anyhow::Result<process::ExitCode> {
-    let args: Args = argh::from_env();
-    let Command::Check(args) = args.command;
-    let text = std::fs::read_to_string(&args.file)
-        .with_context(|| format!("cannot read {}", args.file.display()))?;
-    Ok(match Market::parse(&text) {
-        Ok(_) => process::ExitCode::SUCCESS,
-        Err(faults) => {
-            eprintln!("{faults}");
-            process::ExitCode::FAILURE
+/// Reads the command line. `--json` may stand anywhere in it.
+fn parse() -> Args {
+    let words: Vec<String> = std::env::args().collect();
+    let (json, rest): (Vec<_>, Vec<_>) = words.into_iter().partition(|word| word == "--json");
+    let rest: Vec<&str> = rest.iter().map(String::as_str).collect();
+    let words = rest.get(1..).unwrap_or_default();
+    match <Args as argh::FromArgs>::from_args(&["lentilctl"], words) {
+        Ok(args) => Args {
+            json: args.json || !json.is_empty(),
+            ..args
+        },
+        Err(early) => {
+            let (code, text) = match early.status {
+                Ok(()) => (0, early.output),
+                Err(()) => (
+                    2,
+                    format!("{}\nRun lentilctl --help for more.", early.output),
+                ),
+            };
+            if code == 0 {
+                println!("{text}");
+            } else {
+                eprintln!("{text}");
+            }
+            process::exit(code);
         }
-    })
+    }
 }
--- /dev/null
+++ b/crates/lentilctl/src/output.rs
@@ -0,0 +1,52 @@
+//! What a command prints.
+
+use crate::error::CtlError;
+
+/// Whether the answer of a command is yes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Answer {
+    /// Exit code 0.
+    Yes,
+    /// Exit code 1.
+    No,
+}
+
+/// How a command prints.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Output {
+    /// One JSON document instead of text.
+    pub(crate) json: bool,
+}
+
+impl Output {
+    /// Prints the result: `text` for people or `value` as JSON.
+    pub(crate) fn print(self, text: &str, value: &impl serde::Serialize) {
+        if self.json {
+            print_json(value);
+        } else if !text.is_empty() {
+            println!("{}", text.trim_end());
+        }
+    }
+
+    /// Prints an error and what to do next.
+    pub(crate) fn error(self, error: &CtlError) {
+        if self.json {
+            let mut value = serde_json::json!({
+                "error": error.to_string(), "hint": error.hint(), "exit": error.exit_code(),
+            });
+            if let CtlError::Faulty { faults, .. } = error {
+                value["faults"] = serde_json::to_value(&faults.0).unwrap_or_default();
+            }
+            print_json(&value);
+        } else {
+            eprintln!("error: {error}\nnext: {}", error.hint());
+        }
+    }
+}
+
+fn print_json(value: &impl serde::Serialize) {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("error: the result is no JSON: {error}"),
+    }
+}
