--- /dev/null
+++ b/crates/lentil_entry/src/answer/collect.rs
@@ -0,0 +1,119 @@
+//! An answer gathered to one object.
+
+use lentil_policy::protocol;
+use lentil_types::{RequestId, Table};
+use serde_json::{Map, Value, map::Entry};
+
+use crate::{check, openai};
+
+/// Keys whose value a later chunk repeats instead of continuing it.
+const REPEATED: [&str; 5] = ["finish_reason", "id", "index", "role", "type"];
+
+/// Gathers the chunks of an answer.
+#[derive(Debug)]
+pub(crate) struct Collector {
+    choices: Table<u64, Map<String, Value>>,
+    rest: Map<String, Value>,
+}
+
+impl Collector {
+    pub(crate) fn new() -> Self {
+        Self {
+            choices: Table::new(),
+            rest: Map::new(),
+        }
+    }
+
+    /// Adds a chunk. Data that is no chunk adds nothing.
+    pub(crate) fn push(&mut self, data: &[u8]) {
+        let Ok(chunk) = serde_json::from_slice::<openai::Chunk>(data) else {
+            return;
+        };
+        self.rest.extend(chunk.rest);
+        for choice in chunk.choices {
+            let index = choice.get("index").and_then(Value::as_u64).unwrap_or(0);
+            merge(self.choices.get_or_insert_with(index, Map::new), choice);
+        }
+    }
+
+    /// The whole answer.
+    pub(crate) fn finish(
+        self,
+        api: check::Api,
+        request: RequestId,
+        created: u64,
+        model: String,
+        usage: protocol::Usage,
+    ) -> openai::Completion {
+        let (id, object) = match api {
+            check::Api::Chat => (format!("chatcmpl-{request}"), "chat.completion"),
+            check::Api::Text => (format!("cmpl-{request}"), "text_completion"),
+        };
+        let choices = self.choices.values().cloned();
+        let choices = match api {
+            check::Api::Chat => choices.map(with_message).collect(),
+            check::Api::Text => choices.collect(),
+        };
+        openai::Completion {
+            id,
+            object,
+            created,
+            model,
+            choices,
+            usage: usage.into(),
+            rest: self.rest,
+        }
+    }
+}
+
+/// Turns a gathered delta into the message of its choice.
+fn with_message(mut choice: Map<String, Value>) -> Map<String, Value> {
+    let delta = choice.remove("delta");
+    let mut message = match delta {
+        Some(Value::Object(delta)) => delta,
+        _ => Map::new(),
+    };
+    message.entry("role").or_insert_with(|| "assistant".into());
+    message.entry("content").or_insert(Value::Null);
+    if let Some(Value::Array(calls)) = message.get_mut("tool_calls") {
+        for call in calls.iter_mut().filter_map(Value::as_object_mut) {
+            call.remove("index");
+        }
+    }
+    choice.insert("message".to_owned(), message.into());
+    choice
+}
+
+/// Adds what a chunk says to what came before it: texts and lists go on,
+/// objects are merged key by key, the items of a list with an `index` by index.
+fn merge(whole: &mut Map<String, Value>, part: Map<String, Value>) {
+    for (key, value) in part {
+        let repeated = REPEATED.contains(&key.as_str());
+        match whole.entry(key) {
+            Entry::Vacant(entry) => drop(entry.insert(value)),
+            Entry::Occupied(mut entry) if repeated => drop(entry.insert(value)),
+            Entry::Occupied(mut entry) => merge_value(entry.get_mut(), value),
+        }
+    }
+}
+
+fn merge_value(whole: &mut Value, part: Value) {
+    match (whole, part) {
+        (_, Value::Null) => {}
+        (Value::String(whole), Value::String(part)) => whole.push_str(&part),
+        (Value::Object(whole), Value::Object(part)) => merge(whole, part),
+        (Value::Array(whole), Value::Array(part)) => merge_list(whole, part),
+        (whole, part) => *whole = part,
+    }
+}
+
+fn merge_list(whole: &mut Vec<Value>, part: Vec<Value>) {
+    for item in part {
+        let index = item.get("index").cloned();
+        let same = |other: &&mut Value| index.is_some() && other.get("index") == index.as_ref();
+        match whole.iter_mut().find(same) {
+            Some(other) => merge_value(other, item),
+            None => whole.push(item),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentil_entry/src/attempt.rs
@@ -0,0 +1,215 @@
+//! One attempt at a request: an exchange with a sidecar.
+
+use std::sync::Arc;
+
+use lentil_policy::{entry, protocol};
+use lentil_types::{AttemptId, RunnerName, TeamName};
+use lentil_wire::{Exchange, Message, WireError};
+use smol::channel::{Receiver, Sender};
+
+use crate::{driver::Input, flow::Flow, links};
+
+/// What the policy wants of an attempt that is under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Order {
+    /// Stop it.
+    Cancel,
+    /// Ask for proof that it never started.
+    Withdraw,
+}
+
+/// Where an attempt goes and how it is reached while it is under way.
+pub(crate) struct Attempt {
+    pub(crate) links: Arc<links::Links>,
+    pub(crate) answers: Sender<Input>,
+    pub(crate) runner: RunnerName,
+    /// Whose request it is, while its caller is there.
+    pub(crate) team: Option<TeamName>,
+    pub(crate) flow: Flow,
+}
+
+/// What happens next in an exchange.
+enum Next {
+    Message(Result<Option<Message>, WireError>),
+    Order(Order),
+    /// The driver is gone or has given the attempt up.
+    Dropped,
+}
+
+impl Attempt {
+    /// Dispatches and reports the answer up to its end. Returns early only when
+    /// the attempt was cancelled or the driver is gone.
+    pub(crate) async fn run(self, dispatch: Box<protocol::Dispatch>, orders: Receiver<Order>) {
+        let id = dispatch.offer.id;
+        let open = async { Ok(self.links.open(&self.runner).await) };
+        match smol::future::or(open, stopped(&orders)).await {
+            Ok(Ok(exchange)) => self.follow(exchange, dispatch, &orders).await,
+            Ok(Err(error)) => {
+                self.warn(id, "not reached", &error);
+                self.report_lost(id, false).await;
+            }
+            // Nothing of the request has left this process, and nothing will.
+            Err(Some(Order::Withdraw)) => {
+                let withdrawn = protocol::Withdrawn { id, started: false };
+                self.report(entry::Event::Withdrawn(self.runner.clone(), withdrawn))
+                    .await;
+            }
+            Err(Some(Order::Cancel) | None) => {}
+        }
+    }
+
+    async fn follow(
+        &self,
+        mut exchange: Exchange,
+        dispatch: Box<protocol::Dispatch>,
+        orders: &Receiver<Order>,
+    ) {
+        let id = dispatch.offer.id;
+        let message = Message::Dispatch(dispatch);
+        let send = async { Ok(exchange.sender.send(&message).await) };
+        let outcome = match smol::future::or(send, stopped(orders)).await {
+            Ok(Ok(())) => self.pass_on(&mut exchange, id, orders).await,
+            Ok(Err(error)) => Err(error),
+            Err(Some(Order::Withdraw)) => Err(WireError::Truncated),
+            Err(Some(Order::Cancel) | None) => Ok(()),
+        };
+        if let Err(error) = outcome {
+            self.warn(id, "broke off", &error);
+            self.report_lost(id, true).await;
+        }
+    }
+
+    /// Reports what the sidecar says up to the end of the answer.
+    async fn pass_on(
+        &self,
+        exchange: &mut Exchange,
+        id: AttemptId,
+        orders: &Receiver<Order>,
+    ) -> Result<(), WireError> {
+        loop {
+            let message = async {
+                self.flow.room().await;
+                Next::Message(exchange.receiver.recv().await)
+            };
+            let order = async { orders.recv().await.map_or(Next::Dropped, Next::Order) };
+            match smol::future::or(order, message).await {
+                Next::Message(message) => {
+                    let message = message?.ok_or(WireError::Ended("end"))?;
+                    let last = matches!(message, Message::End(_) | Message::Failed(_));
+                    self.report(event_of(&self.runner, message)?).await;
+                    if last {
+                        // The sidecar may have closed the stream already.
+                        let _ = exchange.sender.finish();
+                        return Ok(());
+                    }
+                }
+                Next::Order(Order::Withdraw) => {
+                    exchange.sender.send(&Message::Withdraw(id)).await?;
+                }
+                Next::Order(Order::Cancel) => {
+                    // A stream that is closed already has cancelled it.
+                    let _ = exchange.sender.send(&Message::Cancel(id)).await;
+                    let _ = exchange.sender.finish();
+                    return Ok(());
+                }
+                Next::Dropped => return Ok(()),
+            }
+        }
+    }
+
+    /// Asks for proof that an attempt never started, after its own exchange has
+    /// ended.
+    pub(crate) async fn withdraw(self, id: AttemptId) {
+        match self.ask_withdrawn(id).await {
+            Ok(withdrawn) => {
+                self.report(entry::Event::Withdrawn(self.runner.clone(), withdrawn))
+                    .await;
+            }
+            Err(error) => {
+                self.warn(id, "no answer to a withdrawal", &error);
+                self.report_lost(id, true).await;
+            }
+        }
+    }
+
+    async fn ask_withdrawn(&self, id: AttemptId) -> Result<protocol::Withdrawn, WireError> {
+        let mut exchange = self.links.open(&self.runner).await?;
+        exchange.sender.send(&Message::Withdraw(id)).await?;
+        exchange.sender.finish()?;
+        match exchange.receiver.recv().await? {
+            Some(Message::Withdrawn(withdrawn)) => Ok(withdrawn),
+            other => Err(unexpected("withdrawn", other)),
+        }
+    }
+
+    /// Asks for a bid. A bid that does not come is not reported: the policy
+    /// waits for a bounded time.
+    pub(crate) async fn ask(self, offer: protocol::Offer) {
+        let id = offer.id;
+        match self.ask_bid(offer).await {
+            Ok(bid) => {
+                let bid = lentil_policy::route::RunnerBid {
+                    runner: self.runner.clone(),
+                    bid,
+                };
+                self.report(entry::Event::Bid(bid)).await;
+            }
+            Err(error) => {
+                let team = self.team.as_deref().unwrap_or_default();
+                log::debug!(request:% = id.request, team, runner:% = self.runner; "no bid: {error}");
+            }
+        }
+    }
+
+    async fn ask_bid(&self, offer: protocol::Offer) -> Result<protocol::Bid, WireError> {
+        let mut exchange = self.links.open(&self.runner).await?;
+        exchange.sender.send(&Message::Offer(offer)).await?;
+        exchange.sender.finish()?;
+        match exchange.receiver.recv().await? {
+            Some(Message::Bid(bid)) => Ok(bid),
+            other => Err(unexpected("bid", other)),
+        }
+    }
+
+    async fn report_lost(&self, id: AttemptId, sent: bool) {
+        let runner = self.runner.clone();
+        self.report(entry::Event::Lost { runner, id, sent }).await;
+    }
+
+    async fn report(&self, event: entry::Event) {
+        // The driver is gone only when the whole process stops.
+        let _ = self.answers.send(Input::Event(event)).await;
+    }
+
+    fn warn(&self, id: AttemptId, what: &str, error: &WireError) {
+        let team = self.team.as_deref().unwrap_or_default();
+        log::warn!(request:% = id.request, attempt:% = id.attempt, team, runner:% = self.runner; "{what}: {error}");
+    }
+}
+
+/// Waits for an order; `None` when the driver has given the attempt up.
+async fn stopped<T>(orders: &Receiver<Order>) -> Result<T, Option<Order>> {
+    Err(orders.recv().await.ok())
+}
+
+fn event_of(runner: &RunnerName, message: Message) -> Result<entry::Event, WireError> {
+    let runner = runner.clone();
+    Ok(match message {
+        Message::Started(started) => entry::Event::Started(runner, started),
+        Message::Piece(piece) => entry::Event::Piece(runner, piece),
+        Message::End(end) => entry::Event::Ended(runner, end),
+        Message::Failed(failed) => entry::Event::Failed(runner, failed),
+        Message::Withdrawn(withdrawn) => entry::Event::Withdrawn(runner, withdrawn),
+        other => return Err(unexpected("an answer", Some(other))),
+    })
+}
+
+fn unexpected(expected: &'static str, message: Option<Message>) -> WireError {
+    match message {
+        Some(message) => WireError::Unexpected {
+            expected,
+            got: message.name(),
+        },
+        None => WireError::Ended(expected),
+    }
+}
--- /dev/null
+++ b/crates/lentil_entry/src/check.rs
@@ -0,0 +1,215 @@
+//! Checks callers' requests and makes arrivals of them.
+
+use lentil_config::{Market, Model, ServiceKind};
+use lentil_policy::{entry, protocol};
+use lentil_types::{
+    Class, Fingerprint, Instant, PieceHash, PieceSeed, PromptPieces, RequestId, ServiceName,
+    TeamName, Tokens, WeightsVersion,
+};
+use serde_json::value::RawValue;
+use trillium_http::Headers;
+
+use crate::{headers, limits::Limits, openai, refusal::Refusal, state::Current};
+
+/// Tokens of an answer when the request names no limit.
+const DEFAULT_OUTPUT: Tokens = Tokens(256);
+
+/// Kind of model request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Api {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Text,
+}
+
+impl Api {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Chat => "/v1/chat/completions",
+            Self::Text => "/v1/completions",
+        }
+    }
+}
+
+/// What a request is checked against.
+pub(crate) struct Checker<'a> {
+    pub(crate) current: &'a Current,
+    pub(crate) limits: &'a Limits,
+    pub(crate) now: Instant,
+    pub(crate) request: RequestId,
+    pub(crate) headers: &'a Headers,
+}
+
+/// A model request, checked.
+#[derive(Debug)]
+pub(crate) struct ModelCall {
+    pub(crate) arrival: Box<entry::Arrival>,
+    /// The model, as the caller named it.
+    pub(crate) model: String,
+    /// Whether the caller wants chunks.
+    pub(crate) stream: bool,
+    /// Whether the caller wants the usage in the last chunk.
+    pub(crate) include_usage: bool,
+}
+
+/// The team whose API key a caller shows.
+pub(crate) fn team(current: &Current, headers: &Headers) -> Result<TeamName, Refusal> {
+    let key = headers::api_key(headers).ok_or(Refusal::Unauthorized)?;
+    let team = current.keys.team(key).ok_or(Refusal::Unauthorized)?;
+    Ok(team.clone())
+}
+
+impl Checker<'_> {
+    /// Checks a model request.
+    pub(crate) fn model_call(
+        &self,
+        api: Api,
+        team: TeamName,
+        body: &[u8],
+    ) -> Result<ModelCall, Refusal> {
+        let mut asked: openai::Request =
+            serde_json::from_slice(body).map_err(|error| Refusal::BadBody(error.to_string()))?;
+        let name = asked.model.clone();
+        let model = self.market().model(&name);
+        let model = model.ok_or_else(|| Refusal::NoModel(name.clone()))?;
+        let seed = self.seed(&team, model)?;
+        let prompt = prompt(api, seed, &asked)?;
+        let stream = asked.stream.unwrap_or(false);
+        let options = asked.stream_options.take().unwrap_or_default();
+        let include_usage = options.include_usage;
+        let output = asked.max_completion_tokens.or(asked.max_tokens);
+        let work = protocol::Work {
+            service: model.service.clone(),
+            model: Some(model.name.clone()),
+            team,
+            class: self.class(&model.service)?,
+            weights: model.weights,
+            prompt: prompt.tokens(),
+            pieces: prompt.finish().into(),
+            output: output.map_or(DEFAULT_OUTPUT, Tokens),
+        };
+        // The engine always streams and always says what the answer took.
+        asked.stream = Some(true);
+        asked.stream_options = Some(openai::StreamOptions {
+            include_usage: true,
+            ..options
+        });
+        let call = protocol::HttpCall {
+            method: "POST".to_owned(),
+            path: api.path().to_owned(),
+            headers: vec![
+                header("content-type", "application/json"),
+                header("x-cache-salt", &seed.to_string()),
+            ],
+            body: openai::to_json(&asked).into_bytes().into(),
+        };
+        Ok(ModelCall {
+            arrival: self.arrival(work, call, false, None)?,
+            model: name,
+            stream,
+            include_usage,
+        })
+    }
+
+    /// Checks a call to a plain service.
+    pub(crate) fn plain_call(
+        &self,
+        team: TeamName,
+        service: &str,
+        call: protocol::HttpCall,
+    ) -> Result<Box<entry::Arrival>, Refusal> {
+        let found = self
+            .market()
+            .service(service)
+            .filter(|service| service.kind == ServiceKind::Plain);
+        let service = found.ok_or_else(|| Refusal::NoService(service.to_owned()))?;
+        let path = call.path.split('?').next().unwrap_or_default();
+        let once = service.is_once(&call.method, path);
+        let key = headers::key(self.headers)?;
+        if once && key.is_none() {
+            return Err(Refusal::Missing(headers::KEY));
+        }
+        let work = protocol::Work {
+            service: service.name.clone(),
+            model: None,
+            team,
+            class: self.class(&service.name)?,
+            weights: WeightsVersion(0),
+            pieces: Vec::new().into(),
+            prompt: Tokens(0),
+            output: Tokens(0),
+        };
+        self.arrival(work, call, once, key)
+    }
+
+    fn arrival(
+        &self,
+        work: protocol::Work,
+        call: protocol::HttpCall,
+        once: bool,
+        key: Option<lentil_types::IdempotencyKey>,
+    ) -> Result<Box<entry::Arrival>, Refusal> {
+        let deadline = self.now + headers::budget(self.headers, self.limits)?;
+        let fingerprint = fingerprint(&work.service, &call);
+        Ok(Box::new(entry::Arrival {
+            request: self.request,
+            work,
+            call,
+            deadline,
+            once,
+            key,
+            fingerprint,
+        }))
+    }
+
+    fn market(&self) -> &Market {
+        &self.current.market
+    }
+
+    fn seed(&self, team: &TeamName, model: &Model) -> Result<PieceSeed, Refusal> {
+        let team = self.market().team(team).ok_or(Refusal::Unauthorized)?;
+        Ok(PieceSeed::new(&team.scope, &model.name, model.weights))
+    }
+
+    fn class(&self, service: &ServiceName) -> Result<Class, Refusal> {
+        let default = || self.market().service(service).map(|service| service.class);
+        let asked = headers::class(self.headers)?;
+        Ok(asked.or_else(default).unwrap_or_default())
+    }
+}
+
+/// The pieces of a prompt: tools first, then message by message.
+fn prompt(api: Api, seed: PieceSeed, asked: &openai::Request) -> Result<PromptPieces, Refusal> {
+    let mut pieces = PromptPieces::new(seed);
+    let mut push = |part: &RawValue| pieces.push(part.get().as_bytes());
+    if let Some(tools) = &asked.tools {
+        push(tools);
+    }
+    match api {
+        Api::Chat => {
+            let messages = asked.messages.as_ref();
+            let messages = messages.ok_or(Refusal::Missing("messages"))?;
+            messages.iter().for_each(|message| push(message));
+        }
+        Api::Text => push(asked.prompt.as_ref().ok_or(Refusal::Missing("prompt"))?),
+    }
+    Ok(pieces)
+}
+
+/// What a request asks for, whoever sends it.
+fn fingerprint(service: &ServiceName, call: &protocol::HttpCall) -> Fingerprint {
+    let hash = PieceHash::default()
+        .chain(service.as_bytes())
+        .chain(call.method.as_bytes())
+        .chain(call.path.as_bytes())
+        .chain(&call.body);
+    Fingerprint(hash.0)
+}
+
+fn header(name: &str, value: &str) -> protocol::Header {
+    protocol::Header {
+        name: name.to_owned(),
+        value: value.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/lentil_entry/src/control.rs
@@ -0,0 +1,57 @@
+//! Configuration from outside the process.
+//!
+//! [`Control`] is what keeps an entry up to date: it puts versions of the
+//! operators' text in force and tells of fingerprints that crash engines.
+
+use std::sync::Arc;
+
+use lentil_config::Market;
+use lentil_policy::entry;
+use lentil_types::{ConfigVersion, Fingerprint};
+use smol::channel::Sender;
+
+use crate::{driver::Input, links::Links, runners, state::State};
+
+/// A handle that changes what a running entry works with. Clones act on the
+/// same entry.
+#[derive(Clone)]
+pub struct Control {
+    pub(crate) state: Arc<State>,
+    pub(crate) links: Arc<Links>,
+    pub(crate) inputs: Sender<Input>,
+}
+
+impl Control {
+    /// The version in force.
+    pub fn version(&self) -> ConfigVersion {
+        self.state.current().version
+    }
+
+    /// The text in force.
+    pub fn market(&self) -> Arc<Market> {
+        self.state.current().market.clone()
+    }
+
+    /// Puts a text in force when its version is higher than the one in force,
+    /// and returns whether it did. Requests in flight keep what they were
+    /// checked against.
+    pub fn set_market(&self, version: ConfigVersion, market: &Arc<Market>) -> bool {
+        if !self.state.replace(version, market.clone()) {
+            return false;
+        }
+        self.links.update(market);
+        self.tell(entry::Event::Runners(runners::of_market(market)));
+        log::info!(version:% = version; "configuration in force");
+        true
+    }
+
+    /// Refuses a fingerprint from now on.
+    pub fn poison(&self, fingerprint: Fingerprint) {
+        self.tell(entry::Event::Poison(fingerprint));
+    }
+
+    fn tell(&self, event: entry::Event) {
+        // The channel is unbounded: this fails only when the entry is gone.
+        let _ = self.inputs.try_send(Input::Event(event));
+    }
+}
--- a/crates/lentil_entry/src/driver.rs
+++ b/crates/lentil_entry/src/driver.rs
@@ -1,54 +1,78 @@
 //! Feeds the policy and carries out its commands.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time};
 
-use lentil_policy::{entry, protocol, route};
-use lentil_process::Clock;
-use lentil_types::{AttemptId, Instant, RequestId, RunnerName};
-use lentil_wire::{Exchange, Message, WireError};
+use lentil_policy::{entry, protocol, route, store};
+use lentil_process::{
+    Clock,
+    metrics::{Counter, Metrics, Timing},
+};
+use lentil_types::{AttemptId, Instant, Outcome, RequestId, RunnerName, TeamName};
 use rand::SeedableRng as _;
-use smol::channel::{Receiver, Sender};
+use smol::channel::{Receiver, RecvError, Sender};
 
-use crate::{links, reply::Reply};
+use crate::{
+    attempt::{Attempt, Order},
+    flow::Flow,
+    links,
+    reply::Reply,
+    store::ObjectStore,
+};
+
+/// Answers of sidecars that may wait for the driver.
+const MAX_WAITING_ANSWERS: usize = 1_024;
 
 /// What reaches the driver.
 pub(crate) enum Input {
     /// An event for the policy.
     Event(entry::Event),
-    /// A new request; its reply goes out through the sender.
-    Arrived(Box<entry::Arrival>, Sender<Reply>),
+    /// A new request and the way to its caller.
+    Arrived(Box<entry::Arrival>, Caller),
+}
+
+/// The way to a caller.
+pub(crate) struct Caller {
+    pub(crate) replies: Sender<Reply>,
+    pub(crate) flow: Flow,
+    /// When its request was handed over.
+    pub(crate) begin: time::Instant,
+    /// Its team.
+    pub(crate) team: TeamName,
+    /// The runner that was last sent its request.
+    pub(crate) runner: Option<RunnerName>,
+}
+
+/// What a driver works with.
+pub(crate) struct Parts {
+    pub(crate) links: Arc<links::Links>,
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Metrics,
 }
 
 struct Driver {
-    links: Arc<links::Links>,
-    inputs: Sender<Input>,
-    callers: HashMap<RequestId, Sender<Reply>>,
-    attempts: HashMap<AttemptId, smol::Task<()>>,
+    parts: Parts,
+    answers: Sender<Input>,
+    callers: HashMap<RequestId, Caller>,
+    attempts: HashMap<AttemptId, Sender<Order>>,
 }
 
-/// Runs until every sender of inputs is gone.
-pub(crate) async fn run(
-    links: Arc<links::Links>,
-    inbox: Receiver<Input>,
-    inputs: Sender<Input>,
-    clock: Clock,
-) {
+/// Runs until every sender of requests is gone.
+pub(crate) async fn run(parts: Parts, requests: Receiver<Input>) {
     let mut rng = rand_pcg::Pcg64Mcg::from_rng(&mut rand::rng());
     let router = Box::new(route::LeastLoaded::new());
     let mut policy = entry::EntryPolicy::new(entry::Settings::default(), router);
+    let (answers, inbox) = smol::channel::bounded(MAX_WAITING_ANSWERS);
+    let clock = parts.clock;
     let mut driver = Driver {
-        links,
-        inputs,
+        parts,
+        answers,
         callers: HashMap::new(),
         attempts: HashMap::new(),
     };
     loop {
-        match next_input(&inbox, &clock, policy.next_wake()).await {
-            Some(Ok(Input::Event(event))) => policy.on_event(clock.now(), event),
-            Some(Ok(Input::Arrived(arrival, caller))) => {
-                driver.callers.insert(arrival.request, caller);
-                policy.on_event(clock.now(), entry::Event::Arrived(arrival));
-            }
+        match next_input(&requests, &inbox, &clock, policy.next_wake()).await {
+            Some(Ok(input)) => driver.take_in(&mut policy, input),
             Some(Err(_)) => return,
             None => {}
         }
@@ -59,11 +83,13 @@
 }
 
 async fn next_input(
-    inbox: &Receiver<Input>,
+    requests: &Receiver<Input>,
+    answers: &Receiver<Input>,
     clock: &Clock,
     wake: Instant,
-) -> Option<Result<Input, smol::channel::RecvError>> {
-    let input = async { Some(inbox.recv().await) };
+) -> Option<Result<Input, RecvError>> {
+    let request = async { Some(requests.recv().await) };
+    let answer = async { Some(answers.recv().await) };
     let timer = async {
         if wake == Instant::NEVER {
             smol::future::pending::<()>().await;
@@ -71,19 +97,53 @@
         smol::Timer::after(clock.until(wake)).await;
         None
     };
-    smol::future::or(input, timer).await
+    smol::future::or(answer, smol::future::or(request, timer)).await
 }
 
 impl Driver {
+    fn take_in(&mut self, policy: &mut entry::EntryPolicy, input: Input) {
+        let now = self.parts.clock.now();
+        match input {
+            Input::Event(event) => {
+                self.count_event(&event);
+                if let Some(id) = ended(&event) {
+                    self.attempts.remove(&id);
+                }
+                policy.on_event(now, event);
+            }
+            Input::Arrived(arrival, caller) => {
+                self.callers.insert(arrival.request, caller);
+                policy.on_event(now, entry::Event::Arrived(arrival));
+            }
+        }
+    }
+
+    fn count_event(&mut self, event: &entry::Event) {
+        let metrics = &self.parts.metrics;
+        match event {
+            entry::Event::CallerGone(request) => {
+                self.callers.remove(request);
+            }
+            entry::Event::Bid(_) => metrics.count(Counter::Bids),
+            entry::Event::Store(store::StoreReply::Lost { .. }) => {
+                metrics.count(Counter::StoreLost);
+            }
+            _ => {}
+        }
+    }
+
     fn carry_out(&mut self, command: entry::Command) {
         use entry::Command;
         match command {
             Command::Offer(runner, offer) => {
-                smol::spawn(ask(self.links.clone(), self.inputs.clone(), runner, offer)).detach();
+                self.parts.metrics.count(Counter::Offers);
+                let attempt = self.attempt(runner, offer.id.request);
+                smol::spawn(attempt.ask(offer)).detach();
             }
             Command::Dispatch(runner, dispatch) => self.dispatch(runner, dispatch),
-            Command::Cancel(_, id) => drop(self.attempts.remove(&id)),
-            Command::Withdraw(..) | Command::Store(_) => {}
+            Command::Cancel(_, id) => self.cancel(id),
+            Command::Withdraw(runner, id) => self.withdraw(runner, id),
+            Command::Store(call) => self.call_store(call),
             Command::Head {
                 request,
                 status,
@@ -95,132 +155,130 @@
                 request,
                 offset,
                 data,
-            } => {
-                self.reply(request, Reply::Piece { offset, data });
+            } => self.emit(request, offset, data),
+            Command::Finish { request, ending } => self.finish(request, ending),
+        }
+    }
+
+    fn emit(&self, request: RequestId, offset: u64, data: Vec<u8>) {
+        self.parts.metrics.count(Counter::Pieces);
+        if offset == 0
+            && let Some(caller) = self.callers.get(&request)
+        {
+            let took = caller.begin.elapsed();
+            self.parts.metrics.time(Timing::FirstPiece, took);
+        }
+        self.reply(request, Reply::Piece { offset, data });
+    }
+
+    fn finish(&mut self, request: RequestId, ending: entry::Ending) {
+        self.reply(request, Reply::End(ending));
+        if let Some(caller) = self.callers.remove(&request) {
+            self.note_ending(request, &caller, ending);
+        }
+    }
+
+    fn note_ending(&self, request: RequestId, caller: &Caller, ending: entry::Ending) {
+        let (took, team) = (caller.begin.elapsed(), &caller.team);
+        let runner = caller.runner.as_deref().unwrap_or_default();
+        let counter = match ending {
+            entry::Ending::Whole(_) => {
+                self.parts.metrics.time(Timing::WholeAnswer, took);
+                log::debug!(request:% = request, team:% = team, runner; "done");
+                Counter::OutcomeDone
             }
-            Command::Finish { request, ending } => {
-                self.reply(request, Reply::End(ending));
-                self.callers.remove(&request);
-                self.attempts.retain(|_, task| !task.is_finished());
+            entry::Ending::Failed {
+                outcome, reason, ..
+            } => {
+                log::info!(request:% = request, team:% = team, runner; "{outcome}: {reason}");
+                match outcome {
+                    Outcome::NotRun => Counter::OutcomeNotRun,
+                    Outcome::Done | Outcome::Unknown => Counter::OutcomeUnknown,
+                }
             }
+        };
+        self.parts.metrics.count(counter);
+    }
+
+    fn attempt(&self, runner: RunnerName, request: RequestId) -> Attempt {
+        let caller = self.callers.get(&request);
+        Attempt {
+            links: self.parts.links.clone(),
+            answers: self.answers.clone(),
+            runner,
+            team: caller.map(|caller| caller.team.clone()),
+            flow: caller.map(|caller| caller.flow.clone()).unwrap_or_default(),
         }
     }
 
     fn dispatch(&mut self, runner: RunnerName, dispatch: Box<protocol::Dispatch>) {
         let id = dispatch.offer.id;
-        let attempt = attempt(self.links.clone(), self.inputs.clone(), runner, dispatch);
-        self.attempts.insert(id, smol::spawn(attempt));
+        self.count_dispatch(&dispatch);
+        if let Some(caller) = self.callers.get_mut(&id.request) {
+            caller.runner = Some(runner.clone());
+        }
+        let (orders, inbox) = smol::channel::unbounded();
+        let attempt = self.attempt(runner, id.request);
+        smol::spawn(attempt.run(dispatch, inbox)).detach();
+        self.attempts.insert(id, orders);
     }
 
-    fn reply(&self, request: RequestId, reply: Reply) {
-        if let Some(caller) = self.callers.get(&request) {
-            // A caller that is gone says so itself.
-            let _ = caller.try_send(reply);
+    fn count_dispatch(&self, dispatch: &protocol::Dispatch) {
+        let metrics = &self.parts.metrics;
+        metrics.count(Counter::Attempts);
+        if dispatch.offer.id.attempt > lentil_types::Attempt::FIRST {
+            metrics.count(Counter::Retries);
+        }
+        if dispatch.resume.is_some() {
+            metrics.count(Counter::StreamsResumed);
         }
     }
-}
 
-async fn ask(
-    links: Arc<links::Links>,
-    inputs: Sender<Input>,
-    runner: RunnerName,
-    offer: protocol::Offer,
-) {
-    match ask_inner(&links, &runner, offer).await {
-        Ok(bid) => {
-            let bid = route::RunnerBid { runner, bid };
-            let _ = inputs.send(Input::Event(entry::Event::Bid(bid))).await;
+    /// Stops an attempt. Its task sends the cancellation and ends.
+    fn cancel(&mut self, id: AttemptId) {
+        if let Some(orders) = self.attempts.remove(&id) {
+            // A task that has ended has nothing left to cancel.
+            let _ = orders.try_send(Order::Cancel);
+        }
+    }
+
+    fn withdraw(&self, runner: RunnerName, id: AttemptId) {
+        let orders = self.attempts.get(&id);
+        let under_way = orders.is_some_and(|orders| orders.try_send(Order::Withdraw).is_ok());
+        if !under_way {
+            let attempt = self.attempt(runner, id.request);
+            smol::spawn(attempt.withdraw(id)).detach();
         }
-        Err(error) => log::debug!(runner:% = runner; "no bid: {error}"),
     }
-}
 
-async fn ask_inner(
-    links: &links::Links,
-    runner: &RunnerName,
-    offer: protocol::Offer,
-) -> Result<protocol::Bid, WireError> {
-    let mut exchange = links.open(runner).await?;
-    exchange.sender.send(&Message::Offer(offer)).await?;
-    exchange.sender.finish()?;
-    match exchange.receiver.recv().await? {
-        Some(Message::Bid(bid)) => Ok(bid),
-        Some(other) => Err(WireError::Unexpected {
-            expected: "bid",
-            got: other.name(),
-        }),
-        None => Err(WireError::Ended("bid")),
+    fn call_store(&self, call: store::StoreCall) {
+        self.parts.metrics.count(Counter::StoreCalls);
+        let reply = self.parts.store.call(call);
+        let answers = self.answers.clone();
+        smol::spawn(async move {
+            let event = entry::Event::Store(reply.await);
+            // The driver is gone only when the whole process stops.
+            let _ = answers.send(Input::Event(event)).await;
+        })
+        .detach();
     }
-}
 
-async fn attempt(
-    links: Arc<links::Links>,
-    inputs: Sender<Input>,
-    runner: RunnerName,
-    dispatch: Box<protocol::Dispatch>,
-) {
-    let id = dispatch.offer.id;
-    let exchange = match links.open(&runner).await {
-        Ok(exchange) => exchange,
-        Err(error) => {
-            log::warn!(request:% = id.request, runner:% = runner; "not reached: {error}");
-            let lost = entry::Event::Lost {
-                runner,
-                id,
-                sent: false,
-            };
-            let _ = inputs.send(Input::Event(lost)).await;
+    fn reply(&self, request: RequestId, reply: Reply) {
+        let Some(caller) = self.callers.get(&request) else {
             return;
-        }
-    };
-    if let Err(error) = follow(exchange, &inputs, &runner, dispatch).await {
-        log::warn!(request:% = id.request, runner:% = runner; "broke off: {error}");
-        let lost = entry::Event::Lost {
-            runner,
-            id,
-            sent: true,
         };
-        let _ = inputs.send(Input::Event(lost)).await;
+        caller.flow.put(reply.size());
+        // A caller that is gone says so itself.
+        let _ = caller.replies.try_send(reply);
     }
 }
 
-/// Sends a dispatch and reports the answer up to its end.
-async fn follow(
-    mut exchange: Exchange,
-    inputs: &Sender<Input>,
-    runner: &RunnerName,
-    dispatch: Box<protocol::Dispatch>,
-) -> Result<(), WireError> {
-    exchange.sender.send(&Message::Dispatch(dispatch)).await?;
-    loop {
-        let message = exchange
-            .receiver
-            .recv()
-            .await?
-            .ok_or(WireError::Ended("end"))?;
-        let last = matches!(message, Message::End(_) | Message::Failed(_));
-        let event = event_of(runner, message)?;
-        let _ = inputs.send(Input::Event(event)).await;
-        if last {
-            // The sidecar may have closed the stream already.
-            let _ = exchange.sender.finish();
-            return Ok(());
-        }
+/// The attempt whose exchange ended with this event.
+fn ended(event: &entry::Event) -> Option<AttemptId> {
+    match event {
+        entry::Event::Ended(_, end) => Some(end.id),
+        entry::Event::Failed(_, failed) => Some(failed.id),
+        entry::Event::Lost { id, .. } => Some(*id),
+        _ => None,
     }
 }
-
-fn event_of(runner: &RunnerName, message: Message) -> Result<entry::Event, WireError> {
-    let runner = runner.clone();
-    Ok(match message {
-        Message::Started(started) => entry::Event::Started(runner, started),
-        Message::Piece(piece) => entry::Event::Piece(runner, piece),
-        Message::End(end) => entry::Event::Ended(runner, end),
-        Message::Failed(failed) => entry::Event::Failed(runner, failed),
-        other => {
-            return Err(WireError::Unexpected {
-                expected: "an answer",
-                got: other.name(),
-            });
-        }
-    })
-}
--- a/crates/lentil_entry/src/entry.rs
+++ b/crates/lentil_entry/src/entry.rs
@@ -1,30 +1,57 @@
 //! A running entry.
 
-use std::{io, net, sync::Arc};
+use std::{
+    io, net,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use lentil_config::Market;
-use lentil_policy::{entry, route};
-use lentil_process::Clock;
+use lentil_policy::entry;
+use lentil_process::{
+    Clock,
+    admin::{self, NotReady},
+    metrics::Metrics,
+};
+use lentil_types::ConfigVersion;
 use lentil_wire::Identity;
+use trillium_http::Stopper;
 
-use crate::{driver, http, links};
+use crate::{
+    api, control::Control, driver, gate::Gate, limits::Limits, links, runners, server, state,
+    store::ObjectStore,
+};
 
 /// Settings of an [`Entry`].
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Settings {
     /// Where it listens for callers; port 0 takes a free one.
     pub listen: net::SocketAddr,
     /// Who this process is.
     pub identity: Identity,
+    /// Version of `market`; 0 when no text is known yet.
+    pub version: ConfigVersion,
     /// What exists.
-    pub market: Market,
+    pub market: Arc<Market>,
+    /// The platform's object API.
+    pub store: Arc<dyn ObjectStore>,
+    /// Limits on callers.
+    pub limits: Limits,
+    /// Counters and timings.
+    pub metrics: Metrics,
 }
 
 /// A running entry. It stops when dropped.
 pub struct Entry {
     address: net::SocketAddr,
-    handle: trillium_server_common::ServerHandle,
+    api: Arc<api::Api>,
+    control: Control,
+    connections: Gate,
+    stopper: Stopper,
     _driver: smol::Task<()>,
+    _server: smol::Task<()>,
 }
 
 impl Entry {
@@ -33,25 +60,49 @@
     /// # Errors
     /// An I/O error when it cannot listen.
     pub async fn start(settings: Settings) -> io::Result<Self> {
-        let listener = trillium_smol::async_net::TcpListener::bind(settings.listen).await?;
+        let listener = smol::net::TcpListener::bind(settings.listen).await?;
         let address = listener.local_addr()?;
         let clock = Clock::start();
-        let market = Arc::new(settings.market);
         let (inputs, inbox) = smol::channel::unbounded();
-        let links = links::Links::new(settings.identity, &market);
-        let runners = entry::Event::Runners(runners(&market));
+        let links = Arc::new(links::Links::new(settings.identity, &settings.market));
+        let runners = entry::Event::Runners(runners::of_market(&settings.market));
         // The receiver lives until the driver ends.
         let _ = inputs.send(driver::Input::Event(runners)).await;
-        let driver = smol::spawn(driver::run(Arc::new(links), inbox, inputs.clone(), clock));
-        let handle = trillium_smol::config()
-            .without_signals()
-            .with_nodelay()
-            .with_prebound_server(listener)
-            .spawn(http::handler(market, inputs, clock));
+        let state = state::State::new(settings.version, settings.market);
+        let control = Control {
+            state: Arc::new(state),
+            links: links.clone(),
+            inputs: inputs.clone(),
+        };
+        let parts = driver::Parts {
+            links,
+            store: settings.store,
+            clock,
+            metrics: settings.metrics.clone(),
+        };
+        let api = Arc::new(api::Api {
+            state: control.state.clone(),
+            inputs,
+            clock,
+            limits: settings.limits,
+            metrics: settings.metrics,
+            requests: Gate::default(),
+            draining: AtomicBool::new(false),
+        });
+        let server = server::Server {
+            api: api.clone(),
+            limits: settings.limits,
+            stopper: Stopper::new(),
+            connections: Gate::default(),
+        };
         Ok(Self {
             address,
-            handle,
-            _driver: driver,
+            api,
+            control,
+            connections: server.connections.clone(),
+            stopper: server.stopper.clone(),
+            _driver: smol::spawn(driver::run(parts, inbox)),
+            _server: smol::spawn(server.run(listener)),
         })
     }
 
@@ -59,23 +110,86 @@
     pub fn address(&self) -> net::SocketAddr {
         self.address
     }
+
+    /// A handle that changes what the entry works with.
+    pub fn control(&self) -> Control {
+        self.control.clone()
+    }
+
+    /// Puts a text in force. See [`Control::set_market`].
+    pub fn set_market(&self, version: ConfigVersion, market: &Arc<Market>) -> bool {
+        self.control.set_market(version, market)
+    }
+
+    /// What the admin server shows of this entry.
+    pub fn subject(&self) -> Subject {
+        Subject {
+            api: self.api.clone(),
+            control: self.control.clone(),
+        }
+    }
+
+    /// Takes nothing new, waits until everything in flight has its answer and
+    /// closes the connections. Until then further requests are refused as not
+    /// run.
+    pub async fn drain(&self) {
+        self.subject().begin_drain();
+        self.api.requests.below(1).await;
+        self.stopper.stop();
+        self.connections.below(1).await;
+    }
 }
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        self.handle.stopper().stop();
+        self.stopper.stop();
     }
 }
 
-fn runners(market: &Market) -> Vec<route::RunnerInfo> {
-    let of_service = |service: &lentil_config::Service| {
-        let name = service.name.clone();
-        let info = move |runner: &lentil_config::Runner| route::RunnerInfo {
-            name: runner.name.clone(),
-            service: name.clone(),
-            place: runner.place.clone(),
-        };
-        service.runners.iter().map(info).collect::<Vec<_>>()
-    };
-    market.services.iter().flat_map(of_service).collect()
+/// What the admin server shows of an entry.
+#[derive(Clone)]
+pub struct Subject {
+    api: Arc<api::Api>,
+    control: Control,
+}
+
+impl Subject {
+    fn begin_drain(&self) {
+        if !self.api.draining.swap(true, Ordering::AcqRel) {
+            log::info!(in_flight = self.api.requests.open(); "draining");
+            // The channel is unbounded: this fails only when the entry is gone.
+            let _ = self
+                .control
+                .inputs
+                .try_send(driver::Input::Event(entry::Event::Drain));
+        }
+    }
+}
+
+impl admin::Subject for Subject {
+    fn ready(&self) -> Result<(), NotReady> {
+        if self.api.draining.load(Ordering::Acquire) {
+            let in_flight = self.api.requests.open();
+            return Err(NotReady::Draining { in_flight });
+        }
+        if self.control.version() == ConfigVersion(0) {
+            return Err(NotReady::NoConfig("no version in force".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let current = self.control.state.current();
+        serde_json::json!({
+            "config": current.version,
+            "region": current.market.region,
+            "draining": self.api.draining.load(Ordering::Acquire),
+            "requests": self.api.requests.open(),
+            "counters": self.api.metrics.dump(),
+        })
+    }
+
+    fn drain(&self) {
+        self.begin_drain();
+    }
 }
--- /dev/null
+++ b/crates/lentil_entry/src/headers.rs
@@ -0,0 +1,128 @@
+//! Headers that the system reads, and those that it passes on.
+
+use std::time;
+
+use lentil_policy::protocol;
+use lentil_types::{Class, IdempotencyKey};
+use trillium_http::Headers;
+
+use crate::{limits::Limits, refusal::Refusal};
+
+/// Class of a request.
+pub(crate) const CLASS: &str = "x-lentil-class";
+/// Milliseconds that a caller waits.
+pub(crate) const DEADLINE: &str = "x-lentil-deadline-ms";
+/// Key of a call that may not be repeated.
+pub(crate) const KEY: &str = "idempotency-key";
+/// Names the request in the answer.
+pub(crate) const REQUEST: &str = "x-lentil-request";
+/// What became of the request.
+pub(crate) const OUTCOME: &str = "x-lentil-outcome";
+
+/// What the names of the system's own headers begin with.
+const OWN_PREFIX: &str = "x-lentil-";
+
+/// Headers that speak of one connection, and those that the entry answers to.
+const NOT_PASSED: [&str; 15] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "date",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "server",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The API key that a caller shows.
+pub(crate) fn api_key(headers: &Headers) -> Option<&str> {
+    let value = headers.get_str("authorization")?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case("bearer")
+        .then_some(key.trim_start())
+}
+
+/// The class that a caller asks for.
+pub(crate) fn class(headers: &Headers) -> Result<Option<Class>, Refusal> {
+    match value(headers, CLASS)? {
+        Some(class) => class.parse().map(Some).map_err(|_| bad(CLASS)),
+        None => Ok(None),
+    }
+}
+
+/// How long a caller waits.
+pub(crate) fn budget(headers: &Headers, limits: &Limits) -> Result<time::Duration, Refusal> {
+    let Some(text) = value(headers, DEADLINE)? else {
+        return Ok(limits.default_budget);
+    };
+    let ms = text.parse().map_err(|_| bad(DEADLINE))?;
+    Ok(time::Duration::from_millis(ms).min(limits.max_budget))
+}
+
+/// The key of a call that may not be repeated.
+pub(crate) fn key(headers: &Headers) -> Result<Option<IdempotencyKey>, Refusal> {
+    match value(headers, KEY)? {
+        Some(key) => IdempotencyKey::new(key).map(Some).map_err(|_| bad(KEY)),
+        None => Ok(None),
+    }
+}
+
+/// Whether the length of the body is said in a way that can be believed.
+pub(crate) fn check_framing(headers: &Headers) -> Result<(), Refusal> {
+    if let Some(lengths) = headers.get_values("content-length") {
+        let valid = |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+        if lengths.len() != 1 || !lengths.as_str().is_some_and(valid) {
+            return Err(bad("content-length"));
+        }
+    }
+    match value(headers, "transfer-encoding")? {
+        Some(coding) if !coding.eq_ignore_ascii_case("chunked") => Err(bad("transfer-encoding")),
+        _ => Ok(()),
+    }
+}
+
+/// Headers that a plain service gets.
+pub(crate) fn passed_on(headers: &Headers) -> Result<Vec<protocol::Header>, Refusal> {
+    let named = value(headers, "connection")?.unwrap_or_default();
+    let named: Vec<_> = named.split(',').map(str::trim).collect();
+    let mut passed = Vec::new();
+    for (name, values) in headers {
+        let name = name.as_ref().to_ascii_lowercase();
+        let stays = named.iter().any(|other| other.eq_ignore_ascii_case(&name));
+        if stays || !is_passed_on(&name) {
+            continue;
+        }
+        for value in values {
+            let value = value.as_str().ok_or_else(|| bad(&name))?.to_owned();
+            let name = name.clone();
+            passed.push(protocol::Header { name, value });
+        }
+    }
+    Ok(passed)
+}
+
+/// Whether a header with this name, in lower case, goes beyond the connection
+/// that it came on.
+pub(crate) fn is_passed_on(name: &str) -> bool {
+    !name.starts_with(OWN_PREFIX) && !NOT_PASSED.contains(&name)
+}
+
+/// The value of a header; refused when it is there and is not UTF-8.
+fn value<'a>(headers: &'a Headers, name: &'static str) -> Result<Option<&'a str>, Refusal> {
+    if !headers.has_header(name) {
+        return Ok(None);
+    }
+    headers.get_str(name).map(Some).ok_or_else(|| bad(name))
+}
+
+fn bad(name: &str) -> Refusal {
+    Refusal::BadHeader(name.to_owned())
+}
--- a/crates/lentil_entry/src/lib.rs
+++ b/crates/lentil_entry/src/lib.rs
@@ -4,11 +4,31 @@
 //! [`Entry`] turns HTTP requests and what sidecars say into events for
 //! [`lentil_policy::entry::EntryPolicy`], and carries out its commands.
 
-mod caller;
+mod answer;
+mod api;
+mod attempt;
+mod body;
+mod check;
+mod control;
 mod driver;
 mod entry;
-mod http;
+mod flow;
+mod gate;
+mod headers;
+mod keys;
+mod limits;
 mod links;
+mod openai;
+mod path;
+mod refusal;
 mod reply;
+mod runners;
+mod server;
+mod state;
+mod store;
+mod transport;
 
-pub use entry::{Entry, Settings};
+pub use control::Control;
+pub use entry::{Entry, Settings, Subject};
+pub use limits::Limits;
+pub use store::{NoStore, ObjectStore};
--- a/crates/lentil_entry/src/links.rs
+++ b/crates/lentil_entry/src/links.rs
@@ -1,6 +1,9 @@
 //! Connections to sidecars, opened when first needed.
 
-use std::{net, sync::Arc};
+use std::{
+    net,
+    sync::{Arc, RwLock},
+};
 
 use lentil_config::Market;
 use lentil_types::{RunnerName, Table};
@@ -12,34 +15,38 @@
     link: smol::lock::Mutex<Option<Link>>,
 }
 
+type Slots = Table<RunnerName, Arc<Slot>>;
+
 /// Connections to sidecars.
 pub(crate) struct Links {
     identity: Identity,
-    slots: Table<RunnerName, Arc<Slot>>,
+    slots: RwLock<Arc<Slots>>,
 }
 
 impl Links {
     pub(crate) fn new(identity: Identity, market: &Market) -> Self {
-        let runners = market.services.iter().flat_map(|service| &service.runners);
-        let slot = |runner: &lentil_config::Runner| {
-            let slot = Slot {
-                address: runner.address,
-                link: smol::lock::Mutex::new(None),
-            };
-            (runner.name.clone(), Arc::new(slot))
-        };
+        let slots = Arc::new(next_slots(&Slots::new(), market));
         Self {
             identity,
-            slots: runners.map(slot).collect(),
+            slots: RwLock::new(slots),
         }
     }
 
+    /// Takes the runners of a new text. Those that keep their address keep
+    /// their connection; exchanges under way go on in any case.
+    pub(crate) fn update(&self, market: &Market) {
+        let next = Arc::new(next_slots(&self.slots(), market));
+        *self
+            .slots
+            .write()
+            .unwrap_or_else(|poisoned| poisoned.into_inner()) = next;
+    }
+
     /// Opens an exchange with a runner's sidecar. On an error nothing of the
     /// request has left this process.
     pub(crate) async fn open(&self, runner: &RunnerName) -> Result<Exchange, WireError> {
-        let Some(slot) = self.slots.get(runner) else {
-            return Err(WireError::Ended("a known runner"));
-        };
+        let slot = self.slots().get(runner).cloned();
+        let slot = slot.ok_or(WireError::Ended("a known runner"))?;
         let mut link = slot.link.lock().await;
         if let Some(open) = &*link {
             match open.open().await {
@@ -52,4 +59,28 @@
         *link = Some(fresh);
         Ok(exchange)
     }
+
+    fn slots(&self) -> Arc<Slots> {
+        let slots = self.slots.read();
+        slots
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+            .clone()
+    }
+}
+
+fn next_slots(last: &Slots, market: &Market) -> Slots {
+    let runners = market.services.iter().flat_map(|service| &service.runners);
+    let slot = |runner: &lentil_config::Runner| {
+        let kept = last
+            .get(&runner.name)
+            .filter(|slot| slot.address == runner.address);
+        let slot = kept.cloned().unwrap_or_else(|| {
+            Arc::new(Slot {
+                address: runner.address,
+                link: smol::lock::Mutex::new(None),
+            })
+        });
+        (runner.name.clone(), slot)
+    };
+    runners.map(slot).collect()
 }
--- /dev/null
+++ b/crates/lentil_entry/src/openai.rs
@@ -0,0 +1,190 @@
+//! The JSON of the OpenAI API, as far as the entry reads or writes it. Fields
+//! that it does not know pass through.
+
+use lentil_policy::protocol;
+use lentil_types::Outcome;
+use serde_json::{Map, Value, value::RawValue};
+
+/// A request for a completion, with messages or with a prompt.
+#[derive(Debug, serde::Deserialize, serde::Serialize)]
+pub(crate) struct Request {
+    /// The model asked.
+    pub(crate) model: String,
+    /// Messages of a chat.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) messages: Option<Vec<Box<RawValue>>>,
+    /// Prompt of a plain completion.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) prompt: Option<Box<RawValue>>,
+    /// Tools that the model may call. Engines put them before the messages.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) tools: Option<Box<RawValue>>,
+    /// Whether the answer comes in chunks.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) stream: Option<bool>,
+    /// Options of an answer in chunks.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) stream_options: Option<StreamOptions>,
+    /// Most tokens of the answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) max_tokens: Option<u64>,
+    /// Most tokens of the answer, in newer clients.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) max_completion_tokens: Option<u64>,
+    /// Everything else.
+    #[serde(flatten)]
+    pub(crate) rest: Map<String, Value>,
+}
+
+/// Options of an answer in chunks.
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
+pub(crate) struct StreamOptions {
+    /// Whether the last chunk says what the answer took.
+    #[serde(default)]
+    pub(crate) include_usage: bool,
+    /// Everything else.
+    #[serde(flatten)]
+    pub(crate) rest: Map<String, Value>,
+}
+
+/// A chunk of an answer.
+#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
+pub(crate) struct Chunk {
+    /// Names the answer; the same in every chunk of it.
+    #[serde(default)]
+    pub(crate) id: String,
+    /// Kind of object.
+    #[serde(default)]
+    pub(crate) object: String,
+    /// When the answer began, in seconds since 1970.
+    #[serde(default)]
+    pub(crate) created: u64,
+    /// The model that answered.
+    #[serde(default)]
+    pub(crate) model: String,
+    /// What the chunk adds to each choice.
+    #[serde(default)]
+    pub(crate) choices: Vec<Map<String, Value>>,
+    /// What the answer took, in the last chunk.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) usage: Option<Value>,
+    /// Everything else.
+    #[serde(flatten)]
+    pub(crate) rest: Map<String, Value>,
+}
+
+/// What an answer took.
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+pub(crate) struct Usage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    total_tokens: u64,
+    prompt_tokens_details: PromptDetails,
+}
+
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+struct PromptDetails {
+    cached_tokens: u64,
+}
+
+impl From<protocol::Usage> for Usage {
+    fn from(usage: protocol::Usage) -> Self {
+        Self {
+            prompt_tokens: usage.prompt.0,
+            completion_tokens: usage.output.0,
+            total_tokens: (usage.prompt + usage.output).0,
+            prompt_tokens_details: PromptDetails {
+                cached_tokens: usage.cached.0,
+            },
+        }
+    }
+}
+
+/// A whole answer.
+#[derive(Debug, serde::Serialize)]
+pub(crate) struct Completion {
+    pub(crate) id: String,
+    pub(crate) object: &'static str,
+    pub(crate) created: u64,
+    pub(crate) model: String,
+    pub(crate) choices: Vec<Map<String, Value>>,
+    pub(crate) usage: Usage,
+    #[serde(flatten)]
+    pub(crate) rest: Map<String, Value>,
+}
+
+/// The last chunk of an answer whose caller asked for its usage.
+#[derive(Debug, serde::Serialize)]
+pub(crate) struct UsageChunk<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) object: &'static str,
+    pub(crate) created: u64,
+    pub(crate) model: &'a str,
+    pub(crate) choices: [(); 0],
+    pub(crate) usage: Usage,
+}
+
+/// A model of the list of models.
+#[derive(Debug, serde::Serialize)]
+pub(crate) struct Model<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) object: &'static str,
+    pub(crate) created: u64,
+    pub(crate) owned_by: &'a str,
+}
+
+impl<'a> Model<'a> {
+    pub(crate) fn new(model: &'a lentil_config::Model) -> Self {
+        Self {
+            id: &model.name,
+            object: "model",
+            created: 0,
+            owned_by: &model.service,
+        }
+    }
+}
+
+/// The list of models.
+#[derive(Debug, serde::Serialize)]
+pub(crate) struct Models<'a> {
+    pub(crate) object: &'static str,
+    pub(crate) data: Vec<Model<'a>>,
+}
+
+#[derive(Debug, serde::Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorObject<'a>,
+}
+
+#[derive(Debug, serde::Serialize)]
+struct ErrorObject<'a> {
+    message: &'a str,
+    #[serde(rename = "type")]
+    kind: &'static str,
+    param: Option<&'a str>,
+    code: &'a str,
+    outcome: Outcome,
+}
+
+/// The error object, as clients of the OpenAI API expect it, with the outcome.
+pub(crate) fn error_body(status: u16, message: &str, code: &str, outcome: Outcome) -> String {
+    let kind = match status {
+        401 => "authentication_error",
+        429 => "rate_limit_error",
+        400..=499 => "invalid_request_error",
+        _ => "server_error",
+    };
+    let error = ErrorObject {
+        message,
+        kind,
+        param: None,
+        code,
+        outcome,
+    };
+    to_json(&ErrorBody { error })
+}
+
+/// Writes a value whose types cannot fail to be written as JSON.
+pub(crate) fn to_json(value: &impl serde::Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/lentil_entry/src/path.rs
@@ -0,0 +1,64 @@
+//! What a method and a path ask for.
+
+use trillium_http::Method;
+
+use crate::{check, refusal::Refusal};
+
+/// What a method and a path ask for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Target {
+    /// The list of models.
+    Models,
+    /// One model.
+    Model(String),
+    /// An answer of a model.
+    Completion(check::Api),
+    /// A call to a plain service.
+    Plain {
+        /// The service.
+        service: String,
+        /// Path and query below it, from `/`.
+        path: String,
+    },
+}
+
+impl Target {
+    /// Reads a method and a path with its query.
+    pub(crate) fn of(method: Method, path_and_query: &str) -> Result<Self, Refusal> {
+        let path = path_and_query.split('?').next().unwrap_or_default();
+        if let Some(rest) = path_and_query.strip_prefix("/services/") {
+            return plain(rest);
+        }
+        let (target, allowed) = match path {
+            "/v1/models" => (Self::Models, Method::Get),
+            "/v1/chat/completions" => (Self::Completion(check::Api::Chat), Method::Post),
+            "/v1/completions" => (Self::Completion(check::Api::Text), Method::Post),
+            _ => {
+                let model = path.strip_prefix("/v1/models/").ok_or(Refusal::NoPath)?;
+                (Self::Model(model.to_owned()), Method::Get)
+            }
+        };
+        if method != allowed {
+            let name = if allowed == Method::Get {
+                "GET"
+            } else {
+                "POST"
+            };
+            return Err(Refusal::Method(name));
+        }
+        Ok(target)
+    }
+}
+
+fn plain(rest: &str) -> Result<Target, Refusal> {
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (service, path) = rest.split_at(end);
+    if service.is_empty() {
+        return Err(Refusal::NoPath);
+    }
+    let slash = if path.starts_with('/') { "" } else { "/" };
+    Ok(Target::Plain {
+        service: service.to_owned(),
+        path: format!("{slash}{path}"),
+    })
+}
--- /dev/null
+++ b/crates/lentil_entry/src/refusal.rs
@@ -0,0 +1,129 @@
+//! Requests that are refused before they reach the policy.
+
+use std::time;
+
+use lentil_types::{FailReason, Outcome};
+
+use crate::openai;
+
+/// Advice to a caller that may try again, where nothing better is known.
+const DEFAULT_RETRY: time::Duration = time::Duration::from_secs(1);
+
+/// A request that is refused before it reaches the policy. It did not run.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum Refusal {
+    #[error("no team has this API key")]
+    Unauthorized,
+    #[error("the head is not well-formed HTTP/1.1")]
+    BadHead,
+    #[error("the head is larger than allowed")]
+    HeadTooLong,
+    #[error("the request took too long to arrive")]
+    Slow,
+    #[error("the body is larger than {0} bytes")]
+    BodyTooLong(usize),
+    #[error("the body broke off")]
+    BodyBrokeOff,
+    #[error("the body is no valid request: {0}")]
+    BadBody(String),
+    #[error("{0:?} is missing")]
+    Missing(&'static str),
+    #[error("header {0} has a value that is not allowed")]
+    BadHeader(String),
+    #[error("no model {0:?}")]
+    NoModel(String),
+    #[error("no service {0:?}")]
+    NoService(String),
+    #[error("nothing is at this path")]
+    NoPath,
+    #[error("this path takes only {0}")]
+    Method(&'static str),
+    #[error("no configuration is known yet")]
+    NotReady,
+}
+
+impl Refusal {
+    pub(crate) fn status(&self) -> u16 {
+        match self {
+            Self::BadHead
+            | Self::BodyBrokeOff
+            | Self::BadBody(_)
+            | Self::Missing(_)
+            | Self::BadHeader(_) => 400,
+            Self::Unauthorized => 401,
+            Self::NoModel(_) | Self::NoService(_) | Self::NoPath => 404,
+            Self::Method(_) => 405,
+            Self::Slow => 408,
+            Self::BodyTooLong(_) => 413,
+            Self::HeadTooLong => 431,
+            Self::NotReady => 503,
+        }
+    }
+
+    pub(crate) fn code(&self) -> &'static str {
+        match self {
+            Self::BadHead => "bad_request",
+            Self::BodyBrokeOff => "body_broke_off",
+            Self::BadBody(_) => "invalid_body",
+            Self::Missing(_) => "missing_field",
+            Self::BadHeader(_) => "invalid_header",
+            Self::Unauthorized => "invalid_api_key",
+            Self::NoModel(_) => "model_not_found",
+            Self::NoService(_) => "service_not_found",
+            Self::NoPath => "not_found",
+            Self::Method(_) => "method_not_allowed",
+            Self::Slow => "request_timeout",
+            Self::BodyTooLong(_) => "body_too_large",
+            Self::HeadTooLong => "headers_too_large",
+            Self::NotReady => "not_ready",
+        }
+    }
+
+    pub(crate) fn body(&self) -> String {
+        openai::error_body(
+            self.status(),
+            &self.to_string(),
+            self.code(),
+            Outcome::NotRun,
+        )
+    }
+
+    /// The response as it goes over a connection that ends with it.
+    pub(crate) fn whole_response(&self) -> String {
+        let body = self.body();
+        let status = trillium_http::Status::try_from(self.status())
+            .unwrap_or(trillium_http::Status::BadRequest);
+        format!(
+            "HTTP/1.1 {} {}\r\nconnection: close\r\ncontent-type: application/json\r\n\
+             x-lentil-outcome: {}\r\ncontent-length: {}\r\n\r\n{body}",
+            status as u16,
+            status.canonical_reason(),
+            Outcome::NotRun,
+            body.len(),
+        )
+    }
+}
+
+/// HTTP status for a request that the policy gave up.
+pub(crate) fn status_of(reason: FailReason) -> u16 {
+    match reason {
+        FailReason::Deadline => 504,
+        FailReason::RateLimited => 429,
+        FailReason::KeyReused | FailReason::KeyExpired | FailReason::Poison => 422,
+        FailReason::InProgress => 409,
+        FailReason::BadRequest => 400,
+        FailReason::Backend | FailReason::BrokenStream | FailReason::EngineDied => 502,
+        _ => 503,
+    }
+}
+
+/// Seconds for the header that says when another try is worth while.
+pub(crate) fn retry_seconds(status: u16, retry: Option<time::Duration>) -> Option<u64> {
+    let retry = match (status, retry) {
+        (_, Some(retry)) => retry,
+        (409 | 429 | 503, None) => DEFAULT_RETRY,
+        (_, None) => return None,
+    };
+    let whole = retry.as_secs() + u64::from(retry.subsec_nanos() > 0);
+    Some(whole.max(1))
+}
--- a/crates/lentil_entry/src/reply.rs
+++ b/crates/lentil_entry/src/reply.rs
@@ -1,10 +1,21 @@
 //! What the driver gives a caller's connection.
 
+use std::{
+    future,
+    pin::Pin,
+    task::{self, Context, Poll},
+    time,
+};
+
+use futures_lite::Stream as _;
 use lentil_policy::{entry, protocol};
 use lentil_types::RequestId;
 use smol::channel::{Receiver, Sender};
 
-use crate::driver::Input;
+use crate::{
+    driver::{Caller, Input},
+    flow::Flow,
+};
 
 /// A part of a reply.
 #[derive(Clone, Debug)]
@@ -20,34 +31,73 @@
     End(entry::Ending),
 }
 
+impl Reply {
+    /// Bytes that wait for the caller with this part.
+    pub(crate) fn size(&self) -> usize {
+        match self {
+            Self::Piece { data, .. } => data.len(),
+            Self::Head { .. } | Self::End(_) => 0,
+        }
+    }
+}
+
 /// A caller's end of its request. Dropped before the end of the reply, it tells
 /// the policy that the caller is gone.
 #[derive(Debug)]
 pub(crate) struct Replies {
     request: RequestId,
-    inbox: Receiver<Reply>,
+    inbox: Pin<Box<Receiver<Reply>>>,
+    flow: Flow,
     inputs: Sender<Input>,
     ended: bool,
 }
 
 impl Replies {
-    pub(crate) fn new(request: RequestId, inbox: Receiver<Reply>, inputs: Sender<Input>) -> Self {
+    /// Hands a request to the driver.
+    pub(crate) fn submit(inputs: &Sender<Input>, arrival: Box<entry::Arrival>) -> Self {
+        let (replies, inbox) = smol::channel::unbounded();
+        let flow = Flow::default();
+        let caller = Caller {
+            replies,
+            flow: flow.clone(),
+            begin: time::Instant::now(),
+            team: arrival.work.team.clone(),
+            runner: None,
+        };
+        let request = arrival.request;
+        // The channel is unbounded. When the driver is gone it drops the
+        // caller, which ends the reply.
+        let _ = inputs.try_send(Input::Arrived(arrival, caller));
         Self {
             request,
-            inbox,
-            inputs,
+            inbox: Box::pin(inbox),
+            flow,
+            inputs: inputs.clone(),
             ended: false,
         }
     }
 
+    /// The request.
+    pub(crate) fn request(&self) -> RequestId {
+        self.request
+    }
+
     /// The next part, or `None` after the end.
     pub(crate) async fn next(&mut self) -> Option<Reply> {
+        future::poll_fn(|context| self.poll_next(context)).await
+    }
+
+    /// The next part, or `None` after the end.
+    pub(crate) fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<Reply>> {
         if self.ended {
-            return None;
+            return Poll::Ready(None);
         }
-        let reply = self.inbox.recv().await.ok();
+        let reply = task::ready!(self.inbox.as_mut().poll_next(context));
         self.ended = matches!(reply, None | Some(Reply::End(_)));
-        reply
+        if let Some(reply) = &reply {
+            self.flow.take(reply.size());
+        }
+        Poll::Ready(reply)
     }
 }
 
--- /dev/null
+++ b/crates/lentil_entry/src/runners.rs
@@ -0,0 +1,18 @@
+//! Runners as the policy knows them.
+
+use lentil_config::Market;
+use lentil_policy::route;
+
+/// Every runner of a text.
+pub(crate) fn of_market(market: &Market) -> Vec<route::RunnerInfo> {
+    let of_service = |service: &lentil_config::Service| {
+        let name = service.name.clone();
+        let info = move |runner: &lentil_config::Runner| route::RunnerInfo {
+            name: runner.name.clone(),
+            service: name.clone(),
+            place: runner.place.clone(),
+        };
+        service.runners.iter().map(info).collect::<Vec<_>>()
+    };
+    market.services.iter().flat_map(of_service).collect()
+}
--- /dev/null
+++ b/crates/lentil_entry/src/state.rs
@@ -0,0 +1,64 @@
+//! The configuration in force.
+
+use std::sync::{Arc, RwLock};
+
+use lentil_config::Market;
+use lentil_types::ConfigVersion;
+
+use crate::keys::Keys;
+
+/// One version of the operators' text, ready for use.
+#[derive(Debug)]
+pub(crate) struct Current {
+    pub(crate) version: ConfigVersion,
+    pub(crate) market: Arc<Market>,
+    pub(crate) keys: Keys,
+}
+
+impl Current {
+    pub(crate) fn new(version: ConfigVersion, market: Arc<Market>) -> Self {
+        let keys = Keys::new(&market);
+        Self {
+            version,
+            market,
+            keys,
+        }
+    }
+}
+
+/// The configuration in force. A request takes it once, when it is checked,
+/// and keeps what it took.
+#[derive(Debug)]
+pub(crate) struct State {
+    current: RwLock<Arc<Current>>,
+}
+
+impl State {
+    pub(crate) fn new(version: ConfigVersion, market: Arc<Market>) -> Self {
+        let current = Arc::new(Current::new(version, market));
+        Self {
+            current: RwLock::new(current),
+        }
+    }
+
+    pub(crate) fn current(&self) -> Arc<Current> {
+        let current = self.current.read();
+        current
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+            .clone()
+    }
+
+    /// Puts a version in force if it is higher than the one that is.
+    pub(crate) fn replace(&self, version: ConfigVersion, market: Arc<Market>) -> bool {
+        let next = Arc::new(Current::new(version, market));
+        let mut current = self
+            .current
+            .write()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        if version <= current.version {
+            return false;
+        }
+        *current = next;
+        true
+    }
+}
--- /dev/null
+++ b/crates/lentil_entry/src/transport.rs
@@ -0,0 +1,180 @@
+//! A caller's connection with limits on time.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex},
+    task::{Context, Poll},
+};
+
+use futures_lite::{AsyncRead, AsyncWrite};
+use smol::{Timer, net::TcpStream};
+
+use crate::limits::Limits;
+
+/// Bytes that a caller may send ahead while its request is being answered.
+const MAX_AHEAD_BYTES: usize = 64 * 1024;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Phase {
+    /// Nothing of the next request has come.
+    #[default]
+    Idle,
+    /// The head of a request is coming.
+    Head,
+    /// The body of a request is coming. Its reader keeps the time.
+    Body,
+    /// A request is being answered.
+    Answer,
+}
+
+/// Tells a [`Transport`] where its request is. Clones speak for the same
+/// connection.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Progress(Arc<Mutex<Phase>>);
+
+impl Progress {
+    /// The head of a request is complete.
+    pub(crate) fn begin_body(&self) {
+        self.replace(Phase::Body);
+    }
+
+    /// The body of a request is complete.
+    pub(crate) fn begin_answer(&self) {
+        self.replace(Phase::Answer);
+    }
+
+    /// The answer has been sent.
+    pub(crate) fn end(&self) {
+        self.replace(Phase::Idle);
+    }
+
+    /// Whether a head has begun and is not complete.
+    pub(crate) fn is_in_head(&self) -> bool {
+        self.get() == Phase::Head
+    }
+
+    fn get(&self) -> Phase {
+        *self
+            .0
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn replace(&self, phase: Phase) {
+        *self
+            .0
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner()) = phase;
+    }
+}
+
+/// A caller's connection. It fails with [`io::ErrorKind::TimedOut`] when a head
+/// takes too long, nothing comes for too long or the caller takes nothing in.
+pub(crate) struct Transport {
+    stream: TcpStream,
+    limits: Limits,
+    progress: Progress,
+    reading: Option<(Phase, Timer)>,
+    writing: Option<Timer>,
+    ahead: usize,
+}
+
+impl Transport {
+    pub(crate) fn new(stream: TcpStream, limits: Limits, progress: Progress) -> Self {
+        Self {
+            stream,
+            limits,
+            progress,
+            reading: None,
+            writing: None,
+            ahead: 0,
+        }
+    }
+
+    /// Whether the time for what is being read is over.
+    fn is_late(&mut self, context: &mut Context<'_>, phase: Phase) -> bool {
+        let limit = match phase {
+            Phase::Idle => self.limits.idle_time,
+            Phase::Head => self.limits.head_time,
+            Phase::Body | Phase::Answer => return false,
+        };
+        if self.reading.as_ref().is_none_or(|(of, _)| *of != phase) {
+            self.reading = Some((phase, Timer::after(limit)));
+        }
+        self.reading
+            .as_mut()
+            .is_some_and(|(_, timer)| is_over(timer, context))
+    }
+
+    fn note_read(&mut self, phase: Phase, read: usize) -> io::Result<usize> {
+        match phase {
+            Phase::Idle if read > 0 => {
+                self.progress.replace(Phase::Head);
+                self.ahead = 0;
+            }
+            Phase::Answer => self.ahead += read,
+            Phase::Idle | Phase::Head | Phase::Body => {}
+        }
+        Ok(read)
+    }
+}
+
+impl AsyncRead for Transport {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = &mut *self;
+        let phase = this.progress.get();
+        if phase == Phase::Answer && this.ahead >= MAX_AHEAD_BYTES {
+            // Nothing more is read before the answer has been sent.
+            return Poll::Pending;
+        }
+        match Pin::new(&mut this.stream).poll_read(context, buffer) {
+            Poll::Ready(read) => Poll::Ready(read.and_then(|read| this.note_read(phase, read))),
+            Poll::Pending if this.is_late(context, phase) => {
+                Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncWrite for Transport {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = &mut *self;
+        match Pin::new(&mut this.stream).poll_write(context, bytes) {
+            Poll::Ready(written) => {
+                this.writing = None;
+                Poll::Ready(written)
+            }
+            Poll::Pending => {
+                let limit = this.limits.stall_time;
+                let timer = this.writing.get_or_insert_with(|| Timer::after(limit));
+                if is_over(timer, context) {
+                    return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+                }
+                Poll::Pending
+            }
+        }
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
+
+fn is_over(timer: &mut Timer, context: &mut Context<'_>) -> bool {
+    Pin::new(timer).poll(context).is_ready()
+}
--- a/crates/lentil_types/src/lib.rs
+++ b/crates/lentil_types/src/lib.rs
@@ -17,6 +17,7 @@
 mod name;
 mod outcome;
 mod piece;
+mod prompt;
 mod rate;
 mod runner_state;
 mod size;
@@ -32,6 +33,7 @@
 };
 pub use outcome::{FailReason, Outcome};
 pub use piece::{PIECE_TOKENS, PieceHash, PieceSeed};
+pub use prompt::PromptPieces;
 pub use rate::{ParseRateError, TokenRate};
 pub use runner_state::RunnerState;
 pub use size::{Bytes, ParseSizeError, Pieces, Tokens};
--- a/crates/lentilglade/src/demo.rs
+++ b/crates/lentilglade/src/demo.rs
@@ -1,12 +1,13 @@
 //! Entry, sidecars and stand-ins in one process.
 
-use std::{io, net};
+use std::{io, net, sync::Arc};
 
 use lentil_config::{Market, ServiceKind};
 use lentil_entry::Entry;
 use lentil_fakes::{Engine, EngineSettings, Plain, PlainSettings};
+use lentil_process::metrics::Metrics;
 use lentil_sidecar::{BackendKind, Sidecar};
-use lentil_types::{BootId, NodeName};
+use lentil_types::{BootId, ConfigVersion, NodeName};
 use lentil_wire::{FleetKey, Identity};
 
 /// Fleet key of a demo. It guards nothing but loopback.
@@ -78,7 +79,11 @@
         let settings = lentil_entry::Settings {
             listen: loopback(),
             identity: identity("entry-1")?,
-            market,
+            version: ConfigVersion(1),
+            market: Arc::new(market),
+            store: Arc::new(lentil_entry::NoStore),
+            limits: lentil_entry::Limits::default(),
+            metrics: Metrics::local(),
         };
         let entry = Entry::start(settings).await?;
         Ok(Self {
