--- /dev/null
+++ b/crates/lentil_policy/src/config_sync/document.rs
@@ -0,0 +1,63 @@
+//! Documents that every process needs.
+
+use std::sync;
+
+use compact_str::CompactString;
+use lentil_types::RegionName;
+
+use crate::store;
+
+/// A kind of document.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    strum::Display,
+    strum::EnumIter,
+    strum::FromRepr,
+    strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "lowercase")]
+#[repr(u8)]
+pub enum Doc {
+    /// The operators' text.
+    Config = 0,
+    /// Requests that crash engines.
+    Poison = 1,
+    /// What drains.
+    Drain = 2,
+}
+
+impl Doc {
+    /// The object that holds this document of a region.
+    pub fn key(self, region: &RegionName) -> store::ObjectKey {
+        let kind: &'static str = self.into();
+        store::ObjectKey {
+            kind: kind.into(),
+            name: CompactString::from(region.as_str()),
+        }
+    }
+}
+
+/// A document at a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Document {
+    /// Version of its object.
+    pub version: store::ObjectVersion,
+    /// Its content.
+    pub value: sync::Arc<[u8]>,
+}
+
+/// The version of a document that a process has. 0: none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// The document.
+    pub doc: Doc,
+    /// Its version.
+    pub version: store::ObjectVersion,
+}
--- a/crates/lentil_policy/src/lib.rs
+++ b/crates/lentil_policy/src/lib.rs
@@ -5,17 +5,21 @@
 //! `tick`, and carries out the commands that come back. The daemons, the replay
 //! and the fault search run this same code.
 //!
+//! - [`config_sync`]: how documents reach every process.
 //! - [`entry`]: the life of a caller's request at an entry process.
 //! - [`sidecar`]: the work of one backend server.
 //! - [`route`]: which runner gets a request.
 //! - [`queue`]: which waiting request a backend server runs next.
 //! - [`cache`]: what a sidecar knows of its engine's cache.
+//! - [`lease`]: who may give orders, and with which fencing number.
 //! - [`protocol`]: what entries and sidecars say to each other.
 //! - [`store`]: what a policy asks of the platform's object API.
 //! - [`store_budget`]: how often this process may call it.
 
 pub mod cache;
+pub mod config_sync;
 pub mod entry;
+pub mod lease;
 pub mod protocol;
 pub mod queue;
 pub mod route;
--- /dev/null
+++ b/crates/lentil_policy/tests/store_budget.rs
@@ -0,0 +1,148 @@
+//! Calls to the store stay within budgets through an outage and its end.
+
+use std::time;
+
+use lentil_policy::store_budget::{
+    Action, Answer, Breaker, BreakerSettings, Budget, Denied, Purpose, Settings,
+};
+use lentil_types::Instant;
+use rand_pcg::Pcg64Mcg;
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+const STEP: time::Duration = time::Duration::from_millis(100);
+
+fn settings() -> Settings {
+    Settings {
+        rate: 10.0,
+        burst: 20.0,
+        ..Settings::default()
+    }
+}
+
+/// Calls that get through when one is tried every step.
+fn calls(budget: &mut Budget, from: Instant, steps: u32, answer: Answer, seed: u128) -> Vec<u32> {
+    let mut rng = Pcg64Mcg::new(seed);
+    let mut made = Vec::new();
+    for step in 0..steps {
+        let now = from + STEP * step;
+        if budget.admit(now, Purpose::Claim, Action::Update).is_ok() {
+            budget.on_answer(now, answer, &mut rng);
+            made.push(step);
+        }
+    }
+    made
+}
+
+#[test]
+fn a_purpose_cannot_spend_anothers_calls() {
+    let mut budget = Budget::new(settings());
+    let now = Instant::ZERO;
+    for _ in 0..20 {
+        assert_eq!(budget.admit(now, Purpose::Claim, Action::Update), Ok(()));
+    }
+    let spent = budget.admit(now, Purpose::Claim, Action::Update);
+    assert!(
+        matches!(spent, Err(Denied::Spent(Purpose::Claim, _))),
+        "{spent:?}"
+    );
+    assert_eq!(budget.admit(now, Purpose::Config, Action::Watch), Ok(()));
+    assert_eq!(
+        budget.admit(now + SECOND, Purpose::Claim, Action::Update),
+        Ok(())
+    );
+}
+
+#[test]
+fn an_outage_of_an_hour_costs_the_store_few_calls() {
+    let mut budget = Budget::new(settings());
+    let made = calls(&mut budget, Instant::ZERO, 36_000, Answer::Failed, 3);
+    // After the first failures a probe comes at most every half of the longest
+    // wait.
+    let longest = BreakerSettings::default().max_wait.as_secs();
+    let bound = 3 + 8 + 3_600 / (longest / 2);
+    assert!((made.len() as u64) < bound, "{} calls", made.len());
+    assert!(!budget.is_closed());
+    let tally = budget.tallies()[0];
+    assert_eq!(
+        (tally.purpose, tally.action),
+        (Purpose::Claim, Action::Update)
+    );
+    assert_eq!(tally.made + tally.denied, 36_000);
+}
+
+#[test]
+fn processes_do_not_come_back_together() {
+    let probes = |seed| {
+        let mut budget = Budget::new(settings());
+        calls(&mut budget, Instant::ZERO, 36_000, Answer::Failed, seed);
+        let back = calls(
+            &mut budget,
+            Instant::ZERO + SECOND * 3_600,
+            300,
+            Answer::Good,
+            seed,
+        );
+        back[0]
+    };
+    let mut per_second = [0; 30];
+    for seed in 0..300 {
+        per_second[probes(seed) as usize / 10] += 1;
+    }
+    // 300 processes spread over the 15 s of the longest wait.
+    assert!(
+        per_second.iter().all(|count| *count <= 60),
+        "{per_second:?}"
+    );
+}
+
+#[test]
+fn a_process_that_comes_back_does_so_at_its_rate() {
+    let mut budget = Budget::new(settings());
+    calls(&mut budget, Instant::ZERO, 36_000, Answer::Failed, 3);
+    let mut rng = Pcg64Mcg::new(4);
+    let back = Instant::ZERO + SECOND * 3_700;
+    assert_eq!(budget.admit(back, Purpose::Claim, Action::Read), Ok(()));
+    budget.on_answer(back, Answer::Good, &mut rng);
+    let burst = (0..100).filter(|_| budget.admit(back, Purpose::Claim, Action::Read).is_ok());
+    assert_eq!(burst.count(), 0);
+    let later = back + SECOND;
+    let second = (0..100).filter(|_| budget.admit(later, Purpose::Claim, Action::Read).is_ok());
+    assert_eq!(second.count(), 10);
+}
+
+#[test]
+fn a_probe_that_fails_doubles_the_wait_up_to_the_longest() {
+    let settings = BreakerSettings::default();
+    let mut breaker = Breaker::new(settings);
+    let mut rng = Pcg64Mcg::new(1);
+    let mut now = Instant::ZERO;
+    for _ in 0..settings.failures {
+        breaker.on_failure(now, &mut rng);
+    }
+    let mut longest = settings.min_wait;
+    for _ in 0..10 {
+        let wait = breaker.admit(now).expect_err("it is open");
+        assert!(
+            wait >= longest / 2 && wait <= longest,
+            "{wait:?} of {longest:?}"
+        );
+        now = now + wait;
+        assert_eq!(breaker.admit(now), Ok(()));
+        assert!(breaker.admit(now).is_err(), "one probe at a time");
+        breaker.on_failure(now, &mut rng);
+        longest = (longest * 2).min(settings.max_wait);
+    }
+    assert!(!breaker.is_closed());
+}
+
+#[test]
+fn an_abandoned_probe_does_not_hold_the_breaker() {
+    let mut budget = Budget::new(settings());
+    let mut rng = Pcg64Mcg::new(1);
+    calls(&mut budget, Instant::ZERO, 3, Answer::Failed, 1);
+    let probe = Instant::ZERO + SECOND * 60;
+    assert_eq!(budget.admit(probe, Purpose::Config, Action::Watch), Ok(()));
+    budget.on_answer(probe, Answer::Abandoned, &mut rng);
+    let later = probe + SECOND * 60;
+    assert_eq!(budget.admit(later, Purpose::Config, Action::Watch), Ok(()));
+}
