Connections between processes are bounded, checked and versioned

Cause: a frame that came in two parts lost its length, because each attempt to decode made a new codec; a slow handshake was cut off only after HTTP/2 had begun; a frozen peer was never noticed; unfinished frames had no common bound. Change: a receiver looks at the length before it takes a frame, accounts for unfinished frames by connection, pings busy connections, negotiates the minor version, names unknown kinds of messages, and messages are encoded by value.

--- a/crates/lentil_entry/src/attempt.rs
+++ b/crates/lentil_entry/src/attempt.rs
@@ -104,11 +104,11 @@
                     }
                 }
                 Next::Order(Order::Withdraw) => {
-                    exchange.sender.send(&Message::Withdraw(id)).await?;
+                    exchange.sender.send(Message::Withdraw(id)).await?;
                 }
                 Next::Order(Order::Cancel) => {
                     // A stream that is closed already has cancelled it.
-                    let _ = exchange.sender.send(&Message::Cancel(id)).await;
+                    let _ = exchange.sender.send(Message::Cancel(id)).await;
                     let _ = exchange.sender.finish();
                     return Ok(());
                 }
@@ -134,7 +134,7 @@
 
     async fn ask_withdrawn(&self, id: AttemptId) -> Result<protocol::Withdrawn, WireError> {
         let mut exchange = self.links.open(&self.runner).await?;
-        exchange.sender.send(&Message::Withdraw(id)).await?;
+        exchange.sender.send(Message::Withdraw(id)).await?;
         exchange.sender.finish()?;
         match exchange.receiver.recv().await? {
             Some(Message::Withdrawn(withdrawn)) => Ok(withdrawn),
@@ -163,7 +163,7 @@
 
     async fn ask_bid(&self, offer: protocol::Offer) -> Result<protocol::Bid, WireError> {
         let mut exchange = self.links.open(&self.runner).await?;
-        exchange.sender.send(&Message::Offer(offer)).await?;
+        exchange.sender.send(Message::Offer(offer)).await?;
         exchange.sender.finish()?;
         match exchange.receiver.recv().await? {
             Some(Message::Bid(bid)) => Ok(bid),
--- a/crates/lentil_policy/src/protocol.rs
+++ b/crates/lentil_policy/src/protocol.rs
@@ -96,7 +96,7 @@
 }
 
 /// Where an answer goes on.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Resume {
     /// Offset of the next piece wanted.
     pub offset: u64,
--- a/crates/lentil_sidecar/src/service.rs
+++ b/crates/lentil_sidecar/src/service.rs
@@ -63,7 +63,7 @@
     } = exchange;
     let write = async {
         while let Ok(message) = outgoing.recv().await {
-            sender.send(&message).await?;
+            sender.send(message).await?;
         }
         sender.finish()
     };
--- a/crates/lentil_wire/src/codec.rs
+++ b/crates/lentil_wire/src/codec.rs
@@ -1,13 +1,20 @@
 //! Messages to bytes and back.
 
-use bytes::{Bytes, BytesMut};
-use tokio_util::codec::{self, Decoder as _, Encoder as _};
+use bytes::{Buf as _, Bytes, BytesMut};
+use tokio_util::codec::{self, Decoder as _};
 
-use crate::{WireError, generated, message};
+use crate::{
+    WireError,
+    generated::message::Body,
+    message::{self, Message},
+};
 
 /// Largest frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
+/// Size of a frame's length, in bytes.
+pub(crate) const LENGTH_BYTES: usize = 4;
+
 const CONFIG: bincode::config::Configuration<
     bincode::config::LittleEndian,
     bincode::config::Varint,
@@ -17,10 +24,10 @@
 /// Writes a message as one frame.
 ///
 /// # Errors
-/// [`WireError::Encode`] or [`WireError::Io`] when it is larger than
-/// [`MAX_FRAME_BYTES`].
-pub fn encode(message: &message::Message) -> Result<Bytes, WireError> {
-    encode_generated(&message.to_generated())
+/// [`WireError::TooLarge`] when it is larger than [`MAX_FRAME_BYTES`],
+/// [`WireError::Encode`] when it cannot be written.
+pub fn encode(message: Message) -> Result<Bytes, WireError> {
+    encode_body(&message.into_generated())
 }
 
 /// Takes the first whole frame out of `buffer`, or returns `None` when more
@@ -29,37 +36,75 @@
 /// # Errors
 /// [`WireError`] when the frame is too large, is no message of this version or
 /// has bytes left over.
-pub fn decode(buffer: &mut BytesMut) -> Result<Option<message::Message>, WireError> {
-    match decode_generated(buffer)? {
-        Some(body) => Ok(Some(message::Message::from_generated(body)?)),
+pub fn decode(buffer: &mut BytesMut) -> Result<Option<Message>, WireError> {
+    match decode_body(buffer, MAX_FRAME_BYTES)? {
+        Some(body) => Ok(Some(Message::from_generated(body)?)),
         None => Ok(None),
     }
 }
 
-pub(crate) fn encode_generated(body: &generated::message::Body) -> Result<Bytes, WireError> {
-    let payload =
-        bincode::encode_to_vec(body, CONFIG).map_err(|error| WireError::Encode(Box::new(error)))?;
-    let mut frame = BytesMut::new();
-    frames().encode(Bytes::from(payload), &mut frame)?;
-    Ok(frame.freeze())
+pub(crate) fn encode_body(body: &Body) -> Result<Bytes, WireError> {
+    let mut frame = vec![0; LENGTH_BYTES];
+    bincode::encode_into_std_write(body, &mut frame, CONFIG)
+        .map_err(|error| WireError::Encode(Box::new(error)))?;
+    let size = frame.len() - LENGTH_BYTES;
+    match u32::try_from(size) {
+        Ok(length) if size <= MAX_FRAME_BYTES => {
+            frame[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+            Ok(frame.into())
+        }
+        _ => Err(too_large(size, MAX_FRAME_BYTES)),
+    }
 }
 
-pub(crate) fn decode_generated(
-    buffer: &mut BytesMut,
-) -> Result<Option<generated::message::Body>, WireError> {
-    let Some(frame) = frames().decode(buffer)? else {
+/// Size of the frame that `buffer` begins with, or `None` when that is not
+/// there yet.
+pub(crate) fn frame_size(buffer: &BytesMut, limit: usize) -> Result<Option<usize>, WireError> {
+    let Some(mut length) = buffer.get(..LENGTH_BYTES) else {
         return Ok(None);
     };
-    let (body, read) = bincode::decode_from_slice(&frame, CONFIG)
+    match length.get_u32() as usize {
+        size if size > limit => Err(too_large(size, limit)),
+        size => Ok(Some(size)),
+    }
+}
+
+/// Takes a whole frame out of `buffer`.
+pub(crate) fn decode_body(buffer: &mut BytesMut, limit: usize) -> Result<Option<Body>, WireError> {
+    match frame_size(buffer, limit)? {
+        Some(size) if buffer.len() >= LENGTH_BYTES + size => {}
+        _ => return Ok(None),
+    }
+    let mut frames = codec::LengthDelimitedCodec::builder()
+        .max_frame_length(limit)
+        .new_codec();
+    match frames.decode(buffer)? {
+        Some(frame) => body_of(&frame).map(Some),
+        None => Ok(None),
+    }
+}
+
+fn body_of(frame: &[u8]) -> Result<Body, WireError> {
+    check_member(frame)?;
+    let (body, read) = bincode::decode_from_slice(frame, CONFIG)
         .map_err(|error| WireError::Decode(Box::new(error)))?;
     if read < frame.len() {
         return Err(WireError::Trailing(frame.len() - read));
     }
-    Ok(Some(body))
+    Ok(body)
+}
+
+/// Tells a kind of message that a newer version has from bytes that are no
+/// message at all.
+fn check_member(frame: &[u8]) -> Result<(), WireError> {
+    let (member, _) = bincode::decode_from_slice::<u32, _>(frame, CONFIG)
+        .map_err(|error| WireError::Decode(Box::new(error)))?;
+    if member >= message::MEMBERS {
+        return Err(WireError::UnknownMessage(member));
+    }
+    Ok(())
 }
 
-fn frames() -> codec::LengthDelimitedCodec {
-    codec::LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec()
+fn too_large(size: usize, limit: usize) -> WireError {
+    WireError::TooLarge { size, limit }
 }
--- a/crates/lentil_wire/src/convert.rs
+++ b/crates/lentil_wire/src/convert.rs
@@ -16,20 +16,20 @@
 };
 
 impl Message {
-    pub(crate) fn to_generated(&self) -> Body {
+    pub(crate) fn into_generated(self) -> Body {
         match self {
             Self::Offer(offer) => Body::Offer(offer_out(offer)),
             Self::Bid(bid) => Body::Bid(bid_out(bid)),
-            Self::Dispatch(dispatch) => Body::Dispatch(dispatch_out(dispatch)),
+            Self::Dispatch(dispatch) => Body::Dispatch(dispatch_out(*dispatch)),
             Self::Started(started) => Body::Started(started_out(started)),
             Self::Piece(piece) => Body::Piece(piece_out(piece)),
             Self::End(end) => Body::End(end_out(end)),
             Self::Failed(failed) => Body::Failed(failed_out(failed)),
             Self::Cancel(id) => Body::Cancel(generated::Cancel {
-                id: Some(id_out(*id)),
+                id: Some(id_out(id)),
             }),
             Self::Withdraw(id) => Body::Withdraw(generated::Withdraw {
-                id: Some(id_out(*id)),
+                id: Some(id_out(id)),
             }),
             Self::Withdrawn(withdrawn) => Body::Withdrawn(generated::Withdrawn {
                 id: Some(id_out(withdrawn.id)),
@@ -37,32 +37,33 @@
             }),
             Self::Ask { config, text } => Body::Ask(generated::Ask {
                 config: config.0,
-                want_text: *text,
+                want_text: text,
             }),
-            Self::Load(load) => Body::Load(load_out(load)),
+            Self::Load(load) => Body::Load(load_out(&load)),
             Self::Text(text) => Body::Text(generated::Text {
                 config: text.version.0,
-                text: text.text.clone(),
+                text: text.text,
             }),
             Self::Poison(notice) => Body::Poison(generated::Poison {
                 fingerprint: notice.fingerprint.0,
                 crashes: notice.crashes,
             }),
             Self::Refused(reason) => Body::Refused(generated::Refused {
-                reason: *reason as u32,
+                reason: reason as u32,
             }),
+            Self::Watch => Body::Watch(generated::Watch {}),
         }
     }
 
     pub(crate) fn from_generated(body: Body) -> Result<Self, ConvertError> {
         Ok(match body {
             Body::Offer(offer) => Self::Offer(offer_in(offer)?),
-            Body::Bid(bid) => Self::Bid(bid_in(&bid)?),
+            Body::Bid(bid) => Self::Bid(bid_in(bid)?),
             Body::Dispatch(dispatch) => Self::Dispatch(Box::new(dispatch_in(dispatch)?)),
             Body::Started(started) => Self::Started(started_in(started)?),
             Body::Piece(piece) => Self::Piece(piece_in(piece)?),
-            Body::End(end) => Self::End(end_in(&end)?),
-            Body::Failed(failed) => Self::Failed(failed_in(&failed)?),
+            Body::End(end) => Self::End(end_in(end)?),
+            Body::Failed(failed) => Self::Failed(failed_in(failed)?),
             Body::Cancel(cancel) => Self::Cancel(id_in(cancel.id)?),
             Body::Withdraw(withdraw) => Self::Withdraw(id_in(withdraw.id)?),
             Body::Withdrawn(withdrawn) => Self::Withdrawn(protocol::Withdrawn {
@@ -83,6 +84,7 @@
                 crashes: poison.crashes,
             }),
             Body::Refused(refused) => Self::Refused(reason_in(refused.reason)?),
+            Body::Watch(_) => Self::Watch,
             Body::Hello(_) | Body::Challenge(_) | Body::Proof(_) | Body::Welcome(_) => {
                 return Err(ConvertError::Missing("place for a handshake"));
             }
@@ -167,12 +169,12 @@
     })
 }
 
-fn headers_out(headers: &[protocol::Header]) -> Vec<generated::Header> {
-    let out = |header: &protocol::Header| generated::Header {
-        name: header.name.clone(),
-        value: header.value.clone(),
+fn headers_out(headers: Vec<protocol::Header>) -> Vec<generated::Header> {
+    let out = |header: protocol::Header| generated::Header {
+        name: header.name,
+        value: header.value,
     };
-    headers.iter().map(out).collect()
+    headers.into_iter().map(out).collect()
 }
 
 fn headers_in(headers: Vec<generated::Header>) -> Vec<protocol::Header> {
@@ -186,15 +188,14 @@
 // ---------------------------------------------------------------------------
 // Messages
 
-fn offer_out(offer: &protocol::Offer) -> generated::Offer {
-    let work = &offer.work;
+fn offer_out(offer: protocol::Offer) -> generated::Offer {
+    let work = offer.work;
     generated::Offer {
         id: Some(id_out(offer.id)),
         service: work.service.to_string(),
         model: work
             .model
-            .as_ref()
-            .map(ToString::to_string)
+            .map(|model| model.to_string())
             .unwrap_or_default(),
         team: work.team.to_string(),
         class: work.class as u32,
@@ -229,7 +230,7 @@
     })
 }
 
-fn bid_out(bid: &protocol::Bid) -> generated::Bid {
+fn bid_out(bid: protocol::Bid) -> generated::Bid {
     generated::Bid {
         id: Some(id_out(bid.id)),
         cached: pieces_out(bid.cached),
@@ -238,35 +239,31 @@
     }
 }
 
-fn bid_in(bid: &generated::Bid) -> Result<protocol::Bid, ConvertError> {
+fn bid_in(bid: generated::Bid) -> Result<protocol::Bid, ConvertError> {
     Ok(protocol::Bid {
-        id: id_in(bid.id.clone())?,
+        id: id_in(bid.id)?,
         cached: Pieces(u64::from(bid.cached)),
         wait: time::Duration::from_micros(bid.wait_us),
         load: load_in(bid.load)?,
     })
 }
 
-fn dispatch_out(dispatch: &protocol::Dispatch) -> generated::Dispatch {
-    let call = &dispatch.call;
-    let resume = dispatch.resume.as_ref();
+fn dispatch_out(dispatch: protocol::Dispatch) -> generated::Dispatch {
+    let call = dispatch.call;
+    let resume = dispatch.resume.unwrap_or_default();
     generated::Dispatch {
-        offer: Some(offer_out(&dispatch.offer)),
+        offer: Some(offer_out(dispatch.offer)),
         boot: dispatch.boot.map_or(0, |boot| boot.0),
-        method: call.method.clone(),
-        path: call.path.clone(),
-        headers: headers_out(&call.headers),
+        method: call.method,
+        path: call.path,
+        headers: headers_out(call.headers),
         body: call.body.to_vec(),
-        resume_at: resume.map_or(0, |resume| resume.offset),
-        resume_text: resume.map(|resume| resume.text.clone()).unwrap_or_default(),
+        resume_at: resume.offset,
+        resume_text: resume.text,
         once: dispatch.once,
         fingerprint: dispatch.fingerprint.0,
         isolated: dispatch.isolated,
-        key: dispatch
-            .key
-            .as_ref()
-            .map(ToString::to_string)
-            .unwrap_or_default(),
+        key: dispatch.key.map(|key| key.to_string()).unwrap_or_default(),
     }
 }
 
@@ -297,12 +294,12 @@
     })
 }
 
-fn started_out(started: &protocol::Started) -> generated::Started {
+fn started_out(started: protocol::Started) -> generated::Started {
     generated::Started {
         id: Some(id_out(started.id)),
         cached: pieces_out(started.cached),
         status: u32::from(started.status),
-        headers: headers_out(&started.headers),
+        headers: headers_out(started.headers),
         load: Some(load_out(&started.load)),
     }
 }
@@ -321,13 +318,13 @@
     })
 }
 
-fn piece_out(piece: &protocol::Piece) -> generated::Piece {
+fn piece_out(piece: protocol::Piece) -> generated::Piece {
     generated::Piece {
         id: Some(id_out(piece.id)),
         boot: piece.boot.0,
         offset: piece.offset,
-        data: piece.data.clone(),
-        text: piece.text.clone(),
+        data: piece.data,
+        text: piece.text,
     }
 }
 
@@ -341,7 +338,7 @@
     })
 }
 
-fn end_out(end: &protocol::End) -> generated::End {
+fn end_out(end: protocol::End) -> generated::End {
     generated::End {
         id: Some(id_out(end.id)),
         boot: end.boot.0,
@@ -353,14 +350,14 @@
     }
 }
 
-fn end_in(end: &generated::End) -> Result<protocol::End, ConvertError> {
+fn end_in(end: generated::End) -> Result<protocol::End, ConvertError> {
     let usage = protocol::Usage {
         prompt: Tokens(end.prompt_tokens),
         cached: Tokens(end.cached_tokens),
         output: Tokens(end.output_tokens),
     };
     Ok(protocol::End {
-        id: id_in(end.id.clone())?,
+        id: id_in(end.id)?,
         boot: BootId(end.boot),
         offset: end.offset,
         usage,
@@ -368,7 +365,7 @@
     })
 }
 
-fn failed_out(failed: &protocol::Failed) -> generated::Failed {
+fn failed_out(failed: protocol::Failed) -> generated::Failed {
     generated::Failed {
         id: Some(id_out(failed.id)),
         outcome: failed.outcome as u32,
@@ -378,10 +375,10 @@
     }
 }
 
-fn failed_in(failed: &generated::Failed) -> Result<protocol::Failed, ConvertError> {
+fn failed_in(failed: generated::Failed) -> Result<protocol::Failed, ConvertError> {
     let retry = time::Duration::from_micros(failed.retry_us);
     Ok(protocol::Failed {
-        id: id_in(failed.id.clone())?,
+        id: id_in(failed.id)?,
         outcome: unknown(
             Outcome::from_repr(small(failed.outcome)),
             "outcome",
--- a/crates/lentil_wire/src/error.rs
+++ b/crates/lentil_wire/src/error.rs
@@ -25,6 +25,9 @@
     /// An id has the wrong size.
     #[error("an id has 16 bytes, this one has {0}")]
     IdSize(usize),
+    /// A nonce has the wrong size.
+    #[error("a nonce of {0} bytes")]
+    NonceSize(usize),
 }
 
 /// What can go wrong between two processes.
@@ -37,13 +40,34 @@
     /// The other side broke HTTP/2 or reset the stream.
     #[error("h2: {0}")]
     H2(#[from] h2::Error),
-    /// A frame is larger than [`crate::MAX_FRAME_BYTES`].
-    #[error("a frame of {0} bytes is over the limit of {max}", max = crate::MAX_FRAME_BYTES)]
-    TooLarge(usize),
+    /// A frame is larger than its limit.
+    #[error("a frame of {size} bytes is over the limit of {limit}")]
+    TooLarge {
+        /// Size of the frame, in bytes.
+        size: usize,
+        /// The limit, in bytes.
+        limit: usize,
+    },
+    /// The unfinished frames of one connection are too large together.
+    #[error("unfinished frames of more than {max} bytes on one connection", max = crate::MAX_BUFFERED_BYTES)]
+    Memory,
     /// The stream ended within a frame.
     #[error("the stream ended within a frame")]
     Truncated,
-    /// A frame is no message of this version. It may be one of a newer version.
+    /// A kind of message that only a newer minor version has.
+    #[error("message {0} is not of version {major}.{minor}", major = crate::MAJOR, minor = crate::MINOR)]
+    UnknownMessage(u32),
+    /// The other side's minor version does not have this kind of message.
+    #[error("{name} needs minor version {since}, the other side has {theirs}")]
+    NotSpoken {
+        /// The message.
+        name: &'static str,
+        /// The minor version that brought it.
+        since: u32,
+        /// The other side's minor version.
+        theirs: u32,
+    },
+    /// A frame is no message of this version.
     #[error("not a message of version {major}.{minor}: {0}", major = crate::MAJOR, minor = crate::MINOR)]
     Decode(Box<bincode::error::DecodeError>),
     /// A message could not be written.
@@ -59,13 +83,13 @@
     #[error("{node} speaks version {theirs}, this process speaks {ours}", ours = crate::MAJOR)]
     Version {
         /// The other side.
-        node: String,
+        node: NodeName,
         /// Its major version.
         theirs: u32,
     },
     /// The other side does not have the fleet key.
     #[error("{0} does not have the fleet key")]
-    Stranger(String),
+    Stranger(NodeName),
     /// Another message was due.
     #[error("expected {expected}, got {got}")]
     Unexpected {
@@ -80,10 +104,10 @@
     /// The other side took too long to make itself known.
     #[error("no handshake within {0:?}")]
     HandshakeTimeout(std::time::Duration),
+    /// The other side did not answer a ping.
+    #[error("the other side has been silent for {0:?}")]
+    Silent(std::time::Duration),
     /// The system gave no random numbers.
     #[error("no random numbers from the system: {0}")]
     Random(String),
-    /// The connection was closed by the other side for good.
-    #[error("the connection to {0} is closed")]
-    Closed(NodeName),
 }
--- a/crates/lentil_wire/src/exchange.rs
+++ b/crates/lentil_wire/src/exchange.rs
@@ -1,10 +1,24 @@
 //! One stream of messages in both directions.
 
-use std::{future, time};
+use std::{future, sync::Arc, time};
 
 use bytes::{Bytes, BytesMut};
 
-use crate::{Message, WireError, codec, generated};
+use crate::{
+    Message, WireError, codec,
+    generated::message::Body,
+    usage::{Busy, Room, Usage},
+};
+
+/// What holds for every stream of a connection.
+#[derive(Clone, Debug)]
+pub(crate) struct Terms {
+    pub(crate) usage: Arc<Usage>,
+    /// Minor version that both sides have.
+    pub(crate) minor: u32,
+    /// Largest frame that is accepted, in bytes.
+    pub(crate) limit: usize,
+}
 
 /// One stream of messages in both directions.
 #[derive(Debug)]
@@ -15,27 +29,70 @@
     pub receiver: Receiver,
 }
 
+impl Exchange {
+    /// A stream that this process opened.
+    pub(crate) fn opened(
+        terms: &Terms,
+        stream: h2::SendStream<Bytes>,
+        response: h2::client::ResponseFuture,
+    ) -> Self {
+        let mut sender = Sender::new(terms, stream);
+        sender.busy = Some(Busy::new(&terms.usage));
+        let receiver = Receiver::new(terms, Source::Response(response));
+        Self { sender, receiver }
+    }
+
+    /// A stream that the other side opened.
+    pub(crate) fn accepted(
+        terms: &Terms,
+        stream: h2::SendStream<Bytes>,
+        source: h2::RecvStream,
+    ) -> Self {
+        let mut receiver = Receiver::new(terms, Source::Stream(source));
+        receiver.busy = Some(Busy::new(&terms.usage));
+        Self {
+            sender: Sender::new(terms, stream),
+            receiver,
+        }
+    }
+}
+
 /// The sending half of an [`Exchange`]. Dropped before [`Sender::finish`], it
 /// resets the stream, so that the other side never takes a part for the whole.
 #[derive(Debug)]
 pub struct Sender {
     stream: h2::SendStream<Bytes>,
+    minor: u32,
     finished: bool,
+    busy: Option<Busy>,
 }
 
 impl Sender {
-    pub(crate) fn new(stream: h2::SendStream<Bytes>) -> Self {
+    fn new(terms: &Terms, stream: h2::SendStream<Bytes>) -> Self {
         Self {
             stream,
+            minor: terms.minor,
             finished: false,
+            busy: None,
         }
     }
 
     /// Sends a message and waits until `h2` has taken it whole.
     ///
     /// # Errors
-    /// [`WireError`] when the message is too large or the stream is closed.
-    pub async fn send(&mut self, message: &Message) -> Result<(), WireError> {
+    /// [`WireError`] when the message is too large, is not of the other side's
+    /// version, or the stream is closed.
+    pub async fn send(&mut self, message: Message) -> Result<(), WireError> {
+        if message.since() > self.minor {
+            return Err(WireError::NotSpoken {
+                name: message.name(),
+                since: message.since(),
+                theirs: self.minor,
+            });
+        }
+        if matches!(message, Message::Watch) {
+            self.busy = None;
+        }
         self.write(codec::encode(message)?).await
     }
 
@@ -49,11 +106,8 @@
         Ok(())
     }
 
-    pub(crate) async fn send_generated(
-        &mut self,
-        body: &generated::message::Body,
-    ) -> Result<(), WireError> {
-        self.write(codec::encode_generated(body)?).await
+    pub(crate) async fn send_body(&mut self, body: &Body) -> Result<(), WireError> {
+        self.write(codec::encode_body(body)?).await
     }
 
     async fn write(&mut self, mut frame: Bytes) -> Result<(), WireError> {
@@ -83,6 +137,9 @@
 pub struct Receiver {
     source: Source,
     buffer: BytesMut,
+    room: Room,
+    limit: usize,
+    busy: Option<Busy>,
 }
 
 /// Where bytes come from: at a client only once the response has begun.
@@ -93,17 +150,13 @@
 }
 
 impl Receiver {
-    pub(crate) fn from_response(response: h2::client::ResponseFuture) -> Self {
-        Self {
-            source: Source::Response(response),
-            buffer: BytesMut::new(),
-        }
-    }
-
-    pub(crate) fn from_stream(stream: h2::RecvStream) -> Self {
+    fn new(terms: &Terms, source: Source) -> Self {
         Self {
-            source: Source::Stream(stream),
+            source,
             buffer: BytesMut::new(),
+            room: Room::new(terms.usage.clone()),
+            limit: terms.limit,
+            busy: None,
         }
     }
 
@@ -111,20 +164,25 @@
     ///
     /// # Errors
     /// [`WireError`] when the stream broke off or carries no valid message.
+    /// After [`WireError::UnknownMessage`] the next message can be received.
     pub async fn recv(&mut self) -> Result<Option<Message>, WireError> {
-        match self.recv_generated().await? {
-            Some(body) => Ok(Some(Message::from_generated(body)?)),
-            None => Ok(None),
+        let Some(body) = self.recv_body().await? else {
+            return Ok(None);
+        };
+        let message = Message::from_generated(body)?;
+        if matches!(message, Message::Watch) {
+            self.busy = None;
         }
+        Ok(Some(message))
     }
 
-    pub(crate) async fn recv_generated(
-        &mut self,
-    ) -> Result<Option<generated::message::Body>, WireError> {
+    pub(crate) async fn recv_body(&mut self) -> Result<Option<Body>, WireError> {
         loop {
-            if let Some(body) = codec::decode_generated(&mut self.buffer)? {
+            if let Some(body) = codec::decode_body(&mut self.buffer, self.limit)? {
+                self.room.resize(self.buffer.len())?;
                 return Ok(Some(body));
             }
+            self.make_room()?;
             let stream = self.stream().await?;
             match stream.data().await {
                 Some(data) => {
@@ -138,6 +196,13 @@
         }
     }
 
+    /// Accounts for the frame that is coming.
+    fn make_room(&mut self) -> Result<(), WireError> {
+        let frame = codec::frame_size(&self.buffer, self.limit)?.unwrap_or(0);
+        let bytes = self.buffer.len().max(frame + codec::LENGTH_BYTES);
+        self.room.resize(bytes)
+    }
+
     async fn stream(&mut self) -> Result<&mut h2::RecvStream, WireError> {
         if let Source::Response(response) = &mut self.source {
             let stream = response.await?.into_body();
--- a/crates/lentil_wire/src/handshake.rs
+++ b/crates/lentil_wire/src/handshake.rs
@@ -4,7 +4,7 @@
 //! nonce and a proof over both; the client checks it and answers with its proof.
 //! The key itself never travels.
 
-use std::{fmt, str, time};
+use std::{fmt, str, sync::Arc, time};
 
 use hmac::{KeyInit as _, Mac as _};
 use lentil_types::NodeName;
@@ -12,17 +12,21 @@
 use subtle::ConstantTimeEq as _;
 
 use crate::{
-    Exchange, WireError, exchange,
+    ConvertError, Exchange, WireError,
+    exchange::Terms,
     generated::{self, message::Body},
+    usage::Usage,
 };
 
 /// Major version of the messages. Another one is refused.
 pub const MAJOR: u32 = 1;
 /// Minor version of the messages. A higher one adds kinds of messages.
-pub const MINOR: u32 = 0;
+pub const MINOR: u32 = 1;
 
-/// Longest handshake.
-const HANDSHAKE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Longest handshake, from the connection on.
+pub(crate) const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// Largest frame of a handshake, in bytes.
+const MAX_FRAME_BYTES: usize = 1_024;
 /// Size of a nonce, in bytes.
 const NONCE_BYTES: usize = 32;
 /// Shortest fleet key, in bytes.
@@ -70,21 +74,28 @@
     Server,
 }
 
-pub(crate) async fn greet(
-    identity: &Identity,
-    exchange: &mut Exchange,
-) -> Result<NodeName, WireError> {
-    exchange::within(HANDSHAKE_TIMEOUT, greet_inner(identity, exchange)).await
+/// What a handshake says of the other side.
+pub(crate) struct Greeted {
+    pub(crate) node: NodeName,
+    /// Minor version that both sides have.
+    pub(crate) minor: u32,
 }
 
-pub(crate) async fn welcome(
-    identity: &Identity,
-    exchange: &mut Exchange,
-) -> Result<NodeName, WireError> {
-    exchange::within(HANDSHAKE_TIMEOUT, welcome_inner(identity, exchange)).await
+/// Terms of the stream that carries a handshake.
+pub(crate) fn terms(usage: &Arc<Usage>) -> Terms {
+    Terms {
+        usage: usage.clone(),
+        minor: 0,
+        limit: MAX_FRAME_BYTES,
+    }
 }
 
-async fn greet_inner(identity: &Identity, exchange: &mut Exchange) -> Result<NodeName, WireError> {
+/// The client's side.
+pub(crate) async fn greet(
+    identity: &Identity,
+    exchange: &mut Exchange,
+) -> Result<Greeted, WireError> {
+    let Exchange { sender, receiver } = exchange;
     let mine = nonce()?;
     let hello = generated::Hello {
         major: MAJOR,
@@ -92,34 +103,38 @@
         node: identity.node.to_string(),
         nonce: mine.clone(),
     };
-    exchange.sender.send_generated(&Body::Hello(hello)).await?;
-    let challenge = match exchange.receiver.recv_generated().await? {
+    sender.send_body(&Body::Hello(hello)).await?;
+    let challenge = match receiver.recv_body().await? {
         Some(Body::Challenge(challenge)) => challenge,
         other => return Err(unexpected("challenge", other.as_ref())),
     };
-    check_version(&challenge.node, challenge.major)?;
+    let node = NodeName::new(&challenge.node).map_err(ConvertError::from)?;
+    check_version(&node, challenge.major)?;
+    check_nonce(&challenge.nonce)?;
     let expected = proof(&identity.key, Side::Server, &mine, &challenge.nonce);
-    check_proof(&challenge.node, &expected, &challenge.proof)?;
+    check_proof(&node, &expected, &challenge.proof)?;
     let proof = proof(&identity.key, Side::Client, &mine, &challenge.nonce);
-    exchange
-        .sender
-        .send_generated(&Body::Proof(generated::Proof { proof }))
-        .await?;
-    exchange.sender.finish()?;
-    match exchange.receiver.recv_generated().await? {
-        Some(Body::Welcome(_)) => Ok(node_name(&challenge.node)?),
+    let proof = generated::Proof { proof };
+    sender.send_body(&Body::Proof(proof)).await?;
+    sender.finish()?;
+    match receiver.recv_body().await? {
+        Some(Body::Welcome(_)) => Ok(greeted(node, challenge.minor)),
         other => Err(unexpected("welcome", other.as_ref())),
     }
 }
 
-async fn welcome_inner(
+/// The server's side.
+pub(crate) async fn welcome(
     identity: &Identity,
     exchange: &mut Exchange,
-) -> Result<NodeName, WireError> {
-    let hello = match exchange.receiver.recv_generated().await? {
+) -> Result<Greeted, WireError> {
+    let Exchange { sender, receiver } = exchange;
+    let hello = match receiver.recv_body().await? {
         Some(Body::Hello(hello)) => hello,
         other => return Err(unexpected("hello", other.as_ref())),
     };
+    let node = NodeName::new(&hello.node).map_err(ConvertError::from)?;
+    check_nonce(&hello.nonce)?;
     let mine = nonce()?;
     let challenge = generated::Challenge {
         major: MAJOR,
@@ -128,27 +143,25 @@
         nonce: mine.clone(),
         proof: proof(&identity.key, Side::Server, &hello.nonce, &mine),
     };
-    exchange
-        .sender
-        .send_generated(&Body::Challenge(challenge))
-        .await?;
-    check_version(&hello.node, hello.major)?;
-    let answer = match exchange.receiver.recv_generated().await? {
+    sender.send_body(&Body::Challenge(challenge)).await?;
+    check_version(&node, hello.major)?;
+    let answer = match receiver.recv_body().await? {
         Some(Body::Proof(answer)) => answer.proof,
         other => return Err(unexpected("proof", other.as_ref())),
     };
     let expected = proof(&identity.key, Side::Client, &hello.nonce, &mine);
-    check_proof(&hello.node, &expected, &answer)?;
-    exchange
-        .sender
-        .send_generated(&Body::Welcome(generated::Welcome { config: 0 }))
-        .await?;
-    exchange.sender.finish()?;
-    Ok(node_name(&hello.node)?)
+    check_proof(&node, &expected, &answer)?;
+    let welcome = generated::Welcome { config: 0 };
+    sender.send_body(&Body::Welcome(welcome)).await?;
+    sender.finish()?;
+    Ok(greeted(node, hello.minor))
 }
 
-fn node_name(text: &str) -> Result<NodeName, crate::ConvertError> {
-    Ok(NodeName::new(text)?)
+fn greeted(node: NodeName, theirs: u32) -> Greeted {
+    Greeted {
+        node,
+        minor: MINOR.min(theirs),
+    }
 }
 
 fn nonce() -> Result<Vec<u8>, WireError> {
@@ -172,19 +185,27 @@
     mac.finalize().into_bytes().to_vec()
 }
 
-fn check_proof(node: &str, expected: &[u8], got: &[u8]) -> Result<(), WireError> {
+/// A short nonce would let an old proof be played back.
+fn check_nonce(nonce: &[u8]) -> Result<(), WireError> {
+    if nonce.len() == NONCE_BYTES {
+        return Ok(());
+    }
+    Err(ConvertError::NonceSize(nonce.len()).into())
+}
+
+fn check_proof(node: &NodeName, expected: &[u8], got: &[u8]) -> Result<(), WireError> {
     if bool::from(expected.ct_eq(got)) {
         return Ok(());
     }
-    Err(WireError::Stranger(node.to_owned()))
+    Err(WireError::Stranger(node.clone()))
 }
 
-fn check_version(node: &str, major: u32) -> Result<(), WireError> {
+fn check_version(node: &NodeName, major: u32) -> Result<(), WireError> {
     if major == MAJOR {
         return Ok(());
     }
     Err(WireError::Version {
-        node: node.to_owned(),
+        node: node.clone(),
         theirs: major,
     })
 }
--- a/crates/lentil_wire/src/lib.rs
+++ b/crates/lentil_wire/src/lib.rs
@@ -5,6 +5,8 @@
 //! the fleet key in both directions. After it, either side's messages travel on
 //! [`Exchange`]s: one `h2` stream each, opened by the [`Link`].
 //!
+//! `docs/wire.md` gives the limits and the rule of compatibility.
+//!
 //! Messages in the crate's interface are checked types; the generated ones stay
 //! inside.
 
@@ -20,9 +22,12 @@
 )]
 mod generated;
 mod handshake;
+mod keep_alive;
 mod link;
 mod message;
 mod peer;
+mod strangers;
+mod usage;
 
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
 pub use error::{ConvertError, WireError};
@@ -31,3 +36,5 @@
 pub use link::Link;
 pub use message::{ConfigText, Message, PoisonNotice};
 pub use peer::Peer;
+pub use strangers::{StrangerSettings, Strangers};
+pub use usage::MAX_BUFFERED_BYTES;
--- a/crates/lentil_wire/src/message.rs
+++ b/crates/lentil_wire/src/message.rs
@@ -3,6 +3,9 @@
 use lentil_policy::protocol;
 use lentil_types::{AttemptId, ConfigVersion, FailReason, Fingerprint};
 
+/// Members of `Message.body` in the schema.
+pub(crate) const MEMBERS: u32 = 20;
+
 /// A configuration text and its version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigText {
@@ -61,6 +64,8 @@
     Poison(PoisonNotice),
     /// The message before was refused.
     Refused(FailReason),
+    /// Asks for every [`Message::Poison`] from now on. The stream stays open.
+    Watch,
 }
 
 impl Message {
@@ -68,4 +73,12 @@
     pub fn name(&self) -> &'static str {
         self.into()
     }
+
+    /// The minor version that brought this kind of message.
+    pub fn since(&self) -> u32 {
+        match self {
+            Self::Watch => 1,
+            _ => 0,
+        }
+    }
 }
