--- a/crates/lentil_entry/src/attempt.rs
+++ b/crates/lentil_entry/src/attempt.rs
@@ -66,7 +66,7 @@
     ) {
         let id = dispatch.offer.id;
         let message = Message::Dispatch(dispatch);
-        let send = async { Ok(exchange.sender.send(&message).await) };
+        let send = async { Ok(exchange.sender.send(message).await) };
         let outcome = match smol::future::or(send, stopped(orders)).await {
             Ok(Ok(())) => self.pass_on(&mut exchange, id, orders).await,
             Ok(Err(error)) => Err(error),
