--- /dev/null
+++ b/crates/lentil_load/src/caller.rs
@@ -0,0 +1,175 @@
+//! Sends one request and watches its answer.
+
+use std::time;
+
+use eventsource_stream::Eventsource as _;
+use futures_lite::{AsyncReadExt as _, StreamExt as _, stream};
+use lentil_trace::Record;
+use lentil_types::{Outcome, Tokens};
+use trillium_client::{Client, Conn};
+
+use crate::{Answer, Ending, prompt};
+
+/// Bytes read at once.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Where requests go and as whom.
+pub(crate) struct Caller {
+    pub(crate) client: Client,
+    pub(crate) base: String,
+    pub(crate) key_prefix: String,
+}
+
+impl Caller {
+    /// Sends the request of a record and waits for its answer.
+    pub(crate) async fn call(&self, record: &Record) -> Answer {
+        let mut watch = Watch::start(record);
+        let ending = match record.model {
+            Some(_) => self.complete(record, &mut watch).await,
+            None => self.plain(record).await,
+        };
+        watch.answer.took = watch.begin.elapsed();
+        watch.answer.ending = ending.unwrap_or_else(Ending::Broken);
+        watch.answer
+    }
+
+    async fn complete(&self, record: &Record, watch: &mut Watch) -> Result<Ending, String> {
+        let body = serde_json::json!({
+            "model": record.model,
+            "messages": prompt::messages(&record.pieces, record.prompt),
+            "max_tokens": record.output.0,
+            "stream": true,
+            "stream_options": { "include_usage": true },
+        });
+        let conn = self
+            .open("POST", "/v1/chat/completions", record)
+            .with_body(body.to_string());
+        let mut conn = conn.await.map_err(|error| error.to_string())?;
+        if let Some(ending) = refusal(&conn) {
+            return Ok(ending);
+        }
+        let chunks = stream::unfold(conn.response_body(), |mut body| async move {
+            let mut buffer = vec![0; READ_BYTES];
+            match body.read(&mut buffer).await {
+                Ok(0) => None,
+                Ok(read) => {
+                    buffer.truncate(read);
+                    Some((Ok(buffer), body))
+                }
+                Err(error) => Some((Err(error), body)),
+            }
+        });
+        let mut events = Box::pin(chunks.eventsource());
+        while let Some(event) = events.next().await {
+            let event = event.map_err(|error| error.to_string())?;
+            if event.data == "[DONE]" {
+                return Ok(Ending::Whole);
+            }
+            let value: serde_json::Value =
+                serde_json::from_str(&event.data).map_err(|error| error.to_string())?;
+            if let Some(error) = value.get("error") {
+                return Ok(Ending::Error {
+                    outcome: outcome_of(error),
+                    status: 200,
+                });
+            }
+            watch.see(&value);
+        }
+        Err("the stream ended without [DONE]".to_owned())
+    }
+
+    async fn plain(&self, record: &Record) -> Result<Ending, String> {
+        let path = format!("/services/{}/", record.service);
+        let method = if record.key.is_some() { "POST" } else { "GET" };
+        let mut conn = self.open(method, &path, record);
+        if let Some(key) = &record.key {
+            conn.request_headers_mut()
+                .insert("idempotency-key", key.to_string());
+        }
+        let mut conn = conn.await.map_err(|error| error.to_string())?;
+        if let Some(ending) = refusal(&conn) {
+            return Ok(ending);
+        }
+        conn.response_body()
+            .read_bytes()
+            .await
+            .map_err(|error| error.to_string())?;
+        Ok(Ending::Whole)
+    }
+
+    fn open(&self, method: &str, path: &str, record: &Record) -> Conn {
+        let url = format!("{}{path}", self.base);
+        self.client
+            .build_conn(method, url.as_str())
+            .with_request_header(
+                "authorization",
+                format!("Bearer {}{}", self.key_prefix, record.team),
+            )
+            .with_request_header("x-lentil-class", record.class.to_string())
+    }
+}
+
+/// Notes the times of an answer as it comes.
+struct Watch {
+    begin: time::Instant,
+    last: Option<time::Instant>,
+    answer: Answer,
+}
+
+impl Watch {
+    fn start(record: &Record) -> Self {
+        let answer = Answer {
+            team: record.team.clone(),
+            class: record.class,
+            ending: Ending::Broken(String::new()),
+            first: None,
+            gap: None,
+            took: time::Duration::ZERO,
+            prompt: Tokens(0),
+            cached: Tokens(0),
+            output: Tokens(0),
+        };
+        Self {
+            begin: time::Instant::now(),
+            last: None,
+            answer,
+        }
+    }
+
+    fn see(&mut self, chunk: &serde_json::Value) {
+        let usage = &chunk["usage"];
+        if usage.is_object() {
+            let tokens = |value: &serde_json::Value| Tokens(value.as_u64().unwrap_or(0));
+            self.answer.prompt = tokens(&usage["prompt_tokens"]);
+            self.answer.cached = tokens(&usage["prompt_tokens_details"]["cached_tokens"]);
+            self.answer.output = tokens(&usage["completion_tokens"]);
+        }
+        let has_text = chunk["choices"][0]["delta"]["content"].is_string();
+        if !has_text {
+            return;
+        }
+        let now = time::Instant::now();
+        match self.last.replace(now) {
+            None => self.answer.first = Some(now - self.begin),
+            Some(last) => self.answer.gap = self.answer.gap.max(Some(now - last)),
+        }
+    }
+}
+
+/// The ending of an answer that is an error from the start.
+fn refusal(conn: &Conn) -> Option<Ending> {
+    let status = conn.status().map_or(0, |status| status as u16);
+    if (200..300).contains(&status) {
+        return None;
+    }
+    let header = conn.response_headers().get_str("x-lentil-outcome");
+    let outcome = header
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(Outcome::Unknown);
+    Some(Ending::Error { outcome, status })
+}
+
+fn outcome_of(error: &serde_json::Value) -> Outcome {
+    let outcome = error["outcome"].as_str().and_then(|text| text.parse().ok());
+    outcome.unwrap_or(Outcome::Unknown)
+}
--- /dev/null
+++ b/crates/lentil_load/src/report.rs
@@ -0,0 +1,259 @@
+//! What callers saw, summed up.
+
+use std::{fmt, time};
+
+use lentil_types::{Class, Outcome, Table, TeamName, Tokens};
+use strum::IntoEnumIterator as _;
+
+use crate::{Answer, Ending};
+
+/// Longest time that a histogram holds, in microseconds.
+const MAX_MICROS: u64 = 3_600_000_000;
+/// Significant digits of a histogram.
+const DIGITS: u8 = 3;
+
+/// How times are spread.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Spread {
+    /// Half of the times are at most this, in milliseconds.
+    pub p50_ms: f64,
+    /// 95 in 100 are at most this, in milliseconds.
+    pub p95_ms: f64,
+    /// 99 in 100 are at most this, in milliseconds.
+    pub p99_ms: f64,
+    #[serde(skip)]
+    histogram: hdrhistogram::Histogram<u64>,
+}
+
+impl Spread {
+    fn new(times: impl Iterator<Item = time::Duration>) -> Self {
+        let mut histogram = hdrhistogram::Histogram::new_with_max(MAX_MICROS, DIGITS)
+            .expect("the bounds of the histogram are valid");
+        for time in times {
+            let micros = u64::try_from(time.as_micros()).unwrap_or(MAX_MICROS);
+            histogram.saturating_record(micros);
+        }
+        let ms = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
+        let (p50_ms, p95_ms, p99_ms) = (ms(0.50), ms(0.95), ms(0.99));
+        Self {
+            p50_ms,
+            p95_ms,
+            p99_ms,
+            histogram,
+        }
+    }
+
+    /// Times counted.
+    pub fn len(&self) -> u64 {
+        self.histogram.len()
+    }
+
+    /// Whether no time was counted.
+    pub fn is_empty(&self) -> bool {
+        self.histogram.is_empty()
+    }
+
+    /// Milliseconds that a share of the times, from 0 to 1, is at most.
+    pub fn quantile_ms(&self, share: f64) -> f64 {
+        self.histogram.value_at_quantile(share) as f64 / 1e3
+    }
+}
+
+/// What callers of one class saw.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct ClassReport {
+    /// The class.
+    pub class: Class,
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Errors that say that the request was not run.
+    pub not_run: u64,
+    /// Errors that say that it may have run.
+    pub unknown: u64,
+    /// Answers that broke off without an error.
+    pub broken: u64,
+    /// Time to the first piece.
+    pub first: Spread,
+    /// Longest time between two pieces of each answer.
+    pub gap: Spread,
+}
+
+/// What one team got.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct TeamReport {
+    /// The team.
+    pub team: TeamName,
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Tokens of its answers.
+    pub output: Tokens,
+}
+
+/// What callers saw.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct Report {
+    /// From the first request to the last answer, in seconds.
+    pub seconds: f64,
+    /// Share of the prompts' tokens that were cached, from 0 to 1.
+    pub hit_rate: f64,
+    /// By class.
+    pub classes: Vec<ClassReport>,
+    /// By team.
+    pub teams: Vec<TeamReport>,
+    /// The first few answers that broke off, and why.
+    pub breaks: Vec<String>,
+}
+
+/// Broken answers that a report names.
+const MAX_BREAKS: usize = 5;
+
+impl Report {
+    /// Sums up.
+    pub fn new(answers: &[Answer], took: time::Duration) -> Self {
+        let prompt: Tokens = answers.iter().map(|answer| answer.prompt).sum();
+        let cached: Tokens = answers.iter().map(|answer| answer.cached).sum();
+        let breaks = answers.iter().filter_map(|answer| match &answer.ending {
+            Ending::Broken(reason) => Some(reason.clone()),
+            Ending::Whole | Ending::Error { .. } => None,
+        });
+        Self {
+            seconds: took.as_secs_f64(),
+            hit_rate: cached.0 as f64 / prompt.0.max(1) as f64,
+            classes: Class::iter()
+                .filter_map(|class| of_class(answers, class))
+                .collect(),
+            teams: by_team(answers),
+            breaks: breaks.take(MAX_BREAKS).collect(),
+        }
+    }
+
+    /// Whether every answer was whole.
+    pub fn all_whole(&self) -> bool {
+        self.classes.iter().all(|class| class.whole == class.sent)
+    }
+}
+
+fn of_class(answers: &[Answer], class: Class) -> Option<ClassReport> {
+    let answers: Vec<_> = answers
+        .iter()
+        .filter(|answer| answer.class == class)
+        .collect();
+    if answers.is_empty() {
+        return None;
+    }
+    let count = |wanted: fn(&Ending) -> bool| {
+        answers
+            .iter()
+            .filter(|answer| wanted(&answer.ending))
+            .count() as u64
+    };
+    Some(ClassReport {
+        class,
+        sent: answers.len() as u64,
+        whole: count(is_whole),
+        not_run: count(|ending| {
+            matches!(
+                ending,
+                Ending::Error {
+                    outcome: Outcome::NotRun,
+                    ..
+                }
+            )
+        }),
+        unknown: count(|ending| {
+            matches!(
+                ending,
+                Ending::Error {
+                    outcome: Outcome::Unknown,
+                    ..
+                }
+            )
+        }),
+        broken: count(|ending| matches!(ending, Ending::Broken(_))),
+        first: Spread::new(answers.iter().filter_map(|answer| answer.first)),
+        gap: Spread::new(answers.iter().filter_map(|answer| answer.gap)),
+    })
+}
+
+fn by_team(answers: &[Answer]) -> Vec<TeamReport> {
+    let mut teams: Table<TeamName, TeamReport> = Table::new();
+    for answer in answers {
+        let team = answer.team.clone();
+        let report = teams.get_or_insert_with(team.clone(), || TeamReport {
+            team,
+            sent: 0,
+            whole: 0,
+            output: Tokens(0),
+        });
+        report.sent += 1;
+        report.whole += u64::from(is_whole(&answer.ending));
+        report.output += answer.output;
+    }
+    teams.values().cloned().collect()
+}
+
+fn is_whole(ending: &Ending) -> bool {
+    *ending == Ending::Whole
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:.1} s, prefix hit rate {:.3}",
+            self.seconds, self.hit_rate
+        )?;
+        writeln!(
+            f,
+            "{:<8} {:>6} {:>6} {:>8} {:>8} {:>7} {:>27} {:>27}",
+            "class",
+            "sent",
+            "whole",
+            "not run",
+            "unknown",
+            "broken",
+            "first piece p50/p95/p99 ms",
+            "longest gap p50/p95/p99 ms"
+        )?;
+        for class in &self.classes {
+            let ClassReport {
+                sent,
+                whole,
+                not_run,
+                unknown,
+                broken,
+                first,
+                gap,
+                ..
+            } = class;
+            let spread = |spread: &Spread| {
+                format!(
+                    "{:.1}/{:.1}/{:.1}",
+                    spread.p50_ms, spread.p95_ms, spread.p99_ms
+                )
+            };
+            writeln!(
+                f,
+                "{:<8} {sent:>6} {whole:>6} {not_run:>8} {unknown:>8} {broken:>7} {:>27} {:>27}",
+                class.class.to_string(),
+                spread(first),
+                spread(gap)
+            )?;
+        }
+        for team in &self.teams {
+            writeln!(
+                f,
+                "{:<20} {:>6} sent {:>6} whole {}",
+                team.team, team.sent, team.whole, team.output
+            )?;
+        }
+        for reason in &self.breaks {
+            writeln!(f, "broken: {reason}")?;
+        }
+        Ok(())
+    }
+}
