Rollouts of weights and membership, as pure policies

Cause: nothing decided which runner loads new weights next, or which processes exist. Change: lentil_policy::rollout (turns under the weight store's rate, never below the floor, first runner alone, stops by itself, repeats lost orders) and lentil_policy::membership (late list plus what processes say, boot ids, silent is not gone, a meter of control bytes).

--- a/crates/lentil_policy/src/lib.rs
+++ b/crates/lentil_policy/src/lib.rs
@@ -9,9 +9,11 @@
 //! - [`entry`]: the life of a caller's request at an entry process.
 //! - [`sidecar`]: the work of one backend server.
 //! - [`route`]: which runner gets a request.
+//! - [`rollout`]: which runner loads new weights next.
 //! - [`queue`]: which waiting request a backend server runs next.
 //! - [`cache`]: what a sidecar knows of its engine's cache.
 //! - [`lease`]: who may give orders, and with which fencing number.
+//! - [`membership`]: which processes exist and how they are.
 //! - [`protocol`]: what entries and sidecars say to each other.
 //! - [`store`]: what a policy asks of the platform's object API.
 //! - [`store_budget`]: how often this process may call it.
@@ -20,8 +22,10 @@
 pub mod config_sync;
 pub mod entry;
 pub mod lease;
+pub mod membership;
 pub mod protocol;
 pub mod queue;
+pub mod rollout;
 pub mod route;
 pub mod sidecar;
 pub mod store;
