A sidecar speaks the whole engine protocol and stops gracefully

Cause: cancelled work ran on at the engine, each offer leaked an exchange until its connection closed, plain answers lost their headers, a frozen engine held its callers until their deadline, and SIGTERM cut streams. Change: backend split by job; cancel reaches the engine; cache events, load and leaving are reported; pieces wait for a slow entry; malformed methods and paths are refused before they are sent; drain ends in-flight work, then closes. Settings, admin server and metrics come from lentil_process.

--- /dev/null
+++ b/crates/lentil_sidecar/src/backend/cache.rs
@@ -0,0 +1,90 @@
+//! Follows what an engine's cache does.
+
+use std::{sync::Arc, time};
+
+use lentil_policy::sidecar::{self, CacheChange, CacheEvent};
+use lentil_types::{BootId, PieceHash};
+use smol::channel::Sender;
+
+use crate::driver::Input;
+
+use super::{Backend, error::BackendError, sse::EventReader};
+
+/// Time until a broken stream of events is opened again.
+const RETRY_PERIOD: time::Duration = time::Duration::from_millis(200);
+
+/// Data of a cache event.
+#[derive(Debug, serde::Deserialize)]
+struct EventData {
+    boot: BootId,
+    #[serde(default)]
+    stored: Vec<PieceHash>,
+    #[serde(default)]
+    evicted: Vec<PieceHash>,
+}
+
+/// The whole cache.
+#[derive(Debug, serde::Deserialize)]
+struct Listing {
+    boot: BootId,
+    number: u64,
+    pieces: Vec<PieceHash>,
+}
+
+/// Reports the engine's cache events until dropped.
+pub(crate) async fn follow_cache(backend: Arc<Backend>, events: Sender<Input>) {
+    loop {
+        if let Err(error) = follow(&backend, &events).await {
+            log::debug!("the cache events broke off: {error}");
+        }
+        smol::Timer::after(RETRY_PERIOD).await;
+    }
+}
+
+async fn follow(backend: &Arc<Backend>, events: &Sender<Input>) -> Result<(), BackendError> {
+    let mut conn = backend.single.get(backend.url("cache/events")).await?;
+    // Events between two streams are lost without a gap in the numbers.
+    list_cache(backend.clone(), events.clone()).await;
+    let mut reader = EventReader::new(conn.response_body());
+    while let Some(event) = reader.next().await? {
+        let number = event.id.parse().unwrap_or(0);
+        let data: EventData = serde_json::from_str(&event.data).map_err(BackendError::Chunk)?;
+        let change = if data.stored.is_empty() {
+            CacheChange::Evicted(data.evicted)
+        } else {
+            CacheChange::Stored(data.stored)
+        };
+        report(events, data.boot, number, change).await;
+    }
+    Ok(())
+}
+
+/// Reports the engine's whole cache. When it does not answer nothing is
+/// reported, and the policy asks again.
+pub(crate) async fn list_cache(backend: Arc<Backend>, events: Sender<Input>) {
+    match list(&backend).await {
+        Ok(listing) => {
+            let change = CacheChange::Listed(listing.pieces);
+            report(&events, listing.boot, listing.number, change).await;
+        }
+        Err(error) => log::debug!("the cache was not listed: {error}"),
+    }
+}
+
+async fn list(backend: &Backend) -> Result<Listing, BackendError> {
+    let mut conn = backend.pooled.get(backend.url("cache")).await?;
+    let body = conn.response_body().read_bytes().await?;
+    serde_json::from_slice(&body).map_err(BackendError::Chunk)
+}
+
+async fn report(events: &Sender<Input>, boot: BootId, number: u64, change: CacheChange) {
+    let event = CacheEvent {
+        boot,
+        number,
+        change,
+    };
+    // The driver is gone only when the whole process stops.
+    let _ = events
+        .send(Input::Event(sidecar::Event::Cache(event)))
+        .await;
+}
--- /dev/null
+++ b/crates/lentil_sidecar/src/backend/report.rs
@@ -0,0 +1,72 @@
+//! Reports what a run comes to, as fast as its entry takes it.
+
+use std::sync::Arc;
+
+use lentil_policy::{protocol, sidecar};
+use lentil_types::{AttemptId, Pieces};
+use smol::{
+    channel::Sender,
+    lock::{Semaphore, SemaphoreGuardArc},
+};
+
+use crate::driver::Input;
+
+/// Pieces of one answer that may wait for its entry.
+const MAX_WAITING_PIECES: usize = 64;
+
+/// Held by a piece until its entry has taken it.
+pub(crate) type Permit = SemaphoreGuardArc;
+
+/// Reports what a run comes to.
+pub(super) struct Reporter {
+    id: AttemptId,
+    events: Sender<Input>,
+    window: Arc<Semaphore>,
+}
+
+impl Reporter {
+    pub(super) fn new(id: AttemptId, events: Sender<Input>) -> Self {
+        Self {
+            id,
+            events,
+            window: Arc::new(Semaphore::new(MAX_WAITING_PIECES)),
+        }
+    }
+
+    pub(super) async fn started(
+        &self,
+        cached: Pieces,
+        status: u16,
+        headers: Vec<protocol::Header>,
+    ) {
+        let id = self.id;
+        self.report(sidecar::Event::Started {
+            id,
+            cached,
+            status,
+            headers,
+        })
+        .await;
+    }
+
+    /// Waits for room and reports a piece.
+    pub(super) async fn piece(&self, offset: u64, text: String, data: Vec<u8>) {
+        let permit = self.window.acquire_arc().await;
+        let event = sidecar::Event::Piece {
+            id: self.id,
+            offset,
+            text,
+            data,
+        };
+        self.send(Input::Piece(event, permit)).await;
+    }
+
+    pub(super) async fn report(&self, event: sidecar::Event) {
+        self.send(Input::Event(event)).await;
+    }
+
+    async fn send(&self, input: Input) {
+        // The driver is gone only when the whole process stops.
+        let _ = self.events.send(input).await;
+    }
+}
--- /dev/null
+++ b/crates/lentil_sidecar/src/control.rs
@@ -0,0 +1,43 @@
+//! Configuration from outside the process.
+
+use std::sync::Arc;
+
+use lentil_config::Market;
+use lentil_policy::sidecar;
+use lentil_types::ConfigVersion;
+use smol::channel::Sender;
+
+use crate::{driver::Input, state::State};
+
+/// A handle that changes what a running sidecar works with. Clones act on the
+/// same sidecar.
+#[derive(Clone)]
+pub struct Control {
+    pub(crate) state: Arc<State>,
+    pub(crate) events: Sender<Input>,
+}
+
+impl Control {
+    /// The version in force; 0 when no text is known yet.
+    pub fn version(&self) -> ConfigVersion {
+        self.state.config().0
+    }
+
+    /// The text in force.
+    pub fn market(&self) -> Option<Arc<Market>> {
+        self.state.config().1
+    }
+
+    /// Puts a text in force when its version is higher than the one in force,
+    /// and returns whether it did.
+    pub async fn set_market(&self, version: ConfigVersion, market: &Arc<Market>) -> bool {
+        if !self.state.replace(version, market.clone()) {
+            return false;
+        }
+        let event = sidecar::Event::Config(version);
+        // It fails only when the sidecar is gone.
+        let _ = self.events.send(Input::Event(event)).await;
+        log::info!(version:% = version; "configuration in force");
+        true
+    }
+}
--- a/crates/lentil_sidecar/src/driver.rs
+++ b/crates/lentil_sidecar/src/driver.rs
@@ -1,93 +1,222 @@
 //! Feeds the policy and carries out its commands.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time};
 
-use lentil_policy::{queue, sidecar};
-use lentil_process::Clock;
-use lentil_types::AttemptId;
-use lentil_wire::Message;
+use lentil_policy::{protocol, queue, sidecar};
+use lentil_process::{
+    Clock,
+    metrics::{Counter, Metrics},
+};
+use lentil_types::{AttemptId, BootId, FailReason, Fingerprint, Table};
+use lentil_wire::{Message, PoisonNotice};
 use smol::channel::{Receiver, Sender};
 
-use crate::backend;
+use crate::{
+    BackendKind, backend,
+    backend::Permit,
+    links::{Links, Outgoing},
+    state::{Shown, State},
+};
+
+/// Longest time between two ticks.
+const TICK_PERIOD: time::Duration = time::Duration::from_millis(50);
+/// Fingerprints that new watchers are told of.
+const MAX_POISON: usize = 1_024;
 
 /// What reaches the driver.
 pub(crate) enum Input {
     /// An event for the policy.
     Event(sidecar::Event),
+    /// A piece of an answer, with its place in the way to the entry.
+    Piece(sidecar::Event, Permit),
     /// A new exchange; its messages go out through the sender.
-    Opened(sidecar::LinkId, Sender<Message>),
+    Opened(sidecar::LinkId, Sender<Outgoing>),
+    /// The entry has said all that it will on an exchange.
+    Finished(sidecar::LinkId),
+    /// An entry wants to be told of poison.
+    Watch(sidecar::LinkId),
+    /// An entry asks how the backend server is.
+    Ask(sidecar::LinkId),
+    /// An entry sent what this version does not have.
+    Refuse(sidecar::LinkId, FailReason),
+    /// Sends on the channel when nothing is in flight any more.
+    Idle(Sender<()>),
+}
+
+/// What a driver works with.
+pub(crate) struct Parts {
+    pub(crate) backend: Arc<backend::Backend>,
+    pub(crate) events: Sender<Input>,
+    pub(crate) state: Arc<State>,
+    pub(crate) metrics: Metrics,
 }
 
 struct Driver {
-    backend: Arc<backend::Backend>,
-    events: Sender<Input>,
-    links: HashMap<sidecar::LinkId, Sender<Message>>,
+    parts: Parts,
+    clock: Clock,
+    policy: sidecar::SidecarPolicy,
+    links: Links,
     runs: HashMap<AttemptId, smol::Task<()>>,
+    poison: Table<Fingerprint, u32>,
+    boot: Option<BootId>,
+    idle: Vec<Sender<()>>,
+    /// Permit of the piece that the policy is given now.
+    permit: Option<Permit>,
 }
 
 /// Runs until every sender of events is gone.
-pub(crate) async fn run(
-    backend: Arc<backend::Backend>,
-    inbox: Receiver<Input>,
-    events: Sender<Input>,
-) {
-    let clock = Clock::start();
+pub(crate) async fn run(parts: Parts, inbox: Receiver<Input>) {
     let queue = Box::new(queue::Fifo::new(queue::FifoSettings::default()));
-    let mut policy = sidecar::SidecarPolicy::new(sidecar::Settings::default(), queue);
     let mut driver = Driver {
-        backend,
-        events,
-        links: HashMap::new(),
+        parts,
+        clock: Clock::start(),
+        policy: sidecar::SidecarPolicy::new(sidecar::Settings::default(), queue),
+        links: Links::default(),
         runs: HashMap::new(),
+        poison: Table::new(),
+        boot: None,
+        idle: Vec::new(),
+        permit: None,
     };
-    while let Ok(input) = inbox.recv().await {
+    loop {
+        let input = async { Some(inbox.recv().await) };
+        let timer = async {
+            smol::Timer::after(TICK_PERIOD).await;
+            None
+        };
+        match smol::future::or(input, timer).await {
+            Some(Ok(input)) => driver.take_in(input),
+            Some(Err(_)) => return,
+            None => {}
+        }
+        driver.tick();
+    }
+}
+
+impl Driver {
+    fn take_in(&mut self, input: Input) {
         match input {
-            Input::Event(event) => {
-                if let sidecar::Event::LinkLost(link) = &event {
-                    driver.links.remove(link);
-                }
-                policy.on_event(clock.now(), event);
+            Input::Event(event) => self.on_event(event),
+            Input::Piece(event, permit) => {
+                self.permit = Some(permit);
+                self.on_event(event);
+            }
+            Input::Opened(link, outbox) => self.links.open(link, outbox),
+            Input::Finished(link) => self.links.finish(link),
+            Input::Watch(link) => self.on_watch(link),
+            Input::Ask(link) => {
+                let load = self.policy.load();
+                self.links.send(link, Message::Load(load), None);
             }
-            Input::Opened(link, sender) => {
-                driver.links.insert(link, sender);
+            Input::Refuse(link, reason) => {
+                self.links.send(link, Message::Refused(reason), None);
             }
+            Input::Idle(sender) => self.idle.push(sender),
         }
-        for command in policy.tick(clock.now()) {
-            driver.carry_out(command);
+    }
+
+    fn on_event(&mut self, event: sidecar::Event) {
+        use sidecar::Event;
+        let mut broken = Vec::new();
+        match &event {
+            Event::Dispatch(link, dispatch) => self.links.begin(*link, dispatch.offer.id),
+            Event::Cancel(id) => self.links.end(*id),
+            Event::LinkLost(link) => self.links.remove(*link),
+            Event::EngineUp { boot, .. } => broken = self.on_boot(*boot),
+            Event::EngineDown => broken = self.break_runs(),
+            Event::Ended { id, .. } | Event::EngineFailed { id, .. } => self.forget(*id),
+            _ => {}
+        }
+        let now = self.clock.now();
+        self.policy.on_event(now, event);
+        for id in broken {
+            let fault = sidecar::EngineFault::BrokeOff;
+            self.policy
+                .on_event(now, sidecar::Event::EngineFailed { id, fault });
         }
     }
-}
 
-impl Driver {
+    fn on_watch(&mut self, link: sidecar::LinkId) {
+        self.links.watch(link);
+        for (&fingerprint, &crashes) in self.poison.iter() {
+            let notice = PoisonNotice {
+                fingerprint,
+                crashes,
+            };
+            self.links.send(link, Message::Poison(notice), None);
+        }
+    }
+
+    fn tick(&mut self) {
+        for command in self.policy.tick(self.clock.now()) {
+            self.carry_out(command);
+        }
+        self.permit = None;
+        let in_flight = self.policy.in_flight();
+        if in_flight == 0 {
+            for sender in self.idle.drain(..) {
+                // It fails only when nobody waits any more.
+                let _ = sender.try_send(());
+            }
+        }
+        self.parts.state.show(Shown {
+            load: self.policy.load(),
+            in_flight,
+            links: self.links.len(),
+            poison: self.poison.len(),
+        });
+    }
+
     fn carry_out(&mut self, command: sidecar::Command) {
         use sidecar::Command;
         match command {
-            Command::Bid(link, bid) => self.send(link, Message::Bid(bid)),
+            Command::Bid(link, bid) => self.links.send(link, Message::Bid(bid), None),
             Command::Run(dispatch) => self.start(*dispatch),
-            Command::Stop(id) => drop(self.runs.remove(&id)),
-            Command::Started(link, started) => self.send(link, Message::Started(started)),
-            Command::Piece(link, piece) => self.send(link, Message::Piece(piece)),
+            Command::Stop(id) => self.stop(id),
+            Command::Started(link, started) => {
+                self.links.send(link, Message::Started(started), None);
+            }
+            Command::Piece(link, piece) => {
+                self.parts.metrics.count(Counter::Pieces);
+                let permit = self.permit.take();
+                self.links.send(link, Message::Piece(piece), permit);
+            }
             Command::End(link, end) => {
-                self.forget(end.id);
-                self.send(link, Message::End(end));
-                self.links.remove(&link);
+                self.links.send(link, Message::End(end), None);
+                self.links.end(end.id);
             }
             Command::Fail(link, failed) => {
-                self.forget(failed.id);
-                self.send(link, Message::Failed(failed));
-                self.links.remove(&link);
+                self.links.send(link, Message::Failed(failed), None);
+                self.links.end(failed.id);
+            }
+            Command::Withdrawn(link, withdrawn) => {
+                self.links.send(link, Message::Withdrawn(withdrawn), None);
             }
-            Command::Withdrawn(link, withdrawn) => self.send(link, Message::Withdrawn(withdrawn)),
-            Command::ListCache | Command::Poison { .. } => {}
+            Command::ListCache => self.list_cache(),
+            Command::Poison {
+                fingerprint,
+                crashes,
+            } => self.spread_poison(fingerprint, crashes),
         }
     }
 
-    fn start(&mut self, dispatch: lentil_policy::protocol::Dispatch) {
+    fn start(&mut self, dispatch: protocol::Dispatch) {
         let id = dispatch.offer.id;
-        let run = backend::run(self.backend.clone(), dispatch, self.events.clone());
+        self.parts.metrics.count(Counter::Attempts);
+        let events = self.parts.events.clone();
+        let run = backend::run(self.parts.backend.clone(), dispatch, events);
         self.runs.insert(id, smol::spawn(run));
     }
 
+    /// Closes the connection of an attempt and tells the engine to stop it.
+    fn stop(&mut self, id: AttemptId) {
+        let was_running = self.runs.remove(&id).is_some();
+        if was_running && self.parts.backend.kind() == BackendKind::Engine {
+            let backend = self.parts.backend.clone();
+            smol::spawn(async move { backend.cancel(id).await }).detach();
+        }
+    }
+
     /// Lets the task of an attempt that has ended run out.
     fn forget(&mut self, id: AttemptId) {
         if let Some(task) = self.runs.remove(&id) {
@@ -95,10 +224,35 @@
         }
     }
 
-    fn send(&self, link: sidecar::LinkId, message: Message) {
-        if let Some(sender) = self.links.get(&link) {
-            // A closed link is reported by its own task.
-            let _ = sender.try_send(message);
+    /// The engine is up. In another life it has forgotten what it ran.
+    fn on_boot(&mut self, boot: BootId) -> Vec<AttemptId> {
+        match self.boot.replace(boot) {
+            Some(last) if last != boot => self.break_runs(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Gives every run up, because the engine that has them is gone or frozen.
+    fn break_runs(&mut self) -> Vec<AttemptId> {
+        self.parts.metrics.count(Counter::EngineCrashes);
+        self.runs.drain().map(|(id, _)| id).collect()
+    }
+
+    fn list_cache(&self) {
+        if self.parts.backend.kind() == BackendKind::Engine {
+            let list = backend::list_cache(self.parts.backend.clone(), self.parts.events.clone());
+            smol::spawn(list).detach();
+        }
+    }
+
+    fn spread_poison(&mut self, fingerprint: Fingerprint, crashes: u32) {
+        if self.poison.len() < MAX_POISON || self.poison.contains(&fingerprint) {
+            self.poison.insert(fingerprint, crashes);
         }
+        let notice = PoisonNotice {
+            fingerprint,
+            crashes,
+        };
+        self.links.tell_watchers(&Message::Poison(notice));
     }
 }
--- a/crates/lentil_sidecar/src/lib.rs
+++ b/crates/lentil_sidecar/src/lib.rs
@@ -5,8 +5,13 @@
 //! its commands.
 
 mod backend;
+mod control;
 mod driver;
+mod links;
 mod service;
 mod sidecar;
+mod state;
 
-pub use sidecar::{BackendKind, Settings, Sidecar};
+pub use control::Control;
+pub use lentil_process::settings::BackendKind;
+pub use sidecar::{Settings, Sidecar, Subject};
--- a/crates/lentil_sidecar/src/main.rs
+++ b/crates/lentil_sidecar/src/main.rs
@@ -1,53 +1,54 @@
 //! The sidecar process beside one backend server.
 
-use std::{net, path};
+use std::{path, sync::Arc};
 
 use anyhow::Context as _;
-use lentil_process::{logs, signals};
-use lentil_types::NodeName;
+use lentil_process::{admin, logs, metrics, settings, signals};
 use lentil_wire::{FleetKey, Identity};
 
 /// Looks after one backend server.
 #[derive(argh::FromArgs)]
 struct Args {
-    /// address for entries
+    /// file with the settings of this process
     #[argh(option)]
-    listen: net::SocketAddr,
-    /// address of the backend server
+    settings: Option<path::PathBuf>,
+    /// a setting, as key=value; goes before the file and the environment
     #[argh(option)]
-    backend: net::SocketAddr,
-    /// what the backend server speaks: engine or plain
-    #[argh(option, default = "lentil_sidecar::BackendKind::Engine")]
-    kind: lentil_sidecar::BackendKind,
-    /// name of this process
-    #[argh(option)]
-    node: NodeName,
-    /// file with the fleet key
-    #[argh(option)]
-    fleet_key: path::PathBuf,
+    set: Vec<String>,
 }
 
 fn main() -> anyhow::Result<()> {
     let args: Args = argh::from_env();
-    logs::init(logs::Settings::default())?;
-    smol::block_on(run(args))
+    let loader = settings::Loader::of_process(args.settings.as_deref(), &args.set)?;
+    let settings = loader.load()?;
+    logs::init(settings.log)?;
+    smol::block_on(run(settings))
 }
 
-async fn run(args: Args) -> anyhow::Result<()> {
-    let key = std::fs::read_to_string(&args.fleet_key)
-        .with_context(|| format!("cannot read {}", args.fleet_key.display()))?;
+async fn run(settings: settings::ProcessSettings) -> anyhow::Result<()> {
+    let key: FleetKey = settings.fleet_key()?.expose().parse()?;
+    let own = settings.sidecar()?.clone();
     let identity = Identity {
-        node: args.node,
-        key: key.trim().parse::<FleetKey>()?,
+        node: settings.node.clone(),
+        key,
     };
-    let settings = lentil_sidecar::Settings {
-        listen: args.listen,
-        backend: args.backend,
-        kind: args.kind,
+    let sidecar = lentil_sidecar::Sidecar::start(lentil_sidecar::Settings {
+        listen: own.listen,
+        backend: own.backend,
+        kind: own.kind,
         identity,
+        metrics: metrics::Metrics::new(&settings.metrics)?,
+    });
+    let sidecar = sidecar
+        .await
+        .with_context(|| format!("cannot listen on {}", own.listen))?;
+    let admin = admin::Settings {
+        listen: settings.admin,
+        key: settings.admin_key.clone(),
     };
-    let sidecar = lentil_sidecar::Sidecar::start(settings).await?;
-    log::info!(address:% = sidecar.address(); "serving entries");
+    let admin = admin::Server::start(admin, Arc::new(sidecar.subject()), ()).await?;
+    log::info!(runner:% = own.runner, address:% = sidecar.address(), admin:% = admin.address(); "serving entries");
     signals::terminated().await?;
+    sidecar.drain().await;
     Ok(())
 }
--- a/crates/lentil_sidecar/src/service.rs
+++ b/crates/lentil_sidecar/src/service.rs
@@ -1,52 +1,118 @@
 //! Serves entries.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    net,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time,
 };
 
 use lentil_policy::sidecar;
-use lentil_wire::{Exchange, Identity, Message, Peer, WireError};
+use lentil_process::{
+    Clock,
+    metrics::{Counter, Metrics},
+};
+use lentil_types::FailReason;
+use lentil_wire::{Exchange, Identity, Message, Peer, Receiver, Sender, Strangers, WireError};
 use smol::{
-    channel::Sender,
+    channel,
     net::{TcpListener, TcpStream},
 };
 
-use crate::driver::Input;
+use crate::{driver::Input, links::Outgoing};
+
+/// Entries and strangers that may be connected at once.
+const MAX_CONNECTIONS: usize = 4_096;
+/// Messages that may wait for an entry on one exchange.
+const MAX_WAITING_MESSAGES: usize = 256;
+/// Longest time to close connections whose exchanges have ended.
+const CLOSE_LIMIT: time::Duration = time::Duration::from_secs(5);
 
-struct Service {
-    identity: Identity,
-    events: Sender<Input>,
-    next_link: AtomicU64,
+/// What the service works with.
+pub(crate) struct Service {
+    pub(crate) identity: Identity,
+    pub(crate) events: channel::Sender<Input>,
+    pub(crate) metrics: Metrics,
+    pub(crate) clock: Clock,
+    pub(crate) strangers: Mutex<Strangers>,
+    pub(crate) next_link: AtomicU64,
+    /// Closed when the process stops.
+    pub(crate) closing: channel::Receiver<()>,
 }
 
-/// Accepts connections until the task is dropped.
-pub(crate) async fn run(listener: TcpListener, identity: Identity, events: Sender<Input>) {
-    let service = Arc::new(Service {
-        identity,
-        events,
-        next_link: AtomicU64::new(1),
-    });
-    let mut peers = Vec::new();
+/// Accepts connections until the service closes, then waits until they have
+/// ended.
+pub(crate) async fn run(service: Arc<Service>, listener: TcpListener) {
+    let mut connections: Vec<smol::Task<()>> = Vec::new();
+    let closed = async {
+        let _ = service.closing.recv().await;
+        None
+    };
+    let mut closed = std::pin::pin!(closed);
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                peers.retain(|task: &smol::Task<()>| !task.is_finished());
-                peers.push(smol::spawn(serve(service.clone(), stream)));
+        connections.retain(|task| !task.is_finished());
+        let accepted = async { Some(listener.accept().await) };
+        match smol::future::or(&mut closed, accepted).await {
+            None => break,
+            Some(Ok(_)) if connections.len() >= MAX_CONNECTIONS => {
+                log::warn!(limit = MAX_CONNECTIONS; "too many connections, one was refused");
             }
-            Err(error) => log::warn!("cannot accept a connection: {error}"),
+            Some(Ok((stream, address))) => {
+                connections.push(smol::spawn(serve(service.clone(), stream, address.ip())));
+            }
+            Some(Err(error)) => log::warn!("cannot accept a connection: {error}"),
         }
     }
+    drop(listener);
+    let ended = async {
+        for connection in connections {
+            connection.await;
+        }
+    };
+    let late = async {
+        smol::Timer::after(CLOSE_LIMIT).await;
+    };
+    smol::future::or(ended, late).await;
 }
 
-async fn serve(service: Arc<Service>, stream: TcpStream) {
-    if let Err(error) = serve_peer(&service, stream).await {
-        log::warn!("a peer was cut off: {error}");
+async fn serve(service: Arc<Service>, stream: TcpStream, address: net::IpAddr) {
+    match Peer::accept(stream, &service.identity).await {
+        Ok(peer) => {
+            let node = peer.node().clone();
+            if let Err(error) = serve_peer(&service, peer).await {
+                log::info!(node:% = node; "the connection of an entry ended: {error}");
+            }
+        }
+        Err(error) => service.refuse(address, &error),
     }
 }
 
-async fn serve_peer(service: &Arc<Service>, stream: TcpStream) -> Result<(), WireError> {
-    let mut peer = Peer::accept(stream, &service.identity).await?;
+/// What happens next on a connection.
+enum Next {
+    Exchange(Result<Option<Exchange>, WireError>),
+    Closing,
+}
+
+async fn serve_peer(service: &Arc<Service>, mut peer: Peer) -> Result<(), WireError> {
+    loop {
+        let closing = async {
+            let _ = service.closing.recv().await;
+            Next::Closing
+        };
+        let next = async { Next::Exchange(peer.next().await) };
+        match smol::future::or(closing, next).await {
+            Next::Exchange(exchange) => match exchange? {
+                Some(exchange) => {
+                    smol::spawn(serve_exchange(service.clone(), exchange)).detach();
+                }
+                None => return Ok(()),
+            },
+            Next::Closing => break,
+        }
+    }
+    peer.shut_down();
     while let Some(exchange) = peer.next().await? {
         smol::spawn(serve_exchange(service.clone(), exchange)).detach();
     }
@@ -55,52 +121,84 @@
 
 async fn serve_exchange(service: Arc<Service>, exchange: Exchange) {
     let link = sidecar::LinkId(service.next_link.fetch_add(1, Ordering::Relaxed));
-    let (outbox, outgoing) = smol::channel::unbounded();
-    let _ = service.events.send(Input::Opened(link, outbox)).await;
-    let Exchange {
-        mut sender,
-        mut receiver,
-    } = exchange;
-    let write = async {
-        while let Ok(message) = outgoing.recv().await {
-            sender.send(message).await?;
-        }
-        sender.finish()
-    };
-    let read = async {
-        while let Some(message) = receiver.recv().await? {
-            forward(&service, link, message).await?;
-        }
-        // The other side has said all; the answer may still be under way.
-        smol::future::pending().await
-    };
+    let (outbox, outgoing) = channel::bounded(MAX_WAITING_MESSAGES);
+    service.tell(Input::Opened(link, outbox)).await;
+    let Exchange { sender, receiver } = exchange;
+    let write = write(sender, outgoing);
+    let read = read(&service, link, receiver);
     let ended: Result<(), WireError> = smol::future::or(write, read).await;
     if let Err(error) = ended {
         log::debug!("an exchange broke off: {error}");
     }
-    let _ = service
-        .events
-        .send(Input::Event(sidecar::Event::LinkLost(link)))
+    service
+        .tell(Input::Event(sidecar::Event::LinkLost(link)))
         .await;
 }
 
-async fn forward(
+/// Sends what the driver has for the entry, as fast as the entry takes it.
+async fn write(mut sender: Sender, outgoing: channel::Receiver<Outgoing>) -> Result<(), WireError> {
+    while let Ok(Outgoing { message, _permit }) = outgoing.recv().await {
+        sender.send(message).await?;
+    }
+    sender.finish()
+}
+
+/// Passes the entry's messages on. Ends only when the exchange broke off.
+async fn read(
     service: &Service,
     link: sidecar::LinkId,
-    message: Message,
+    mut receiver: Receiver,
 ) -> Result<(), WireError> {
-    let event = match message {
-        Message::Offer(offer) => sidecar::Event::Offer(link, offer),
-        Message::Dispatch(dispatch) => sidecar::Event::Dispatch(link, dispatch),
-        Message::Cancel(id) => sidecar::Event::Cancel(id),
-        Message::Withdraw(id) => sidecar::Event::Withdraw(link, id),
+    loop {
+        let message = match receiver.recv().await {
+            Ok(Some(message)) => message,
+            Ok(None) => break,
+            Err(WireError::UnknownMessage(member)) => {
+                log::warn!(member; "an entry sent a message of a newer version");
+                service
+                    .tell(Input::Refuse(link, FailReason::BadRequest))
+                    .await;
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
+        service.tell(input_of(link, message)?).await;
+    }
+    service.tell(Input::Finished(link)).await;
+    // The answer may still be under way.
+    smol::future::pending().await
+}
+
+fn input_of(link: sidecar::LinkId, message: Message) -> Result<Input, WireError> {
+    use sidecar::Event;
+    Ok(match message {
+        Message::Offer(offer) => Input::Event(Event::Offer(link, offer)),
+        Message::Dispatch(dispatch) => Input::Event(Event::Dispatch(link, dispatch)),
+        Message::Cancel(id) => Input::Event(Event::Cancel(id)),
+        Message::Withdraw(id) => Input::Event(Event::Withdraw(link, id)),
+        Message::Watch => Input::Watch(link),
+        Message::Ask { .. } => Input::Ask(link),
         other => {
             return Err(WireError::Unexpected {
                 expected: "a request",
                 got: other.name(),
             });
         }
-    };
-    let _ = service.events.send(Input::Event(event)).await;
-    Ok(())
+    })
+}
+
+impl Service {
+    async fn tell(&self, input: Input) {
+        // The driver is gone only when the whole process stops.
+        let _ = self.events.send(input).await;
+    }
+
+    /// Reports a refused connection once in a while for each address.
+    fn refuse(&self, address: net::IpAddr, error: &WireError) {
+        self.metrics.count(Counter::Strangers);
+        let mut strangers = self.strangers.lock().expect("no holder panics");
+        if strangers.is_news(self.clock.now(), address) {
+            log::warn!(address:% = address; "a connection was refused: {error}");
+        }
+    }
 }
--- a/crates/lentil_sidecar/src/sidecar.rs
+++ b/crates/lentil_sidecar/src/sidecar.rs
@@ -1,22 +1,29 @@
 //! A running sidecar.
 
-use std::{io, net, sync::Arc};
-
-use lentil_types::BootId;
-use lentil_wire::Identity;
-
-use crate::{backend, driver, service};
-
-/// What a backend server speaks.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::EnumString)]
-#[strum(serialize_all = "kebab-case")]
-pub enum BackendKind {
-    /// The OpenAI API, with a status page.
-    #[default]
-    Engine,
-    /// Ordinary HTTP.
-    Plain,
-}
+use std::{
+    io, net,
+    sync::{Arc, Mutex, atomic::AtomicU64},
+};
+
+use lentil_policy::sidecar;
+use lentil_process::{
+    Clock,
+    admin::{self, NotReady},
+    metrics::Metrics,
+};
+use lentil_types::RunnerState;
+use lentil_wire::{Identity, Strangers};
+use smol::channel::{self, Sender};
+
+use crate::{
+    BackendKind, Control, backend,
+    driver::{self, Input},
+    service,
+    state::State,
+};
+
+/// Inputs that may wait for the driver.
+const MAX_WAITING_INPUTS: usize = 1_024;
 
 /// Settings of a [`Sidecar`].
 #[derive(Clone, Debug)]
@@ -29,11 +36,19 @@
     pub kind: BackendKind,
     /// Who this process is.
     pub identity: Identity,
+    /// Counters and timings.
+    pub metrics: Metrics,
 }
 
 /// A running sidecar. It stops when dropped.
 pub struct Sidecar {
     address: net::SocketAddr,
+    state: Arc<State>,
+    events: Sender<Input>,
+    metrics: Metrics,
+    /// Closing it tells the service to stop.
+    closing: Sender<()>,
+    service: smol::lock::Mutex<Option<smol::Task<()>>>,
     _tasks: Vec<smol::Task<()>>,
 }
 
@@ -45,14 +60,40 @@
     pub async fn start(settings: Settings) -> io::Result<Self> {
         let listener = smol::net::TcpListener::bind(settings.listen).await?;
         let address = listener.local_addr()?;
-        let (events, inbox) = smol::channel::unbounded();
+        let (events, inbox) = channel::bounded(MAX_WAITING_INPUTS);
+        let (closing, closed) = channel::bounded(1);
         let backend = Arc::new(backend::Backend::new(settings.backend, settings.kind));
-        let watch = backend::watch(backend.clone(), events.clone());
-        let drive = driver::run(backend, inbox, events.clone());
-        let serve = service::run(listener, settings.identity, events);
-        let tasks = vec![smol::spawn(drive), smol::spawn(watch), smol::spawn(serve)];
+        let state = Arc::new(State::default());
+        let service = service::Service {
+            identity: settings.identity,
+            events: events.clone(),
+            metrics: settings.metrics.clone(),
+            clock: Clock::start(),
+            strangers: Mutex::new(Strangers::default()),
+            next_link: AtomicU64::new(1),
+            closing: closed,
+        };
+        let parts = driver::Parts {
+            backend: backend.clone(),
+            events: events.clone(),
+            state: state.clone(),
+            metrics: settings.metrics.clone(),
+        };
+        let mut tasks = vec![
+            smol::spawn(driver::run(parts, inbox)),
+            smol::spawn(backend::watch(backend.clone(), events.clone())),
+        ];
+        if settings.kind == BackendKind::Engine {
+            tasks.push(smol::spawn(backend::follow_cache(backend, events.clone())));
+        }
+        let service = smol::spawn(service::run(Arc::new(service), listener));
         Ok(Self {
             address,
+            state,
+            events,
+            metrics: settings.metrics,
+            closing,
+            service: smol::lock::Mutex::new(Some(service)),
             _tasks: tasks,
         })
     }
@@ -61,7 +102,92 @@
     pub fn address(&self) -> net::SocketAddr {
         self.address
     }
+
+    /// A handle that changes what the sidecar works with.
+    pub fn control(&self) -> Control {
+        Control {
+            state: self.state.clone(),
+            events: self.events.clone(),
+        }
+    }
+
+    /// What the admin server shows of this sidecar.
+    pub fn subject(&self) -> Subject {
+        Subject {
+            state: self.state.clone(),
+            events: self.events.clone(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
+    /// Takes nothing new, waits until everything in flight has its answer and
+    /// closes the connections. Until then further requests are refused as not
+    /// run.
+    pub async fn drain(&self) {
+        self.subject().begin_drain().await;
+        let (sender, idle) = channel::bounded(1);
+        // It fails only when the driver is gone, and with it all that runs.
+        let _ = self.events.send(Input::Idle(sender)).await;
+        let _ = idle.recv().await;
+        self.closing.close();
+        if let Some(service) = self.service.lock().await.take() {
+            service.await;
+        }
+    }
+}
+
+/// What the admin server shows of a sidecar.
+#[derive(Clone)]
+pub struct Subject {
+    state: Arc<State>,
+    events: Sender<Input>,
+    metrics: Metrics,
+}
+
+impl Subject {
+    async fn begin_drain(&self) {
+        if self.state.begin_drain() {
+            log::info!(in_flight = self.state.shown().in_flight; "draining");
+            let leave = Input::Event(sidecar::Event::Leave);
+            // It fails only when the sidecar is gone.
+            let _ = self.events.send(leave).await;
+        }
+    }
 }
 
-/// Life of a plain backend server, which does not tell its own.
-pub(crate) const PLAIN_BOOT: BootId = BootId(1);
+impl admin::Subject for Subject {
+    fn ready(&self) -> Result<(), NotReady> {
+        let shown = self.state.shown();
+        let in_flight = shown.in_flight;
+        match shown.load.state {
+            _ if self.state.is_draining() => Err(NotReady::Draining { in_flight }),
+            RunnerState::Live => Ok(()),
+            RunnerState::Joining => Err(NotReady::NoBackend),
+            RunnerState::Leaving | RunnerState::Gone => Err(NotReady::Draining { in_flight }),
+        }
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let shown = self.state.shown();
+        let load = shown.load;
+        serde_json::json!({
+            "boot": load.boot,
+            "weights": load.weights,
+            "state": load.state,
+            "queued": load.queued,
+            "running": load.running,
+            "backlog": load.backlog,
+            "config": load.config,
+            "in_flight": shown.in_flight,
+            "exchanges": shown.links,
+            "poison": shown.poison,
+            "draining": self.state.is_draining(),
+            "counters": self.metrics.dump(),
+        })
+    }
+
+    fn drain(&self) {
+        let subject = self.clone();
+        smol::spawn(async move { subject.begin_drain().await }).detach();
+    }
+}
--- a/crates/lentilglade/src/demo.rs
+++ b/crates/lentilglade/src/demo.rs
@@ -70,6 +70,7 @@
                     backend,
                     kind,
                     identity: identity(&runner.name)?,
+                    metrics: Metrics::local(),
                 };
                 let sidecar = Sidecar::start(settings).await?;
                 runner.address = sidecar.address();
