--- a/crates/lentil_entry/src/api.rs
+++ b/crates/lentil_entry/src/api.rs
@@ -346,6 +346,10 @@
     if let Some(seconds) = refusal::retry_seconds(status, None) {
         set_header(conn, "retry-after", &seconds.to_string());
     }
+    if matches!(refusal, Refusal::Slow | Refusal::BodyBrokeOff) {
+        // The rest of the body is not waited for.
+        set_header(conn, "connection", "close");
+    }
     json(conn, status, refusal.body());
 }
 
--- /dev/null
+++ b/crates/lentil_entry/tests/callers/answers.rs
@@ -0,0 +1,258 @@
+//! Whole answers, as callers see them.
+
+use crate::support::{Bench, Script, Step, auth, run};
+use lentil_policy::protocol;
+use lentil_types::Tokens;
+use serde_json::{Value, json};
+
+const USAGE: protocol::Usage = protocol::Usage {
+    prompt: Tokens(9),
+    cached: Tokens(4),
+    output: Tokens(2),
+};
+
+/// An engine that answers with these chunks.
+fn engine(chunks: Vec<Value>) -> Script {
+    Box::new(move |_| {
+        let mut steps = vec![Step::Head(200, vec![("content-type", "text/event-stream")])];
+        let data = chunks.iter().map(|chunk| chunk.to_string().into_bytes());
+        steps.extend(data.map(Step::Piece));
+        steps.push(Step::End(USAGE));
+        steps
+    })
+}
+
+fn chunk(index: u64, delta: &Value, finish: &Value) -> Value {
+    json!({
+        "id": "engine-made", "object": "chat.completion.chunk", "created": 1, "model": "x",
+        "system_fingerprint": "fp",
+        "choices": [{ "index": index, "delta": delta, "finish_reason": finish }],
+    })
+}
+
+fn usage_chunk() -> Value {
+    json!({ "id": "engine-made", "choices": [], "usage": { "prompt_tokens": 1 } })
+}
+
+fn ask(more: &Value) -> Value {
+    let mut ask = json!({
+        "model": "sortmind-7b",
+        "messages": [{ "role": "user", "content": "lot 1?" }],
+        "temperature": 0.5,
+        "tools": [{ "type": "function", "function": { "name": "weigh" } }],
+    });
+    for (key, value) in more.as_object().into_iter().flatten() {
+        ask[key] = value.clone();
+    }
+    ask
+}
+
+#[rstest::rstest]
+#[case::asked(json!({ "include_usage": true }), true)]
+#[case::declined(json!({ "include_usage": false }), false)]
+#[case::not_said(json!({}), false)]
+fn a_stream_is_one_answer_and_ends_in_done(#[case] options: Value, #[case] has_usage: bool) {
+    run(async {
+        let chunks = vec![
+            chunk(
+                0,
+                &json!({ "role": "assistant", "content": "spring" }),
+                &Value::Null,
+            ),
+            chunk(0, &json!({}), &json!("stop")),
+            usage_chunk(),
+        ];
+        let bench = Bench::start(engine(chunks)).await;
+        let ask = ask(&json!({ "stream": true, "stream_options": options }));
+        let response = bench.chat(&ask).await;
+        assert_eq!((response.status, response.whole), (200, true));
+        assert_eq!(response.header("content-type"), Some("text/event-stream"));
+        let mut events = response.events();
+        assert_eq!(events.pop(), Some("[DONE]"));
+        let chunks: Vec<Value> = events
+            .iter()
+            .map(|event| serde_json::from_str(event).expect("each event is JSON"))
+            .collect();
+        assert_eq!(chunks.len(), if has_usage { 3 } else { 2 });
+        for chunk in &chunks {
+            assert_eq!(chunk["id"], chunks[0]["id"]);
+            assert_eq!(chunk["created"], chunks[0]["created"]);
+            assert_eq!(chunk["model"], "sortmind-7b");
+            assert_eq!(chunk["object"], "chat.completion.chunk");
+        }
+        assert_eq!(chunks[0]["choices"][0]["delta"]["content"], "spring");
+        assert_eq!(chunks[0]["system_fingerprint"], "fp");
+        assert_eq!(chunks[1]["choices"][0]["finish_reason"], "stop");
+        if has_usage {
+            assert_eq!(chunks[2]["choices"], json!([]));
+            assert_eq!(chunks[2]["usage"]["total_tokens"], 11);
+        }
+        let request = response.header("x-lentil-request").expect("it is named");
+        assert!(response.text().contains(&format!("id: {request}:0\n")));
+        assert!(response.text().contains(&format!("id: {request}:1\n")));
+    });
+}
+
+#[test]
+fn a_gathered_answer_keeps_every_part_of_its_chunks() {
+    let call =
+        |index: u64, part: &Value| json!({ "tool_calls": [{ "index": index, "function": part }] });
+    let first = json!({ "tool_calls": [{
+        "index": 0, "id": "call-1", "type": "function",
+        "function": { "name": "weigh", "arguments": "" },
+    }] });
+    let logprob = |token: &str| json!({ "content": [{ "token": token, "logprob": -0.5 }] });
+    let mut spring = chunk(0, &json!({ "content": "spr" }), &Value::Null);
+    spring["choices"][0]["logprobs"] = logprob("spr");
+    let mut ing = chunk(0, &json!({ "content": "ing" }), &json!("stop"));
+    ing["choices"][0]["logprobs"] = logprob("ing");
+    let chunks = vec![
+        chunk(
+            0,
+            &json!({ "role": "assistant", "content": "" }),
+            &Value::Null,
+        ),
+        spring,
+        chunk(1, &first, &Value::Null),
+        chunk(
+            1,
+            &call(0, &json!({ "arguments": "{\"lot\"" })),
+            &Value::Null,
+        ),
+        chunk(1, &call(0, &json!({ "arguments": ":1}" })), &Value::Null),
+        chunk(2, &json!({ "refusal": "I " }), &Value::Null),
+        chunk(2, &json!({ "refusal": "cannot" }), &json!("stop")),
+        ing,
+        chunk(1, &json!({}), &json!("tool_calls")),
+        usage_chunk(),
+    ];
+    run(async {
+        let bench = Bench::start(engine(chunks)).await;
+        let response = bench.chat(&ask(&json!({ "n": 3 }))).await;
+        assert_eq!(response.status, 200);
+        assert_eq!(response.header("x-lentil-outcome"), Some("done"));
+        let whole = response.json();
+        assert_eq!(whole["object"], "chat.completion");
+        assert_eq!(whole["model"], "sortmind-7b");
+        assert_eq!(whole["system_fingerprint"], "fp");
+        assert_eq!(
+            whole["usage"],
+            json!({
+                "prompt_tokens": 9, "completion_tokens": 2, "total_tokens": 11,
+                "prompt_tokens_details": { "cached_tokens": 4 },
+            })
+        );
+        let expected = json!([
+            {
+                "index": 0, "finish_reason": "stop",
+                "message": { "role": "assistant", "content": "spring" },
+                "logprobs": { "content": [
+                    { "token": "spr", "logprob": -0.5 }, { "token": "ing", "logprob": -0.5 },
+                ] },
+            },
+            {
+                "index": 1, "finish_reason": "tool_calls",
+                "message": { "role": "assistant", "content": null, "tool_calls": [{
+                    "id": "call-1", "type": "function",
+                    "function": { "name": "weigh", "arguments": "{\"lot\":1}" },
+                }] },
+            },
+            {
+                "index": 2, "finish_reason": "stop",
+                "message": { "role": "assistant", "content": null, "refusal": "I cannot" },
+            },
+        ]);
+        assert_eq!(whole["choices"], expected);
+    });
+}
+
+#[test]
+fn a_plain_completion_is_gathered_as_text() {
+    let part = |text: &str, finish: &Value| json!({ "choices": [{ "index": 0, "text": text, "finish_reason": finish }] });
+    let chunks = vec![part("fo", &Value::Null), part("am", &json!("stop"))];
+    run(async {
+        let bench = Bench::start(engine(chunks)).await;
+        let body = json!({ "model": "sortmind-7b", "prompt": "lot 2?" }).to_string();
+        let response = bench
+            .call("POST", "/v1/completions", &auth(), body.as_bytes())
+            .await;
+        let whole = response.json();
+        assert_eq!(whole["object"], "text_completion");
+        assert_eq!(
+            whole["choices"],
+            json!([{ "index": 0, "text": "foam", "finish_reason": "stop" }])
+        );
+        let dispatch = bench.runner.dispatch().await;
+        assert_eq!(dispatch.call.path, "/v1/completions");
+    });
+}
+
+#[test]
+fn the_engine_gets_every_field_and_the_teams_salt() {
+    run(async {
+        let chunks = vec![chunk(0, &json!({ "content": "x" }), &json!("stop"))];
+        let bench = Bench::start(engine(chunks)).await;
+        let ask = ask(&json!({ "n": 2, "stream": false, "logit_bias": { "50256": -100 } }));
+        bench.chat(&ask).await;
+        let dispatch = bench.runner.dispatch().await;
+        let sent: Value = serde_json::from_slice(&dispatch.call.body).expect("the body is JSON");
+        for key in [
+            "messages",
+            "temperature",
+            "tools",
+            "n",
+            "logit_bias",
+            "model",
+        ] {
+            assert_eq!(sent[key], ask[key], "{key}");
+        }
+        assert_eq!(sent["stream"], true);
+        assert_eq!(sent["stream_options"]["include_usage"], true);
+        let salt = |dispatch: &protocol::Dispatch| {
+            let headers = dispatch.call.headers.iter();
+            let salt = headers.clone().find(|header| header.name == "x-cache-salt");
+            salt.expect("there is a salt").value.clone()
+        };
+        let first = salt(&dispatch);
+        let other = "authorization: Bearer demo-recycler-b\r\n";
+        let body = ask.to_string();
+        bench
+            .call("POST", "/v1/chat/completions", other, body.as_bytes())
+            .await;
+        assert_ne!(salt(&*bench.runner.dispatch().await), first);
+    });
+}
+
+#[test]
+fn models_are_listed_and_shown() {
+    run(async {
+        let bench = Bench::start(engine(Vec::new())).await;
+        let list = bench.call("GET", "/v1/models", &auth(), b"").await.json();
+        assert_eq!(list["object"], "list");
+        assert_eq!(list["data"][0]["id"], "sortmind-7b");
+        let one = bench
+            .call("GET", "/v1/models/sortmind-7b", &auth(), b"")
+            .await;
+        assert_eq!(one.json(), list["data"][0]);
+    });
+}
+
+#[test]
+fn an_engines_refusal_is_passed_on() {
+    run(async {
+        let script = |_: &_| {
+            vec![
+                Step::Head(400, vec![("content-type", "application/json")]),
+                Step::Piece(b"{\"error\":{\"code\":\"context_length_exceeded\"}}".to_vec()),
+                Step::End(protocol::Usage::default()),
+            ]
+        };
+        let bench = Bench::start(Box::new(script)).await;
+        for stream in [false, true] {
+            let response = bench.chat(&ask(&json!({ "stream": stream }))).await;
+            assert_eq!(response.status, 400);
+            let code = &response.json()["error"]["code"];
+            assert_eq!(code, "context_length_exceeded");
+        }
+    });
+}
--- /dev/null
+++ b/crates/lentil_entry/tests/callers/life.rs
@@ -0,0 +1,171 @@
+//! Callers that hang up or are slow, drains and new texts.
+
+use std::sync::Arc;
+
+use crate::support::{Bench, Script, Seen, Step, auth, market, run, until};
+use lentil_policy::protocol;
+use lentil_process::admin::Subject as _;
+use lentil_types::ConfigVersion;
+use serde_json::json;
+use smol::channel;
+
+/// Pieces of an answer that is much larger than every buffer on its way.
+const MANY: usize = 4_096;
+/// Bytes of one of them.
+const PIECE_BYTES: usize = 16 * 1024;
+
+fn chunk(text: &str) -> Step {
+    let chunk = json!({ "choices": [{ "index": 0, "delta": { "content": text } }] });
+    Step::Piece(chunk.to_string().into_bytes())
+}
+
+fn ask(stream: bool) -> Vec<u8> {
+    let ask = json!({ "model": "sortmind-7b", "stream": stream, "messages": [] });
+    ask.to_string().into_bytes()
+}
+
+#[rstest::rstest]
+#[case::waiting(vec![], false)]
+#[case::gathering(vec![(); 1], false)]
+#[case::streaming(vec![(); 1], true)]
+fn a_caller_that_hangs_up_cancels_its_work(#[case] begun: Vec<()>, #[case] stream: bool) {
+    run(async {
+        let script: Script = Box::new(move |_| {
+            let mut steps: Vec<Step> = begun.iter().map(|()| Step::Head(200, Vec::new())).collect();
+            steps.extend(begun.iter().map(|()| chunk("spring")));
+            steps.push(Step::Hold);
+            steps
+        });
+        let bench = Bench::start(script).await;
+        let mut caller = bench.caller().await;
+        caller
+            .request("POST", "/v1/chat/completions", &auth(), &ask(stream))
+            .await;
+        bench.runner.dispatch().await;
+        if stream {
+            caller.head().await;
+        }
+        drop(caller);
+        bench.runner.cancelled().await;
+    });
+}
+
+#[test]
+fn a_slow_caller_holds_its_runner_back_and_then_gets_everything() {
+    run(async {
+        let script: Script = Box::new(|_| {
+            let mut steps = vec![Step::Head(200, Vec::new())];
+            steps.extend((0..MANY).map(|_| Step::Piece(vec![b'x'; PIECE_BYTES])));
+            steps.push(Step::End(protocol::Usage::default()));
+            steps
+        });
+        let bench = Bench::start(script).await;
+        let mut caller = bench.caller().await;
+        caller
+            .request("GET", "/services/dockdesk/log", &auth(), b"")
+            .await;
+        bench.runner.dispatch().await;
+        // However long this waits, the runner cannot get rid of everything.
+        smol::Timer::after(std::time::Duration::from_millis(300)).await;
+        let sent = std::iter::from_fn(|| bench.runner.seen.try_recv().ok());
+        let sent = sent.filter(|seen| matches!(seen, Seen::Sent)).count();
+        assert!(sent < MANY, "{sent} pieces left the runner");
+        let response = caller.response().await;
+        assert!(response.whole);
+        assert_eq!(response.body.len(), MANY * PIECE_BYTES);
+    });
+}
+
+#[test]
+fn a_drain_lets_everything_in_flight_finish() {
+    run(async {
+        let (go, gate) = channel::bounded(1);
+        let script: Script = Box::new(move |_| {
+            vec![
+                Step::Head(200, Vec::new()),
+                chunk("spring"),
+                Step::Wait(gate.clone()),
+                chunk("foam"),
+                Step::End(protocol::Usage::default()),
+            ]
+        });
+        let bench = Bench::start(script).await;
+        let subject = bench.entry.subject();
+        assert!(subject.ready().is_ok());
+        let mut streaming = bench.caller().await;
+        streaming
+            .request("POST", "/v1/chat/completions", &auth(), &ask(true))
+            .await;
+        let mut idle = bench.caller().await;
+        idle.request("GET", "/v1/models", &auth(), b"").await;
+        assert_eq!(idle.response().await.status, 200);
+        bench.runner.dispatch().await;
+
+        let drain = bench.entry.drain();
+        let callers = async {
+            until(|| subject.ready().is_err()).await;
+            idle.request("GET", "/services/dockdesk/tag", &auth(), b"")
+                .await;
+            let refused = idle.response().await;
+            assert_eq!(refused.status, 503);
+            assert_eq!(refused.json()["error"]["code"], "leaving");
+            assert_eq!(refused.header("x-lentil-outcome"), Some("not-run"));
+            assert!(refused.header("retry-after").is_some());
+            assert_eq!(refused.header("connection"), Some("close"));
+            go.send(()).await.expect("the script waits");
+            let response = streaming.response().await;
+            assert!(response.whole && response.text().ends_with("data: [DONE]\n\n"));
+            assert!(response.text().contains("foam"));
+        };
+        smol::future::zip(drain, callers).await;
+    });
+}
+
+#[test]
+fn a_new_text_is_in_force_for_what_comes_next_and_never_reverts() {
+    run(async {
+        let (go, gate) = channel::bounded(1);
+        let script: Script = Box::new(move |_| {
+            vec![
+                Step::Head(200, Vec::new()),
+                Step::Wait(gate.clone()),
+                chunk("spring"),
+                Step::End(protocol::Usage::default()),
+            ]
+        });
+        let bench = Bench::start(script).await;
+        let mut in_flight = bench.caller().await;
+        in_flight
+            .request("POST", "/v1/chat/completions", &auth(), &ask(true))
+            .await;
+        bench.runner.dispatch().await;
+
+        let more = "[[model]]\nname = \"newer\"\nservice = \"sortmind\"\nweights = 2\n";
+        let newer = Arc::new(market(bench.runner.addresses, more));
+        let older = Arc::new(market(bench.runner.addresses, ""));
+        assert!(bench.entry.set_market(ConfigVersion(3), &newer));
+        assert!(!bench.entry.set_market(ConfigVersion(2), &older));
+        assert!(!bench.entry.set_market(ConfigVersion(3), &older));
+        let models = bench.call("GET", "/v1/models", &auth(), b"").await.json();
+        assert_eq!(models["data"][1]["id"], "newer");
+
+        go.send(()).await.expect("the script waits");
+        let response = in_flight.response().await;
+        assert!(response.text().contains("spring"));
+        assert!(response.text().ends_with("data: [DONE]\n\n"));
+    });
+}
+
+#[test]
+fn an_event_reaches_its_caller_before_the_next_one_exists() {
+    run(async {
+        let script: Script =
+            Box::new(|_| vec![Step::Head(200, Vec::new()), chunk("spring"), Step::Hold]);
+        let bench = Bench::start(script).await;
+        let mut caller = bench.caller().await;
+        caller
+            .request("POST", "/v1/chat/completions", &auth(), &ask(true))
+            .await;
+        while !caller.line().await.contains("spring") {}
+    });
+}
--- /dev/null
+++ b/crates/lentil_entry/tests/callers/support/mod.rs
@@ -0,0 +1,139 @@
+//! An entry before a scripted sidecar, and a caller that writes raw HTTP.
+
+mod caller;
+mod runner;
+
+use std::{net, sync::Arc};
+
+use lentil_config::Market;
+use lentil_entry::{Entry, Limits, NoStore, Settings};
+use lentil_process::metrics::Metrics;
+use lentil_types::{ConfigVersion, NodeName};
+use lentil_wire::Identity;
+
+pub use caller::{Caller, Response};
+pub use runner::{Runner, Script, Seen, Step};
+
+/// API key of the tests' team.
+pub const KEY: &str = "demo-recycler-a";
+/// Generous limit on anything that must happen.
+const PATIENCE: std::time::Duration = std::time::Duration::from_secs(60);
+
+/// An entry before one scripted sidecar that stands for both services.
+pub struct Bench {
+    pub entry: Entry,
+    pub runner: Runner,
+}
+
+impl Bench {
+    pub async fn start(script: Script) -> Self {
+        Self::with_limits(script, Limits::default()).await
+    }
+
+    pub async fn with_limits(script: Script, limits: Limits) -> Self {
+        let runner = Runner::start(script).await;
+        let entry = Entry::start(Settings {
+            listen: net::SocketAddr::from(([127, 0, 0, 1], 0)),
+            identity: identity("entry-1"),
+            version: ConfigVersion(1),
+            market: Arc::new(market(runner.addresses, "")),
+            store: Arc::new(NoStore),
+            limits,
+            metrics: Metrics::local(),
+        });
+        let entry = entry.await.expect("the entry listens");
+        Self { entry, runner }
+    }
+
+    pub async fn caller(&self) -> Caller {
+        Caller::connect(self.entry.address()).await
+    }
+
+    /// Sends one request on its own connection.
+    pub async fn call(&self, method: &str, path: &str, headers: &str, body: &[u8]) -> Response {
+        let mut caller = self.caller().await;
+        caller.request(method, path, headers, body).await;
+        caller.response().await
+    }
+
+    /// Sends a chat completion.
+    pub async fn chat(&self, body: &serde_json::Value) -> Response {
+        let body = body.to_string();
+        self.call("POST", "/v1/chat/completions", &auth(), body.as_bytes())
+            .await
+    }
+}
+
+pub fn auth() -> String {
+    format!("authorization: Bearer {KEY}\r\n")
+}
+
+pub fn identity(node: &str) -> Identity {
+    Identity {
+        node: NodeName::new(node).expect("a valid name"),
+        key: "the key of a test on loopback"
+            .parse()
+            .expect("long enough"),
+    }
+}
+
+/// A text with one engine service and one plain service.
+pub fn market([engine, plain]: [net::SocketAddr; 2], more: &str) -> Market {
+    let text = format!(
+        r#"
+region = "nw-georgia"
+
+[[place]]
+name = "hall-intake"
+
+[[model]]
+name = "sortmind-7b"
+service = "sortmind"
+weights = 1
+
+[[service]]
+name = "sortmind"
+kind = "engine"
+runners = [{{ name = "sortmind-1", place = "hall-intake", address = "{engine}" }}]
+
+[[service]]
+name = "dockdesk"
+kind = "plain"
+class = "urgent"
+once = [{{ method = "POST", path = "/release" }}]
+runners = [{{ name = "dockdesk-1", place = "hall-intake", address = "{plain}" }}]
+
+[[team]]
+name = "recycler-a"
+scope = "recycler-a"
+keys = ["a1a843c9830b6c56a5c2cf908be5dbc558490438bef75b0e8fc52e7bc89f963a"]
+
+[[team]]
+name = "recycler-b"
+scope = "recycler-b"
+keys = ["835e667fb619b6c2cc61bdd1233ac7f845b6ffe9c454ecd2618675b68a990bb2"]
+{more}"#
+    );
+    Market::parse(&text).expect("a valid text")
+}
+
+/// Runs a test.
+pub fn run(test: impl Future<Output = ()>) {
+    smol::block_on(within(test));
+}
+
+/// Waits for what must happen.
+pub async fn within<T>(work: impl Future<Output = T>) -> T {
+    let timeout = async {
+        smol::Timer::after(PATIENCE).await;
+        panic!("nothing happened within {PATIENCE:?}");
+    };
+    smol::future::or(work, timeout).await
+}
+
+/// Polls until `is_so`.
+pub async fn until(mut is_so: impl FnMut() -> bool) {
+    while !is_so() {
+        smol::Timer::after(std::time::Duration::from_millis(1)).await;
+    }
+}
--- /dev/null
+++ b/crates/lentil_entry/tests/callers/support/runner.rs
@@ -0,0 +1,228 @@
+//! A scripted sidecar.
+
+use std::{net, sync::Arc, time};
+
+use lentil_policy::protocol;
+use lentil_types::{AttemptId, BootId, FailReason, Outcome, Pieces, RunnerState, WeightsVersion};
+use lentil_wire::{Exchange, Message, Peer};
+use smol::channel::{Receiver, Sender};
+
+use crate::support::identity;
+
+const BOOT: BootId = BootId(1);
+
+/// What a scripted sidecar does next.
+pub enum Step {
+    /// Begin the answer.
+    Head(u16, Vec<(&'static str, &'static str)>),
+    /// Give a piece.
+    Piece(Vec<u8>),
+    /// Wait until the other end is dropped or sends.
+    Wait(Receiver<()>),
+    /// End the answer.
+    End(protocol::Usage),
+    /// Give the attempt up.
+    Fail(Outcome, FailReason, Option<time::Duration>),
+    /// Wait until the entry goes.
+    Hold,
+}
+
+/// What a scripted sidecar does with a dispatch.
+pub type Script = Box<dyn Fn(&protocol::Dispatch) -> Vec<Step> + Send + Sync>;
+
+/// What a scripted sidecar saw.
+#[derive(Debug)]
+pub enum Seen {
+    Dispatch(Box<protocol::Dispatch>),
+    /// The entry cancelled the attempt or closed its exchange.
+    Cancelled,
+    /// A piece has left.
+    Sent,
+}
+
+/// A scripted sidecar at two addresses, one for each service. It stops when
+/// dropped.
+pub struct Runner {
+    pub addresses: [net::SocketAddr; 2],
+    pub seen: Receiver<Seen>,
+    _servers: [smol::Task<()>; 2],
+}
+
+impl Runner {
+    pub async fn start(script: Script) -> Self {
+        let (events, seen) = smol::channel::unbounded();
+        let script = Arc::new(script);
+        let (engine, plain) = (bind().await, bind().await);
+        let addresses = [&engine, &plain].map(|it| it.local_addr().expect("it is bound"));
+        let servers =
+            [engine, plain].map(|it| smol::spawn(listen(it, script.clone(), events.clone())));
+        Self {
+            addresses,
+            seen,
+            _servers: servers,
+        }
+    }
+
+    /// The next dispatch.
+    pub async fn dispatch(&self) -> Box<protocol::Dispatch> {
+        loop {
+            if let Seen::Dispatch(dispatch) = self.next().await {
+                return dispatch;
+            }
+        }
+    }
+
+    /// Waits until an attempt is cancelled.
+    pub async fn cancelled(&self) {
+        while !matches!(self.next().await, Seen::Cancelled) {}
+    }
+
+    async fn next(&self) -> Seen {
+        self.seen.recv().await.expect("the runner runs")
+    }
+}
+
+async fn bind() -> smol::net::TcpListener {
+    let listener = smol::net::TcpListener::bind("127.0.0.1:0").await;
+    listener.expect("loopback can be bound")
+}
+
+async fn listen(listener: smol::net::TcpListener, script: Arc<Script>, events: Sender<Seen>) {
+    let mut peers = Vec::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let (script, events) = (script.clone(), events.clone());
+        peers.push(smol::spawn(async move {
+            let peer = Peer::accept(stream, &identity("sidecar-1")).await;
+            let mut peer = peer.expect("the entry has the fleet key");
+            while let Ok(Some(exchange)) = peer.next().await {
+                smol::spawn(serve(exchange, script.clone(), events.clone())).detach();
+            }
+        }));
+    }
+}
+
+async fn serve(mut exchange: Exchange, script: Arc<Script>, events: Sender<Seen>) {
+    match exchange.receiver.recv().await {
+        Ok(Some(Message::Offer(offer))) => {
+            let bid = protocol::Bid {
+                id: offer.id,
+                cached: Pieces(0),
+                wait: time::Duration::ZERO,
+                load: load(),
+            };
+            let _ = exchange.sender.send(&Message::Bid(bid)).await;
+            let _ = exchange.sender.finish();
+        }
+        Ok(Some(Message::Dispatch(dispatch))) => {
+            let steps = script(&dispatch);
+            let id = dispatch.offer.id;
+            let offset = dispatch.resume.as_ref().map_or(0, |resume| resume.offset);
+            let _ = events.send(Seen::Dispatch(dispatch)).await;
+            run(exchange, id, offset, steps, &events).await;
+        }
+        _ => {}
+    }
+}
+
+async fn run(
+    exchange: Exchange,
+    id: AttemptId,
+    mut offset: u64,
+    steps: Vec<Step>,
+    events: &Sender<Seen>,
+) {
+    let Exchange {
+        mut sender,
+        mut receiver,
+    } = exchange;
+    let play = async {
+        for step in steps {
+            let message = match step {
+                Step::Head(status, headers) => started(id, status, &headers),
+                Step::Piece(data) => {
+                    offset += 1;
+                    piece(id, offset - 1, data)
+                }
+                Step::Wait(gate) => {
+                    let _ = gate.recv().await;
+                    continue;
+                }
+                Step::End(usage) => end(id, offset, usage),
+                Step::Fail(outcome, reason, retry) => failed(id, outcome, reason, retry),
+                Step::Hold => smol::future::pending().await,
+            };
+            if sender.send(&message).await.is_err() {
+                break;
+            }
+            let _ = events.send(Seen::Sent).await;
+        }
+        let _ = sender.finish();
+        true
+    };
+    let watch = async {
+        // A cancellation, the end of the stream or its reset.
+        let _ = receiver.recv().await;
+        false
+    };
+    if !smol::future::or(play, watch).await {
+        let _ = events.send(Seen::Cancelled).await;
+    }
+}
+
+fn started(id: AttemptId, status: u16, headers: &[(&str, &str)]) -> Message {
+    let header = |(name, value): &(&str, &str)| protocol::Header {
+        name: (*name).to_owned(),
+        value: (*value).to_owned(),
+    };
+    Message::Started(protocol::Started {
+        id,
+        cached: Pieces(0),
+        status,
+        headers: headers.iter().map(header).collect(),
+        load: load(),
+    })
+}
+
+fn piece(id: AttemptId, offset: u64, data: Vec<u8>) -> Message {
+    Message::Piece(protocol::Piece {
+        id,
+        boot: BOOT,
+        offset,
+        text: String::new(),
+        data,
+    })
+}
+
+fn end(id: AttemptId, offset: u64, usage: protocol::Usage) -> Message {
+    Message::End(protocol::End {
+        id,
+        boot: BOOT,
+        offset,
+        usage,
+        load: load(),
+    })
+}
+
+fn failed(
+    id: AttemptId,
+    outcome: Outcome,
+    reason: FailReason,
+    retry: Option<time::Duration>,
+) -> Message {
+    Message::Failed(protocol::Failed {
+        id,
+        outcome,
+        reason,
+        retry,
+        load: load(),
+    })
+}
+
+fn load() -> protocol::Load {
+    protocol::Load {
+        boot: BOOT,
+        weights: WeightsVersion(1),
+        state: RunnerState::Live,
+        ..protocol::Load::default()
+    }
+}
