--- a/crates/lentil_entry/tests/callers/support/runner.rs
+++ b/crates/lentil_entry/tests/callers/support/runner.rs
@@ -110,7 +110,7 @@
                 wait: time::Duration::ZERO,
                 load: load(),
             };
-            let _ = exchange.sender.send(&Message::Bid(bid)).await;
+            let _ = exchange.sender.send(Message::Bid(bid)).await;
             let _ = exchange.sender.finish();
         }
         Ok(Some(Message::Dispatch(dispatch))) => {
@@ -151,7 +151,7 @@
                 Step::Fail(outcome, reason, retry) => failed(id, outcome, reason, retry),
                 Step::Hold => smol::future::pending().await,
             };
-            if sender.send(&message).await.is_err() {
+            if sender.send(message).await.is_err() {
                 break;
             }
             let _ = events.send(Seen::Sent).await;
--- a/crates/lentilglade/src/demo.rs
+++ b/crates/lentilglade/src/demo.rs
@@ -29,9 +29,15 @@
 /// dropped.
 pub struct Demo {
     entry: Entry,
-    _sidecars: Vec<Sidecar>,
-    _engines: Vec<Engine>,
-    _plains: Vec<Plain>,
+    backends: Backends,
+}
+
+/// Stand-ins and the sidecars beside them.
+#[derive(Default)]
+struct Backends {
+    sidecars: Vec<Sidecar>,
+    engines: Vec<Engine>,
+    plains: Vec<Plain>,
 }
 
 impl Demo {
@@ -40,31 +46,22 @@
     ///
     /// # Errors
     /// [`DemoError`] when a part cannot listen.
-    pub async fn start(mut market: Market) -> Result<Self, DemoError> {
-        let (mut sidecars, mut engines, mut plains) = (Vec::new(), Vec::new(), Vec::new());
-        let mut boot = BootId(0);
+    pub async fn start(market: Market) -> Result<Self, DemoError> {
+        Self::with_engine(market, &EngineSettings::default()).await
+    }
+
+    /// Starts a demo whose engines have these settings, but for the boot id.
+    ///
+    /// # Errors
+    /// [`DemoError`] when a part cannot listen.
+    pub async fn with_engine(
+        mut market: Market,
+        engine: &EngineSettings,
+    ) -> Result<Self, DemoError> {
+        let mut backends = Backends::default();
         for service in &mut market.services {
-            let kind = service.kind;
             for runner in &mut service.runners {
-                boot = BootId(boot.0 + 1);
-                let (backend, kind) = match kind {
-                    ServiceKind::Engine | ServiceKind::KvKeeper => {
-                        let settings = EngineSettings {
-                            boot,
-                            ..EngineSettings::default()
-                        };
-                        let engine = Engine::start(settings)?;
-                        let address = engine.address();
-                        engines.push(engine);
-                        (address, BackendKind::Engine)
-                    }
-                    ServiceKind::Plain => {
-                        let plain = Plain::start(&PlainSettings::default())?;
-                        let address = plain.address();
-                        plains.push(plain);
-                        (address, BackendKind::Plain)
-                    }
-                };
+                let (backend, kind) = backends.start_backend(service.kind, engine)?;
                 let settings = lentil_sidecar::Settings {
                     listen: loopback(),
                     backend,
@@ -74,7 +71,7 @@
                 };
                 let sidecar = Sidecar::start(settings).await?;
                 runner.address = sidecar.address();
-                sidecars.push(sidecar);
+                backends.sidecars.push(sidecar);
             }
         }
         let settings = lentil_entry::Settings {
@@ -87,18 +84,45 @@
             metrics: Metrics::local(),
         };
         let entry = Entry::start(settings).await?;
-        Ok(Self {
-            entry,
-            _sidecars: sidecars,
-            _engines: engines,
-            _plains: plains,
-        })
+        Ok(Self { entry, backends })
     }
 
     /// Where the entry listens for callers.
     pub fn address(&self) -> net::SocketAddr {
         self.entry.address()
     }
+
+    /// Where the engines' stand-ins listen.
+    pub fn engines(&self) -> Vec<net::SocketAddr> {
+        self.backends.engines.iter().map(Engine::address).collect()
+    }
+}
+
+impl Backends {
+    fn start_backend(
+        &mut self,
+        kind: ServiceKind,
+        engine: &EngineSettings,
+    ) -> Result<(net::SocketAddr, BackendKind), DemoError> {
+        match kind {
+            ServiceKind::Engine | ServiceKind::KvKeeper => {
+                let boot = BootId(self.engines.len() as u64 + 1);
+                let engine = Engine::start(EngineSettings {
+                    boot,
+                    ..engine.clone()
+                })?;
+                let address = engine.address();
+                self.engines.push(engine);
+                Ok((address, BackendKind::Engine))
+            }
+            ServiceKind::Plain => {
+                let plain = Plain::start(&PlainSettings::default())?;
+                let address = plain.address();
+                self.plains.push(plain);
+                Ok((address, BackendKind::Plain))
+            }
+        }
+    }
 }
 
 fn loopback() -> net::SocketAddr {
--- a/crates/lentilglade/src/lib.rs
+++ b/crates/lentilglade/src/lib.rs
@@ -1,5 +1,6 @@
 //! The newcomer's door: a whole market in one process.
 
+pub mod bench;
 mod demo;
 mod session;
 
--- a/crates/lentilglade/src/main.rs
+++ b/crates/lentilglade/src/main.rs
@@ -5,7 +5,10 @@
 use anyhow::Context as _;
 use lentil_config::Market;
 use lentil_process::{logs, signals};
-use lentilglade::{Demo, Session};
+use lentilglade::{
+    Demo, Session,
+    bench::{self, BenchSettings},
+};
 
 /// Try lentilglade in one process.
 #[derive(argh::FromArgs)]
@@ -18,6 +21,7 @@
 #[argh(subcommand)]
 enum Command {
     Demo(DemoArgs),
+    Bench(BenchArgs),
 }
 
 /// run an entry, sidecars and stand-ins from an operators' text
@@ -32,11 +36,28 @@
     once: bool,
 }
 
+/// measure what entry and sidecar add to a request, on loopback
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "bench")]
+struct BenchArgs {
+    /// requests of each run (default 2000)
+    #[argh(option, default = "BenchSettings::default().requests")]
+    requests: usize,
+    /// requests at once in the runs under load (default 32)
+    #[argh(option, default = "BenchSettings::default().connections")]
+    connections: usize,
+    /// words of each answer (default 32)
+    #[argh(option, default = "BenchSettings::default().words")]
+    words: usize,
+}
+
 fn main() -> anyhow::Result<process::ExitCode> {
     let args: Args = argh::from_env();
     logs::init(logs::Settings::default())?;
-    let Command::Demo(args) = args.command;
-    smol::block_on(demo(args))
+    match args.command {
+        Command::Demo(args) => smol::block_on(demo(args)),
+        Command::Bench(args) => smol::block_on(run_bench(args)),
+    }
 }
 
 async fn demo(args: DemoArgs) -> anyhow::Result<process::ExitCode> {
@@ -84,3 +105,15 @@
     }
     process::ExitCode::FAILURE
 }
+
+async fn run_bench(args: BenchArgs) -> anyhow::Result<process::ExitCode> {
+    let settings = BenchSettings {
+        requests: args.requests.max(1),
+        connections: args.connections.max(1),
+        words: args.words,
+        ..BenchSettings::default()
+    };
+    let pairs = bench::run(settings).await?;
+    print!("{}", bench::table(&pairs));
+    Ok(process::ExitCode::SUCCESS)
+}
