lentilglade bench measures what entry and sidecar add

Cause: nothing measured the path's cost. A stand-in's run no longer ends when another with the same id does.

--- a/crates/lentil_fakes/src/engine/answer.rs
+++ b/crates/lentil_fakes/src/engine/answer.rs
@@ -99,7 +99,13 @@
             ended,
         };
         let write = async { answer.write().await.is_ok() };
-        let cancel = async { cancelled.recv().await.is_err() };
+        let cancel = async {
+            if cancelled.recv().await.is_err() {
+                // Another request with the same id has ended.
+                smol::future::pending::<()>().await;
+            }
+            false
+        };
         let died = async {
             while state.life(|life| life.boot) == boot {
                 smol::Timer::after(LIFE_CHECK).await;
--- a/crates/lentilglade/src/bench/client.rs
+++ b/crates/lentilglade/src/bench/client.rs
@@ -74,15 +74,20 @@
         }
     }
 
-    /// Sends the request with this number and waits for the whole answer.
+    /// Sends a caller's request with this number and waits for the whole answer.
     /// Returns the times to its first byte and to its end.
-    async fn call(&self, number: usize) -> Result<(time::Duration, time::Duration), BenchError> {
+    async fn call(
+        &self,
+        caller: usize,
+        number: usize,
+    ) -> Result<(time::Duration, time::Duration), BenchError> {
         let begin = time::Instant::now();
-        let url = self.urls[number % self.urls.len()].as_str();
+        let url = self.urls[(caller + number) % self.urls.len()].as_str();
         let conn = self
             .client
             .post(url)
             .with_request_header("authorization", "Bearer demo-recycler-a")
+            .with_request_header("x-request-id", format!("{caller}-{number}"))
             .with_body(self.body.clone());
         let mut conn = conn.await?;
         let status = conn.status().map_or(0, |status| status as u16);
@@ -143,7 +148,7 @@
         if time::Instant::now() >= until {
             break;
         }
-        let (first, whole) = target.call(caller + number).await?;
+        let (first, whole) = target.call(caller, number).await?;
         figures.record(first, whole);
     }
     Ok(figures)
--- a/crates/lentilglade/src/bench/figures.rs
+++ b/crates/lentilglade/src/bench/figures.rs
@@ -6,6 +6,8 @@
 
 /// Digits to which times are kept.
 const DIGITS: u8 = 3;
+/// Longest time that is told apart, in microseconds.
+const MAX_MICROS: u64 = 60_000_000;
 
 /// What a run came to.
 #[derive(Debug)]
@@ -22,7 +24,8 @@
 
 impl Figures {
     pub(super) fn new() -> Self {
-        let histogram = || Histogram::new(DIGITS).expect("3 digits are allowed");
+        let histogram =
+            || Histogram::new_with_max(MAX_MICROS, DIGITS).expect("these bounds are allowed");
         Self {
             requests: 0,
             took: time::Duration::ZERO,
