Processes can ask each other for documents that are newer

Cause: Ask and Text carry the operators' text alone, whole, and not its age. Change: Sync and Synced (minor version 2) carry every synced document, as edits where the asker's version is known, with how long ago the store confirmed it. Conclusion: config_sync can run over lentil_wire.

--- a/crates/lentil_wire/src/convert.rs
+++ b/crates/lentil_wire/src/convert.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    ConvertError, generated,
+    ConvertError, convert_sync, generated,
     generated::message::Body,
     message::{self, Message},
 };
@@ -52,6 +52,8 @@
                 reason: reason as u32,
             }),
             Self::Watch => Body::Watch(generated::Watch {}),
+            Self::Sync(sync) => Body::Sync(convert_sync::sync_out(&sync)),
+            Self::Synced(synced) => Body::Synced(convert_sync::synced_out(synced)),
         }
     }
 
@@ -85,6 +87,8 @@
             }),
             Body::Refused(refused) => Self::Refused(reason_in(refused.reason)?),
             Body::Watch(_) => Self::Watch,
+            Body::Sync(sync) => Self::Sync(convert_sync::sync_in(&sync)?),
+            Body::Synced(synced) => Self::Synced(convert_sync::synced_in(synced)?),
             Body::Hello(_) | Body::Challenge(_) | Body::Proof(_) | Body::Welcome(_) => {
                 return Err(ConvertError::Missing("place for a handshake"));
             }
@@ -114,18 +118,22 @@
     })
 }
 
-fn micros(span: time::Duration) -> u64 {
+pub(crate) fn micros(span: time::Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
 
-fn unknown<T>(value: Option<T>, kind: &'static str, from: u32) -> Result<T, ConvertError> {
+pub(crate) fn unknown<T>(
+    value: Option<T>,
+    kind: &'static str,
+    from: u32,
+) -> Result<T, ConvertError> {
     value.ok_or(ConvertError::Unknown {
         kind,
         value: u64::from(from),
     })
 }
 
-fn small(value: u32) -> u8 {
+pub(crate) fn small(value: u32) -> u8 {
     u8::try_from(value).unwrap_or(u8::MAX)
 }
 
--- a/crates/lentil_wire/src/handshake.rs
+++ b/crates/lentil_wire/src/handshake.rs
@@ -21,7 +21,7 @@
 /// Major version of the messages. Another one is refused.
 pub const MAJOR: u32 = 1;
 /// Minor version of the messages. A higher one adds kinds of messages.
-pub const MINOR: u32 = 1;
+pub const MINOR: u32 = 2;
 
 /// Longest handshake, from the connection on.
 pub(crate) const TIMEOUT: time::Duration = time::Duration::from_secs(5);
--- a/crates/lentil_wire/src/lib.rs
+++ b/crates/lentil_wire/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod codec;
 mod convert;
+mod convert_sync;
 mod error;
 mod exchange;
 #[allow(
@@ -34,7 +35,7 @@
 pub use exchange::{Exchange, Receiver, Sender};
 pub use handshake::{FleetKey, Identity, MAJOR, MINOR};
 pub use link::Link;
-pub use message::{ConfigText, Message, PoisonNotice};
+pub use message::{ConfigText, Message, PoisonNotice, Sync, Synced};
 pub use peer::Peer;
 pub use strangers::{StrangerSettings, Strangers};
 pub use usage::MAX_BUFFERED_BYTES;
--- a/crates/lentil_wire/src/message.rs
+++ b/crates/lentil_wire/src/message.rs
@@ -1,10 +1,12 @@
 //! The messages.
 
-use lentil_policy::protocol;
-use lentil_types::{AttemptId, ConfigVersion, FailReason, Fingerprint};
+use std::time;
+
+use lentil_policy::{config_sync, protocol};
+use lentil_types::{AttemptId, BootId, ConfigVersion, FailReason, Fingerprint, RunnerState};
 
 /// Members of `Message.body` in the schema.
-pub(crate) const MEMBERS: u32 = 20;
+pub(crate) const MEMBERS: u32 = 22;
 
 /// A configuration text and its version.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,6 +26,28 @@
     pub crashes: u32,
 }
 
+/// Asks a peer for every document that is newer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sync {
+    /// What the asker has.
+    pub known: Vec<config_sync::Known>,
+    /// Longest that the peer may wait for something newer.
+    pub wait: time::Duration,
+}
+
+/// Answer to a [`Sync`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Synced {
+    /// Which life of the peer answers.
+    pub boot: BootId,
+    /// How the peer is.
+    pub state: RunnerState,
+    /// What the peer has.
+    pub known: Vec<config_sync::Known>,
+    /// What is newer than the asker's.
+    pub reply: config_sync::Reply,
+}
+
 /// A message after the handshake.
 #[derive(Clone, Debug, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -66,6 +90,10 @@
     Refused(FailReason),
     /// Asks for every [`Message::Poison`] from now on. The stream stays open.
     Watch,
+    /// Asks for every document that is newer.
+    Sync(Sync),
+    /// Answers a [`Message::Sync`].
+    Synced(Synced),
 }
 
 impl Message {
@@ -78,6 +106,7 @@
     pub fn since(&self) -> u32 {
         match self {
             Self::Watch => 1,
+            Self::Sync(_) | Self::Synced(_) => 2,
             _ => 0,
         }
     }
--- /dev/null
+++ b/crates/lentil_wire/tests/sync.rs
@@ -0,0 +1,52 @@
+//! Messages about documents come back as they were written.
+
+use std::time;
+
+use bytes::BytesMut;
+use lentil_policy::{
+    config_sync::{Body, Doc, Edit, Known, Reply, Update},
+    store::ObjectVersion,
+};
+use lentil_types::{BootId, RunnerState};
+use lentil_wire::{Message, Sync, Synced, decode, encode};
+use rstest::rstest;
+
+fn known() -> Vec<Known> {
+    vec![Known {
+        doc: Doc::Poison,
+        version: ObjectVersion(7),
+    }]
+}
+
+fn synced(body: Body, age: Option<time::Duration>) -> Message {
+    let update = Update {
+        doc: Doc::Config,
+        version: ObjectVersion(9),
+        body,
+    };
+    Message::Synced(Synced {
+        boot: BootId(3),
+        state: RunnerState::Live,
+        known: known(),
+        reply: Reply {
+            updates: vec![update],
+            age,
+        },
+    })
+}
+
+fn edits() -> Body {
+    Body::Edits {
+        base: ObjectVersion(8),
+        edits: vec![Edit::between(b"old", b"gold")],
+    }
+}
+
+#[rstest]
+#[case::ask(Message::Sync(Sync { known: known(), wait: time::Duration::from_secs(2) }))]
+#[case::whole(synced(Body::Whole(b"text".to_vec()), None))]
+#[case::edits(synced(edits(), Some(time::Duration::from_micros(5))))]
+fn a_message_reads_back_as_it_was_written(#[case] message: Message) {
+    let mut buffer = BytesMut::from(&encode(message.clone()).expect("encoded")[..]);
+    assert_eq!(decode(&mut buffer).expect("decoded"), Some(message));
+}
