--- a/crates/lentil_policy/src/entry/attempts.rs
+++ b/crates/lentil_policy/src/entry/attempts.rs
@@ -100,6 +100,13 @@
             return;
         };
         let end = call.trusted(now, end);
+        if let Stage::Withdrawing { reason, .. } = call.stage {
+            if end.outcome == Outcome::NotRun {
+                self.settle_failed(now, runner, request, end.outcome);
+            }
+            self.finish_failed(request, end.outcome, reason);
+            return;
+        }
         let work = call.arrival.work.clone();
         let (reason, retry) = (end.reason, end.retry);
         call.last_failure = Some(LastFailure { reason, retry });
@@ -151,9 +158,8 @@
         };
         let repeatable = !call.arrival.once || end.outcome == Outcome::NotRun;
         let in_bounds = call.attempt.0 < self.settings.max_attempts && now < call.arrival.deadline;
-        let withdrawing = matches!(call.stage, Stage::Withdrawing { .. });
         let restarts = call.held.is_some() || call.arrival.work.model.is_some() || !call.head_sent;
-        repeatable && in_bounds && !withdrawing && restarts && self.retries.take()
+        repeatable && in_bounds && restarts && self.retries.take()
     }
 
     fn try_again(
