--- a/crates/lentil_policy/src/queue/fifo.rs
+++ b/crates/lentil_policy/src/queue/fifo.rs
@@ -64,10 +64,16 @@
         self.jobs.remove(at)
     }
 
+    fn on_started(&mut self, _now: Instant, _id: AttemptId) {}
+
     fn finish(&mut self, _now: Instant, id: AttemptId, _usage: &protocol::Usage) {
         self.running.retain(|job| job.id != id);
     }
 
+    fn expected_cached(&self, _work: &protocol::Work, cached: Pieces) -> Pieces {
+        cached
+    }
+
     fn expected_wait(
         &self,
         _now: Instant,
--- a/crates/lentil_replay/src/commands/mod.rs
+++ b/crates/lentil_replay/src/commands/mod.rs
@@ -1,3 +1,4 @@
 //! One module a subcommand.
 
+pub mod compare;
 pub mod generate;
