--- a/crates/lentil_replay/src/sim.rs
+++ b/crates/lentil_replay/src/sim.rs
@@ -554,6 +554,11 @@
             let waited = self.now.since(since).as_micros() as u64;
             self.report.on_wait(class, waited);
         }
+        if !self.runners[runner].is_up {
+            let fault = sidecar::EngineFault::Unreachable;
+            self.tell_sidecar(runner, sidecar::Event::EngineFailed { id, fault });
+            return;
+        }
         let is_engine = self.runners[runner].is_engine;
         let output = if is_engine {
             work.output
