Failures of engines, sidecars and entries are brought about and checked

Cause: nothing showed that stops cut no stream, that a dead engine's cache, another team's prefix or other weights are not relied on, or that given-up work ends. Change: lentil_tests with fixtures in one place; tests with the real code in one process and with the real binaries, stopped, killed and frozen. An engine gets the weights that a request was routed for and refuses others when it begins.

--- a/crates/lentil_fakes/src/engine/api.rs
+++ b/crates/lentil_fakes/src/engine/api.rs
@@ -194,8 +194,12 @@
         let _ = state.crash.send(()).await;
         smol::future::pending::<()>().await;
     }
-    let Some(run) = compute(&state, request).await else {
-        return refuse(conn, 409, "the text said is not how this answer begins");
+    let run = match compute(&state, request).await {
+        Ok(run) => run,
+        Err(Refusal::Weights) => return refuse(conn, 412, "other weights are loaded"),
+        Err(Refusal::Text) => {
+            return refuse(conn, 409, "the text said is not how this answer begins");
+        }
     };
     let cached = run.cached.to_string();
     let body = trillium::Body::new_streaming(answer::start(&state, run), None);
@@ -204,17 +208,28 @@
         .ok(body)
 }
 
+/// Why a request does not run.
+enum Refusal {
+    /// It was routed for other weights.
+    Weights,
+    /// Its answer would begin otherwise.
+    Text,
+}
+
 /// Waits for a slot and computes what is not cached of a prompt.
-async fn compute(state: &Arc<State>, request: Request) -> Option<Run> {
+async fn compute(state: &Arc<State>, request: Request) -> Result<Run, Refusal> {
     let waiting = Waiting::new(state, request.prompt_tokens());
-    let slot = state.slots.take(request.class).await?;
+    let slot = state.slots.take(request.class).await;
     let running = Running::new(state);
     let (weights, cached) = state.life(|life| {
         let cached = life.cache.leading(&request.salt, &request.pieces);
         (life.weights, cached)
     });
+    if request.weights.is_some_and(|wanted| wanted != weights) {
+        return Err(Refusal::Weights);
+    }
     if !request.is_resumable(weights) {
-        return None;
+        return Err(Refusal::Text);
     }
     let tokens = request.prompt_tokens().0 - request.cached_tokens(cached).0;
     smol::Timer::after(prefill_time(state, tokens)).await;
@@ -223,7 +238,7 @@
     state.store(&request.salt, &request.pieces);
     let (fault, delay) = state.switches(|switches| (switches.streams.pop_front(), switches.delay));
     smol::Timer::after(delay).await;
-    Some(Run {
+    Ok(Run {
         request,
         weights,
         cached,
--- a/crates/lentil_fakes/src/engine/mod.rs
+++ b/crates/lentil_fakes/src/engine/mod.rs
@@ -189,6 +189,11 @@
         self.state.life(|life| life.running)
     }
 
+    /// Prompt tokens that wait or are being computed.
+    pub fn waiting(&self) -> Tokens {
+        self.state.life(|life| life.waiting)
+    }
+
     /// Requests that were cancelled, over all lives.
     pub fn cancelled(&self) -> u64 {
         self.state.counters(|counters| counters.cancelled)
--- a/crates/lentil_fakes/src/engine/request.rs
+++ b/crates/lentil_fakes/src/engine/request.rs
@@ -22,6 +22,8 @@
     pub(super) shape: Shape,
     pub(super) model: String,
     pub(super) class: Class,
+    /// Weights that the request was routed for.
+    pub(super) weights: Option<WeightsVersion>,
     pub(super) salt: String,
     pub(super) pieces: Vec<PieceHash>,
     pub(super) body: String,
@@ -51,6 +53,7 @@
             shape,
             model: json["model"].as_str()?.to_owned(),
             class: class.unwrap_or_default(),
+            weights: header("x-weights").parse().ok(),
             salt: header("x-cache-salt").to_owned(),
             pieces: header("x-cache-pieces")
                 .split(',')
--- a/crates/lentil_fakes/src/engine/slots.rs
+++ b/crates/lentil_fakes/src/engine/slots.rs
@@ -34,7 +34,7 @@
     }
 
     /// Waits for a slot, behind every more urgent or earlier request.
-    pub(super) async fn take(&self, class: Class) -> Option<Slot> {
+    pub(super) async fn take(&self, class: Class) -> Slot {
         let (wake, woken) = smol::channel::bounded(1);
         {
             let mut inner = self.0.lock().expect("no holder panics");
@@ -47,7 +47,8 @@
             });
         }
         self.hand_out();
-        woken.recv().await.ok()
+        let slot = woken.recv().await;
+        slot.expect("a waiter's sender lives until it has sent")
     }
 
     /// Gives free slots to the waiters whose turn it is.
--- a/crates/lentil_sidecar/src/backend/engine.rs
+++ b/crates/lentil_sidecar/src/backend/engine.rs
@@ -26,8 +26,8 @@
     let mut conn = request::send(backend, &dispatch.call, headers(dispatch), body).await?;
     match request::answer_status(&conn) {
         200 => stream(&mut conn, dispatch, reporter).await,
-        // 409: the answer cannot go on here.
-        status @ (409 | 429 | 503) => Err(BackendError::Refused(status)),
+        // 409: the answer cannot go on here. 412: other weights are loaded.
+        status @ (409 | 412 | 429 | 503) => Err(BackendError::Refused(status)),
         400..500 if dispatch.resume.is_none() => pass_error(&mut conn, reporter).await,
         status => Err(BackendError::Status(status)),
     }
@@ -39,6 +39,7 @@
     vec![
         ("x-request-id", request::name(dispatch.offer.id)),
         ("x-priority", (work.class as u8).to_string()),
+        ("x-weights", work.weights.to_string()),
         ("x-cache-pieces", pieces.join(",")),
     ]
 }
--- /dev/null
+++ b/crates/lentil_tests/src/fleet.rs
@@ -0,0 +1,215 @@
+//! Entries, sidecars and stand-ins in this process.
+
+use std::{fmt::Write as _, net, sync::Arc};
+
+use lentil_config::Market;
+use lentil_entry::Entry;
+use lentil_fakes::{Engine, EngineSettings, Plain, PlainSettings};
+use lentil_platform::Memory;
+use lentil_process::metrics::Metrics;
+use lentil_sidecar::{BackendKind, Sidecar};
+use lentil_types::{BootId, ConfigVersion, NodeName};
+use lentil_wire::Identity;
+
+use crate::{Caller, store::SharedStore, wait};
+
+/// The fleet key of tests.
+pub const KEY: &str = "the fleet key of tests on loopback";
+/// The model of tests.
+pub const MODEL: &str = "test-model";
+
+/// Settings of a [`Fleet`].
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// Runners of the model.
+    pub engines: usize,
+    /// Entries.
+    pub entries: usize,
+    /// What every engine is like. Each has its own boot ids.
+    pub engine: EngineSettings,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            engines: 2,
+            entries: 1,
+            engine: EngineSettings::default(),
+        }
+    }
+}
+
+/// Entries, sidecars and stand-ins in this process.
+pub struct Fleet {
+    /// Engines, one a runner.
+    pub engines: Vec<Engine>,
+    /// The plain service.
+    pub plain: Plain,
+    /// Sidecars of the engines, in the same order, then the plain service's.
+    /// Taking one out kills it.
+    pub sidecars: Vec<Option<Sidecar>>,
+    /// Entries. Taking one out kills it.
+    pub entries: Vec<Option<Entry>>,
+}
+
+impl Fleet {
+    /// Starts everything and waits until every backend server is up.
+    ///
+    /// # Panics
+    /// When a part cannot start.
+    pub async fn start(settings: FleetSettings) -> Self {
+        let mut engines = Vec::new();
+        let mut sidecars = Vec::new();
+        for number in 0..settings.engines as u64 {
+            let engine = EngineSettings {
+                boot: BootId(1_000 * (number + 1)),
+                ..settings.engine.clone()
+            };
+            let engine = Engine::start(engine).expect("an engine starts");
+            sidecars.push(sidecar(engine.address(), BackendKind::Engine).await);
+            engines.push(engine);
+        }
+        let plain = Plain::start(&PlainSettings::default()).expect("the service starts");
+        sidecars.push(sidecar(plain.address(), BackendKind::Plain).await);
+        let addresses: Vec<_> = sidecars.iter().map(Sidecar::address).collect();
+        let text = market_text(&addresses[..settings.engines], addresses[settings.engines]);
+        let market = Arc::new(Market::parse(&text).expect("the text is valid"));
+        let store = Arc::new(Memory::new());
+        let mut entries = Vec::new();
+        for _ in 0..settings.entries {
+            entries.push(Some(entry(market.clone(), store.clone()).await));
+        }
+        let fleet = Self {
+            engines,
+            plain,
+            sidecars: sidecars.into_iter().map(Some).collect(),
+            entries,
+        };
+        fleet.ready().await;
+        fleet
+    }
+
+    /// A caller of the first team at an entry.
+    ///
+    /// # Panics
+    /// When the entry was taken out.
+    pub fn caller(&self, entry: usize) -> Caller {
+        self.caller_of(entry, "alpha")
+    }
+
+    /// A caller of a team at an entry.
+    ///
+    /// # Panics
+    /// When the entry was taken out.
+    pub fn caller_of(&self, entry: usize, team: &str) -> Caller {
+        let entry = self.entries[entry].as_ref().expect("the entry runs");
+        Caller::new(entry.address(), team)
+    }
+
+    /// Waits until an engine runs a request and returns its place.
+    pub async fn busy_engine(&self) -> usize {
+        let busy = || self.engines.iter().position(|engine| engine.running() > 0);
+        wait::until("an engine runs the request", || busy().is_some()).await;
+        busy().unwrap_or_default()
+    }
+
+    async fn ready(&self) {
+        use lentil_process::admin::Subject as _;
+        for sidecar in self.sidecars.iter().flatten() {
+            let subject = sidecar.subject();
+            wait::until("a sidecar is ready", || subject.ready().is_ok()).await;
+        }
+    }
+}
+
+async fn sidecar(backend: net::SocketAddr, kind: BackendKind) -> Sidecar {
+    let settings = lentil_sidecar::Settings {
+        listen: loopback(),
+        backend,
+        kind,
+        identity: identity("sidecar"),
+        metrics: Metrics::local(),
+    };
+    Sidecar::start(settings).await.expect("a sidecar starts")
+}
+
+async fn entry(market: Arc<Market>, store: Arc<Memory>) -> Entry {
+    let settings = lentil_entry::Settings {
+        listen: loopback(),
+        identity: identity("entry"),
+        version: ConfigVersion(1),
+        market,
+        store: Arc::new(SharedStore(store)),
+        limits: lentil_entry::Limits::default(),
+        metrics: Metrics::local(),
+    };
+    Entry::start(settings).await.expect("an entry starts")
+}
+
+fn loopback() -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A process of the tests' fleet.
+///
+/// # Panics
+/// When `node` is not a name.
+pub fn identity(node: &str) -> Identity {
+    Identity {
+        node: NodeName::new(node).expect("the name is well formed"),
+        key: KEY.parse().expect("the key is long enough"),
+    }
+}
+
+/// An operators' text: a model with one runner at each of `engines`, a plain
+/// service at `plain` whose `POST /release` runs at most once, and two teams
+/// that do not share a cache.
+pub fn market_text(engines: &[net::SocketAddr], plain: net::SocketAddr) -> String {
+    let mut runners = String::new();
+    for (number, address) in engines.iter().enumerate() {
+        let _ = writeln!(
+            runners,
+            "    {{ name = \"engine-{number}\", place = \"hall\", address = \"{address}\" }},"
+        );
+    }
+    format!(
+        r#"region = "region"
+
+[[place]]
+name = "hall"
+
+[[model]]
+name = "{MODEL}"
+service = "engines"
+weights = 1
+
+[[service]]
+name = "engines"
+kind = "engine"
+reports_load = true
+runners = [
+{runners}]
+
+[[service]]
+name = "desk"
+kind = "plain"
+once = [{{ method = "POST", path = "/release" }}]
+runners = [{{ name = "desk-0", place = "hall", address = "{plain}" }}]
+
+[[team]]
+name = "alpha"
+scope = "alpha"
+keys = ["{ALPHA_KEY}"]
+
+[[team]]
+name = "beta"
+scope = "beta"
+keys = ["{BETA_KEY}"]
+"#
+    )
+}
+
+/// SHA-256 of `demo-alpha`.
+const ALPHA_KEY: &str = "5bff3ad2afa32f97bd6af0f4a9901aad72a21b9f711fb6d82e2648dbc18e8575";
+/// SHA-256 of `demo-beta`.
+const BETA_KEY: &str = "bd8d5594aaf4c5724cf7b0890ccb59f6604028bf36873ccc0e6a1c4d5765cf0e";
