--- a/crates/lentil_tests/src/process.rs
+++ b/crates/lentil_tests/src/process.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{BufRead as _, BufReader},
     net, path, process,
-    sync::{Mutex, OnceLock, mpsc},
+    sync::{OnceLock, mpsc},
     thread,
 };
 
@@ -15,7 +15,7 @@
 /// A real binary as a process of its own. It is killed when dropped.
 pub struct Process {
     child: process::Child,
-    lines: Mutex<mpsc::Receiver<String>>,
+    lines: mpsc::Receiver<String>,
     /// Where it serves.
     pub address: net::SocketAddr,
     /// Where its admin server listens.
@@ -41,7 +41,7 @@
         let lines = follow(child.stderr.take().expect("standard error is piped"));
         let mut process = Self {
             child,
-            lines: Mutex::new(lines),
+            lines,
             address: net::SocketAddr::from(([127, 0, 0, 1], 0)),
             admin: net::SocketAddr::from(([127, 0, 0, 1], 0)),
         };
@@ -90,12 +90,8 @@
     }
 
     /// Every log line that was not read yet, after the process has ended.
-    ///
-    /// # Panics
-    /// When another reader has panicked.
     pub fn rest_of_log(&self) -> Vec<String> {
-        let lines = self.lines.lock().expect("no holder panics");
-        lines.iter().collect()
+        self.lines.iter().collect()
     }
 
     /// Waits for a log line that has `part` in it.
@@ -103,12 +99,11 @@
     /// # Panics
     /// When none comes.
     pub async fn line_with(&self, part: &str) -> String {
-        let lines = self.lines.lock().expect("no holder panics");
         let mut seen = Vec::new();
         let found = |lines: &[String]| lines.iter().any(|line| line.contains(part));
         wait::until(part, || {
             let open = loop {
-                match lines.try_recv() {
+                match self.lines.try_recv() {
                     Ok(line) => seen.push(line),
                     Err(error) => break error == mpsc::TryRecvError::Empty,
                 }
--- a/crates/lentil_tests/src/raw.rs
+++ b/crates/lentil_tests/src/raw.rs
@@ -117,5 +117,6 @@
         key: None,
         fingerprint: Fingerprint(request as u64),
         isolated: false,
+        recover: false,
     })
 }
