--- a/crates/lentil_entry/src/control.rs
+++ b/crates/lentil_entry/src/control.rs
@@ -45,9 +45,13 @@
         true
     }
 
-    /// Refuses a fingerprint from now on.
-    pub fn poison(&self, fingerprint: Fingerprint) {
-        self.tell(entry::Event::Poison(fingerprint));
+    /// A fingerprint crashed engines: after one crash it runs alone, after two
+    /// it is refused.
+    pub fn crashed(&self, fingerprint: Fingerprint, crashes: u32) {
+        self.tell(entry::Event::Crashed {
+            fingerprint,
+            crashes,
+        });
     }
 
     fn tell(&self, event: entry::Event) {
--- a/crates/lentil_policy/src/entry/attempts.rs
+++ b/crates/lentil_policy/src/entry/attempts.rs
@@ -2,9 +2,9 @@
 
 use std::time;
 
-use lentil_types::{AttemptId, FailReason, Instant, Outcome, RequestId, RunnerName};
+use lentil_types::{Attempt, AttemptId, FailReason, Instant, Outcome, RequestId, RunnerName};
 
-use crate::{claim, entry, protocol, route};
+use crate::{claim, entry, poison, protocol, route};
 
 use super::{
     EntryPolicy,
@@ -14,6 +14,8 @@
 
 /// Delay of the third attempt; doubles with each further one.
 const BACKOFF: time::Duration = time::Duration::from_millis(10);
+/// Most doublings of [`BACKOFF`].
+const MAX_DOUBLINGS: u32 = 6;
 /// How far the clocks of two entries may differ.
 const MAX_SKEW: time::Duration = time::Duration::from_secs(30);
 
@@ -111,6 +113,10 @@
         let (reason, retry) = (end.reason, end.retry);
         call.last_failure = Some(LastFailure { reason, retry });
         call.may_have_run |= end.outcome == Outcome::Unknown && call.follows.is_none();
+        match end.outcome {
+            Outcome::NotRun => call.refusals += 1,
+            Outcome::Done | Outcome::Unknown => call.failures += 1,
+        }
         self.router.on_verdict(now, runner, &work, end.verdict());
         let broken = end.reason == FailReason::BrokenStream;
         if self
@@ -145,7 +151,8 @@
                 self.suspects.is_poison(now, fingerprint)
             }
             FailReason::Poison => {
-                self.suspects.condemn(now, fingerprint);
+                self.suspects
+                    .learn(now, fingerprint, poison::POISON_CRASHES);
                 true
             }
             _ => false,
@@ -157,7 +164,11 @@
             return false;
         };
         let repeatable = !call.arrival.once || end.outcome == Outcome::NotRun;
-        let in_bounds = call.attempt.0 < self.settings.max_attempts && now < call.arrival.deadline;
+        let more = match end.outcome {
+            Outcome::NotRun => call.refusals < self.settings.max_refusals,
+            Outcome::Done | Outcome::Unknown => call.failures < self.settings.max_attempts,
+        };
+        let in_bounds = more && now < call.arrival.deadline;
         let restarts = call.held.is_some() || call.arrival.work.model.is_some() || !call.head_sent;
         repeatable && in_bounds && restarts && self.retries.take()
     }
@@ -180,7 +191,7 @@
         call.attempt = call.attempt.next();
         call.recovering = false;
         call.heard = false;
-        let at = now + backoff(call.attempt.0);
+        let at = now + backoff(call.attempt);
         if let Some(id) = followed {
             self.followers.remove(&id);
         }
@@ -281,9 +292,10 @@
     }
 }
 
-fn backoff(attempt: u32) -> time::Duration {
-    match attempt.checked_sub(3) {
-        Some(doublings) => BACKOFF * 2_u32.saturating_pow(doublings.min(6)),
+/// Time before an attempt.
+fn backoff(attempt: Attempt) -> time::Duration {
+    match attempt.0.checked_sub(3) {
+        Some(doublings) => BACKOFF * 2_u32.saturating_pow(doublings.min(MAX_DOUBLINGS)),
         None => time::Duration::ZERO,
     }
 }
--- a/crates/lentil_policy/src/entry/call.rs
+++ b/crates/lentil_policy/src/entry/call.rs
@@ -55,6 +55,10 @@
     pub(super) arrival: Box<entry::Arrival>,
     pub(super) attempt: Attempt,
     pub(super) stage: Stage,
+    /// Attempts that were refused.
+    pub(super) refusals: u32,
+    /// Attempts that may have run and gave no whole answer.
+    pub(super) failures: u32,
     /// Runners that failed it.
     pub(super) failed: Vec<RunnerName>,
     pub(super) last_failure: Option<LastFailure>,
@@ -87,6 +91,8 @@
             arrival,
             attempt: Attempt::FIRST,
             stage: Stage::New { at: Instant::ZERO },
+            refusals: 0,
+            failures: 0,
             failed: Vec::new(),
             last_failure: None,
             may_have_run: false,
--- a/crates/lentil_policy/src/entry/message.rs
+++ b/crates/lentil_policy/src/entry/message.rs
@@ -62,8 +62,14 @@
     /// The time of day, since the Unix epoch. Told at the start and every few
     /// minutes; until then no call is claimed.
     Clock(time::Duration),
-    /// Every entry refuses this fingerprint from now on.
-    Poison(Fingerprint),
+    /// A fingerprint crashed engines, here or elsewhere. After one crash it runs
+    /// alone, after two it is refused.
+    Crashed {
+        /// The fingerprint.
+        fingerprint: Fingerprint,
+        /// Crashes seen with it.
+        crashes: u32,
+    },
     /// The store answered.
     Store(store::StoreReply),
     /// The process stops: what is in flight goes on, nothing new begins.
--- a/crates/lentil_policy/src/entry/planning.rs
+++ b/crates/lentil_policy/src/entry/planning.rs
@@ -54,7 +54,7 @@
     fn carry_out(&mut self, now: Instant, offer: &protocol::Offer, plan: route::Plan) {
         let request = offer.id.request;
         match plan {
-            route::Plan::Direct { name, boot } => self.prepare(now, request, name, boot),
+            route::Plan::Direct(runner) => self.prepare(now, request, runner, None),
             route::Plan::Ask(asked) => {
                 for runner in &asked {
                     self.commands
@@ -129,6 +129,7 @@
         if !recover {
             call.sent_at = now;
         }
+        call.isolated |= self.suspects.is_suspect(now, call.arrival.fingerprint);
         call.heard = false;
         call.restart_held();
         call.stream.reopen(boot);
--- a/crates/lentil_policy/src/entry/policy.rs
+++ b/crates/lentil_policy/src/entry/policy.rs
@@ -18,8 +18,10 @@
 pub struct Settings {
     /// How long bids are waited for.
     pub bid_wait: time::Duration,
-    /// Most attempts at one request.
+    /// Most attempts at one request that may have run.
     pub max_attempts: u32,
+    /// Most refusals of one request.
+    pub max_refusals: u32,
     /// How long past the deadline a proof is waited for that a request never
     /// started.
     pub withdraw_wait: time::Duration,
@@ -42,6 +44,7 @@
         Self {
             bid_wait: time::Duration::from_millis(15),
             max_attempts: 3,
+            max_refusals: 8,
             withdraw_wait: time::Duration::from_millis(250),
             poll: time::Duration::from_millis(100),
             recover_after: time::Duration::from_secs(1),
@@ -102,7 +105,10 @@
             entry::Event::Lost { runner, id, sent } => self.on_lost(now, &runner, id, sent),
             entry::Event::Load(runner, load) => self.router.on_load(now, &runner, &load),
             entry::Event::Runners(runners) => self.router.set_runners(now, &runners),
-            entry::Event::Poison(fingerprint) => self.on_poison(now, fingerprint),
+            entry::Event::Crashed {
+                fingerprint,
+                crashes,
+            } => self.on_crashed(now, fingerprint, crashes),
             entry::Event::Clock(unix) => self.ledger.set_clock(now, unix),
             entry::Event::Store(reply) => self.ledger.on_reply(now, reply),
             entry::Event::Drain => self.draining = true,
@@ -180,9 +186,13 @@
         self.forget(request);
     }
 
-    /// Refuses a fingerprint from now on, also where it has not started yet.
-    fn on_poison(&mut self, now: Instant, fingerprint: Fingerprint) {
-        self.suspects.condemn(now, fingerprint);
+    /// Refuses a fingerprint that is poison from now on, also where it has not
+    /// started yet.
+    fn on_crashed(&mut self, now: Instant, fingerprint: Fingerprint, crashes: u32) {
+        self.suspects.learn(now, fingerprint, crashes);
+        if !self.suspects.is_poison(now, fingerprint) {
+            return;
+        }
         let waits = |call: &Call| matches!(call.stage, Stage::New { .. } | Stage::Asking { .. });
         let refused = |(request, call): (&RequestId, &Call)| {
             (call.arrival.fingerprint == fingerprint && waits(call)).then_some(*request)
--- a/crates/lentil_policy/src/poison/document.rs
+++ b/crates/lentil_policy/src/poison/document.rs
@@ -1,12 +1,14 @@
-//! What every entry is told to refuse.
+//! What every entry is told to run alone or to refuse.
 
 use std::time;
 
 use lentil_types::Fingerprint;
 
-/// Most entries of a document. The oldest go first.
+use super::POISON_CRASHES;
+
+/// Most entries of a document. Suspects go before poison, the oldest first.
 pub const MAX_ENTRIES: usize = 4_096;
-/// How long a fingerprint is refused after its last crash.
+/// How long a fingerprint is remembered after its last crash.
 pub const RETENTION: time::Duration = time::Duration::from_secs(24 * 3_600);
 
 /// A stored poison document could not be read.
@@ -14,7 +16,7 @@
 #[error("a poison document is not well formed: {0}")]
 pub struct DocumentError(#[from] serde_json::Error);
 
-/// A fingerprint that is refused.
+/// A fingerprint that crashed engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// The fingerprint.
@@ -29,7 +31,7 @@
 /// The platform object of kind `poison`, as JSON.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Document {
-    /// What is refused, sorted by fingerprint.
+    /// Suspects and poison, sorted by fingerprint.
     pub entries: Vec<Entry>,
 }
 
@@ -76,9 +78,10 @@
         *self != old
     }
 
-    /// Whether a fingerprint is refused.
-    pub fn contains(&self, fingerprint: Fingerprint) -> bool {
-        self.find(fingerprint).is_ok()
+    /// Crashes counted for a fingerprint.
+    pub fn crashes(&self, fingerprint: Fingerprint) -> u32 {
+        let found = self.find(fingerprint);
+        found.map_or(0, |at| self.entries[at].crashes)
     }
 
     fn expire(&mut self, unix: time::Duration) {
@@ -86,7 +89,8 @@
         self.entries.retain(|entry| entry.seen >= oldest);
         while self.entries.len() > MAX_ENTRIES {
             let ages = self.entries.iter().enumerate();
-            let Some((at, _)) = ages.min_by_key(|(_, entry)| entry.seen) else {
+            let worth = |entry: &Entry| (entry.crashes >= POISON_CRASHES, entry.seen);
+            let Some((at, _)) = ages.min_by_key(|(_, entry)| worth(entry)) else {
                 return;
             };
             self.entries.remove(at);
--- a/crates/lentil_policy/src/poison/mod.rs
+++ b/crates/lentil_policy/src/poison/mod.rs
@@ -6,4 +6,4 @@
 mod suspects;
 
 pub use document::{Document, DocumentError, Entry, MAX_ENTRIES, RETENTION};
-pub use suspects::{Suspects, SuspectsSettings};
+pub use suspects::{POISON_CRASHES, Suspects, SuspectsSettings};
--- a/crates/lentil_policy/src/poison/suspects.rs
+++ b/crates/lentil_policy/src/poison/suspects.rs
@@ -30,7 +30,7 @@
 
 /// Crashes that make a fingerprint poison. The second counts only when nothing
 /// else ran beside it.
-const POISON_CRASHES: u32 = 2;
+pub const POISON_CRASHES: u32 = 2;
 
 /// Counts the crashes of each fingerprint. After the first one it runs alone,
 /// so that the second one is its own.
@@ -66,10 +66,12 @@
         crashes
     }
 
-    /// It was found to be poison elsewhere.
-    pub fn condemn(&mut self, now: Instant, fingerprint: Fingerprint) {
-        let (crashes, seen) = (POISON_CRASHES, now);
-        self.table.insert(fingerprint, Suspect { crashes, seen });
+    /// Crashes were counted elsewhere.
+    pub fn learn(&mut self, now: Instant, fingerprint: Fingerprint, crashes: u32) {
+        let suspect = Suspect { crashes, seen: now };
+        let known = self.table.get_or_insert_with(fingerprint, || suspect);
+        known.crashes = known.crashes.max(crashes);
+        known.seen = now;
         self.bound();
     }
 
--- a/crates/lentil_policy/src/route/least_loaded.rs
+++ b/crates/lentil_policy/src/route/least_loaded.rs
@@ -65,10 +65,7 @@
             .filter(|row| !exclude.contains(&row.info.name))
             .min_by_key(|row| row.sent);
         match best {
-            Some(row) => route::Plan::Direct {
-                name: row.info.name.clone(),
-                boot: None,
-            },
+            Some(row) => route::Plan::Direct(row.info.name.clone()),
             None => route::Plan::Refuse { retry: RETRY_AFTER },
         }
     }
--- a/crates/lentil_policy/src/sidecar/engine.rs
+++ b/crates/lentil_policy/src/sidecar/engine.rs
@@ -11,9 +11,6 @@
     run::{Run, Stage},
 };
 
-/// Crashes from which a fingerprint is refused everywhere.
-const POISON_CRASHES: u32 = 2;
-
 impl SidecarPolicy {
     /// The engine is up. In a new life, what ran in the old one is lost; with
     /// new weights, what waits for others is refused.
@@ -62,12 +59,10 @@
         let alone = blamed.len() == 1;
         for (fingerprint, isolated) in blamed {
             let crashes = self.suspects.on_crash(now, fingerprint, isolated && alone);
-            if crashes >= POISON_CRASHES {
-                self.commands.push(sidecar::Command::Poison {
-                    fingerprint,
-                    crashes,
-                });
-            }
+            self.commands.push(sidecar::Command::Crashed {
+                fingerprint,
+                crashes,
+            });
         }
     }
 
--- a/crates/lentil_policy/src/sidecar/message.rs
+++ b/crates/lentil_policy/src/sidecar/message.rs
@@ -141,8 +141,8 @@
     Withdrawn(LinkId, protocol::Withdrawn),
     /// Ask the engine for the whole list of its cached pieces.
     ListCache,
-    /// Tell every entry that this fingerprint crashed engines.
-    Poison {
+    /// Tell every entry that this fingerprint ran when an engine died.
+    Crashed {
         /// The fingerprint.
         fingerprint: Fingerprint,
         /// Crashes seen with it.
--- a/crates/lentil_sidecar/src/driver.rs
+++ b/crates/lentil_sidecar/src/driver.rs
@@ -66,7 +66,7 @@
 
 /// Runs until every sender of events is gone.
 pub(crate) async fn run(parts: Parts, inbox: Receiver<Input>) {
-    let queue = Box::new(queue::FairQueue::new(queue::FairSettings::default()));
+    let queue = Box::new(queue::Fifo::new(queue::FifoSettings::default()));
     let mut driver = Driver {
         parts,
         clock: Clock::start(),
@@ -193,7 +193,7 @@
                 self.links.send(link, Message::Withdrawn(withdrawn), None);
             }
             Command::ListCache => self.list_cache(),
-            Command::Poison {
+            Command::Crashed {
                 fingerprint,
                 crashes,
             } => self.spread_poison(fingerprint, crashes),
