A seeded search for broken promises

lentil_replay faults runs entries, sidecars, engines, plain services and a store in memory on the daemons' own policies, with 20 kinds of fault, and checks 9 promises. A violation prints its seed and the end of its trace.

--- a/crates/lentil_replay/src/commands/mod.rs
+++ b/crates/lentil_replay/src/commands/mod.rs
@@ -1,4 +1,4 @@
 //! One module a subcommand.
 
-pub mod compare;
+pub mod faults;
 pub mod generate;
--- a/crates/lentil_replay/src/main.rs
+++ b/crates/lentil_replay/src/main.rs
@@ -14,14 +14,14 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand)]
 enum Command {
-    Compare(commands::compare::Args),
+    Faults(commands::faults::Args),
     Generate(commands::generate::Args),
 }
 
 fn main() -> anyhow::Result<ExitCode> {
     let args: Args = argh::from_env();
     match args.command {
-        Command::Compare(args) => Ok(commands::compare::run(&args)?),
+        Command::Faults(args) => Ok(commands::faults::run(&args)),
         Command::Generate(args) => Ok(commands::generate::run(&args)?),
     }
 }
