--- a/crates/lentil_policy/src/membership/table.rs
+++ b/crates/lentil_policy/src/membership/table.rs
@@ -130,11 +130,16 @@
         self.members.get(node)
     }
 
+    /// Processes that are not leaving or gone, silent or not.
+    pub fn usable(&self) -> impl Iterator<Item = (&NodeName, &Member)> {
+        let usable = |(_, member): &(&NodeName, &Member)| member.is_usable();
+        self.members.iter().filter(usable)
+    }
+
     /// Processes that may be asked: all that are not leaving or gone. Those that
     /// are silent come in only when there is no other.
     pub fn peers(&self) -> Vec<(&NodeName, &Member)> {
-        let usable = |(_, member): &(&NodeName, &Member)| member.is_usable();
-        let all: Vec<_> = self.members.iter().filter(usable).collect();
+        let all: Vec<_> = self.usable().collect();
         let talks = |(_, member): &(&NodeName, &Member)| member.silent.is_none();
         let talking: Vec<_> = all.iter().copied().filter(talks).collect();
         if talking.is_empty() { all } else { talking }
