--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -15,7 +15,12 @@
 scripts/check-layering.sh
 
 step "tests"
-cargo test --workspace --locked
+skips=()
+while IFS= read -r line; do
+    printf 'known red, passed over: %s\n' "$line"
+    skips+=(--skip "${line%% | *}")
+done < <(grep -vE '^(#|$)' KNOWN-RED.txt || true)
+cargo test --workspace --locked -- --exact "${skips[@]}"
 
 step "documentation"
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked
