Entries and sidecars follow the operators' text over the network

Cause: a text came from a file at the start and never changed. Settings: region, sidecar.peer. The stand-in for the platform ends waiting watches when it goes down.

--- a/crates/lentil_config/src/market.rs
+++ b/crates/lentil_config/src/market.rs
@@ -218,6 +218,19 @@
 }
 
 impl Market {
+    /// A text that lists nothing, for a process that has none yet.
+    pub fn empty(region: RegionName) -> Self {
+        Self {
+            region,
+            objective: Objective::default(),
+            places: Vec::new(),
+            classes: Vec::new(),
+            models: Vec::new(),
+            services: Vec::new(),
+            teams: Vec::new(),
+        }
+    }
+
     /// Reads and checks a text.
     ///
     /// # Errors
--- a/crates/lentil_control/src/lib.rs
+++ b/crates/lentil_control/src/lib.rs
@@ -8,10 +8,12 @@
 mod agent;
 mod links;
 mod listener;
+mod setup;
 mod shared;
 mod subject;
 mod worker;
 
 pub use agent::{Agent, Applied, Settings, Status, TextError};
 pub use links::{Links, ask};
+pub use setup::{SetupError, start, subject};
 pub use subject::Controlled;
--- a/crates/lentil_entry/src/lib.rs
+++ b/crates/lentil_entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod driver;
 mod entry;
 mod flow;
+mod follow;
 mod gate;
 mod headers;
 mod keys;
@@ -30,5 +31,6 @@
 
 pub use control::Control;
 pub use entry::{Entry, Settings, Subject};
+pub use follow::follow;
 pub use limits::Limits;
-pub use store::{NoStore, ObjectStore};
+pub use store::{NoStore, ObjectStore, PlatformStore};
--- a/crates/lentil_entry/src/main.rs
+++ b/crates/lentil_entry/src/main.rs
@@ -33,26 +33,52 @@
         node: settings.node.clone(),
         key,
     };
-    let path = settings.text.as_ref().context("no text is set")?;
-    let text =
-        std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
+    let own = settings.entry()?.clone();
+    let agent = lentil_control::start(&settings, own.peer, &identity).await?;
+    let (version, market) = first_text(&settings)?;
     let entry = lentil_entry::Entry::start(lentil_entry::Settings {
-        listen: settings.entry()?.listen,
+        listen: own.listen,
         identity,
-        version: ConfigVersion(1),
-        market: Arc::new(Market::parse(&text)?),
-        store: Arc::new(lentil_entry::NoStore),
+        version,
+        market: Arc::new(market),
+        store: store(agent.as_ref()),
         limits: lentil_entry::Limits::default(),
         metrics: metrics::Metrics::new(&settings.metrics)?,
     });
     let entry = entry.await?;
+    let follow = agent.as_ref().map(|agent| {
+        let follow = lentil_entry::follow(entry.control(), agent.applied());
+        smol::spawn(follow)
+    });
+    let subject = lentil_control::subject(Arc::new(entry.subject()), agent.as_ref());
     let admin = admin::Settings {
         listen: settings.admin,
         key: settings.admin_key.clone(),
     };
-    let admin = admin::Server::start(admin, Arc::new(entry.subject()), ()).await?;
+    let admin = admin::Server::start(admin, subject, ()).await?;
     log::info!(address:% = entry.address(), admin:% = admin.address(); "serving callers");
     signals::terminated().await?;
     entry.drain().await;
+    drop(follow);
     Ok(())
 }
+
+/// The text of the settings. A process with a platform begins with one that
+/// lists nothing, and serves nobody before its agent has found another.
+fn first_text(settings: &settings::ProcessSettings) -> anyhow::Result<(ConfigVersion, Market)> {
+    if settings.platform.is_some() {
+        let region = settings.region.clone().context("no region is set")?;
+        return Ok((ConfigVersion(0), Market::empty(region)));
+    }
+    let path = settings.text.as_ref().context("no text is set")?;
+    let text =
+        std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))?;
+    Ok((ConfigVersion(1), Market::parse(&text)?))
+}
+
+fn store(agent: Option<&lentil_control::Agent>) -> Arc<dyn lentil_entry::ObjectStore> {
+    match agent {
+        Some(agent) => Arc::new(lentil_entry::PlatformStore(agent.store())),
+        None => Arc::new(lentil_entry::NoStore),
+    }
+}
--- a/crates/lentil_entry/src/store.rs
+++ b/crates/lentil_entry/src/store.rs
@@ -1,5 +1,7 @@
 //! The platform's object API, as the entry needs it.
 
+use std::sync::Arc;
+
 use lentil_policy::store;
 use smol::future::{self, Boxed};
 
@@ -21,3 +23,14 @@
         Box::pin(future::ready(store::StoreReply::Refused { op }))
     }
 }
+
+/// The platform's object API.
+#[derive(Clone)]
+pub struct PlatformStore(pub Arc<dyn lentil_platform::ObjectStore>);
+
+impl ObjectStore for PlatformStore {
+    fn call(&self, call: store::StoreCall) -> Boxed<store::StoreReply> {
+        let store = self.0.clone();
+        Box::pin(async move { lentil_platform::carry_out(&*store, call).await })
+    }
+}
--- a/crates/lentil_fakes/src/platform.rs
+++ b/crates/lentil_fakes/src/platform.rs
@@ -204,6 +204,7 @@
             None
         };
         match smol::future::or(change, timer).await {
+            _ if self.faults.is_down() => conn.with_status(503),
             Some(object) => answer(conn, object),
             None => conn.with_status(304),
         }
--- a/crates/lentil_process/src/settings.rs
+++ b/crates/lentil_process/src/settings.rs
@@ -18,7 +18,7 @@
 use std::{io, net, path};
 
 use figment::providers::{self, Format as _};
-use lentil_types::{NameError, NodeName, PlaceName, RunnerName};
+use lentil_types::{NameError, NodeName, PlaceName, RegionName, RunnerName};
 
 use crate::{Secret, logs, metrics};
 
@@ -48,6 +48,9 @@
     /// A part that this process needs is missing.
     #[error("the settings have no [{0}] table, which this process needs")]
     NoPart(&'static str),
+    /// A platform is set and no region.
+    #[error("a process with a platform needs a region")]
+    NoRegion,
     /// No fleet key is set, or two are.
     #[error("set one of fleet_key and fleet_key_file")]
     NoFleetKey,
@@ -73,6 +76,9 @@
     pub node: NodeName,
     /// The data centre it is in.
     pub place: PlaceName,
+    /// The region whose documents the platform holds for it.
+    #[serde(default)]
+    pub region: Option<RegionName>,
     /// Where its admin server listens.
     #[serde(default = "default_admin")]
     pub admin: net::SocketAddr,
@@ -127,6 +133,9 @@
     pub runner: RunnerName,
     /// Where it listens for entries.
     pub listen: net::SocketAddr,
+    /// Where it listens for other processes that ask for documents.
+    #[serde(default)]
+    pub peer: Option<net::SocketAddr>,
     /// Where its backend server listens.
     pub backend: net::SocketAddr,
     /// What its backend server speaks.
--- a/crates/lentil_sidecar/src/lib.rs
+++ b/crates/lentil_sidecar/src/lib.rs
@@ -7,11 +7,13 @@
 mod backend;
 mod control;
 mod driver;
+mod follow;
 mod links;
 mod service;
 mod sidecar;
 mod state;
 
 pub use control::Control;
+pub use follow::follow;
 pub use lentil_process::settings::BackendKind;
 pub use sidecar::{Settings, Sidecar, Subject};
--- a/crates/lentil_sidecar/src/main.rs
+++ b/crates/lentil_sidecar/src/main.rs
@@ -32,6 +32,7 @@
         node: settings.node.clone(),
         key,
     };
+    let agent = lentil_control::start(&settings, own.peer, &identity).await?;
     let sidecar = lentil_sidecar::Sidecar::start(lentil_sidecar::Settings {
         listen: own.listen,
         backend: own.backend,
@@ -42,13 +43,19 @@
     let sidecar = sidecar
         .await
         .with_context(|| format!("cannot listen on {}", own.listen))?;
+    let follow = agent.as_ref().map(|agent| {
+        let follow = lentil_sidecar::follow(sidecar.control(), agent.applied());
+        smol::spawn(follow)
+    });
+    let subject = lentil_control::subject(Arc::new(sidecar.subject()), agent.as_ref());
     let admin = admin::Settings {
         listen: settings.admin,
         key: settings.admin_key.clone(),
     };
-    let admin = admin::Server::start(admin, Arc::new(sidecar.subject()), ()).await?;
+    let admin = admin::Server::start(admin, subject, ()).await?;
     log::info!(runner:% = own.runner, address:% = sidecar.address(), admin:% = admin.address(); "serving entries");
     signals::terminated().await?;
     sidecar.drain().await;
+    drop(follow);
     Ok(())
 }
