--- a/crates/lentil_entry/src/answer/collect.rs
+++ b/crates/lentil_entry/src/answer/collect.rs
@@ -6,6 +6,8 @@
 
 use crate::{check, openai};
 
+/// Fields of a chunk that the whole answer has of its own.
+const OWN: [&str; 5] = ["created", "id", "model", "object", "usage"];
 /// Keys whose value a later chunk repeats instead of continuing it.
 const REPEATED: [&str; 5] = ["finish_reason", "id", "index", "role", "type"];
 
@@ -29,7 +31,9 @@
         let Ok(chunk) = serde_json::from_slice::<openai::Chunk>(data) else {
             return;
         };
-        self.rest.extend(chunk.rest);
+        let rest = chunk.rest.into_iter();
+        self.rest
+            .extend(rest.filter(|(key, _)| !OWN.contains(&key.as_str())));
         for choice in chunk.choices {
             let index = choice.get("index").and_then(Value::as_u64).unwrap_or(0);
             merge(self.choices.get_or_insert_with(index, Map::new), choice);
--- a/crates/lentil_entry/src/answer/sse.rs
+++ b/crates/lentil_entry/src/answer/sse.rs
@@ -4,6 +4,7 @@
 
 use lentil_policy::entry;
 use lentil_types::RequestId;
+use serde_json::value::RawValue;
 
 use crate::{answer::Encode, check, openai, refusal};
 
@@ -12,31 +13,59 @@
 /// without it the first event would wait for the second.
 const PADDING_BYTES: usize = 1_024;
 
+/// JSON of a list of choices that says nothing.
+const NO_CHOICES: &str = "[]";
+
 /// Writes an answer as server-sent events.
 pub(crate) struct Sse {
     request: RequestId,
-    id: String,
-    object: &'static str,
-    created: u64,
-    model: String,
+    names: Names,
     include_usage: bool,
 }
 
+/// Fields that are the same in every chunk of an answer.
+struct Names {
+    id: Box<RawValue>,
+    object: Box<RawValue>,
+    created: Box<RawValue>,
+    model: Box<RawValue>,
+}
+
+/// What an answer says of its request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Answered<'a> {
+    /// The model, as the caller named it.
+    pub(crate) model: &'a str,
+    /// Whether the caller wants the usage in the last chunk.
+    pub(crate) include_usage: bool,
+}
+
+impl Names {
+    fn new(request: RequestId, api: check::Api, created: u64, model: &str) -> Self {
+        let (prefix, object) = match api {
+            check::Api::Chat => ("chatcmpl", "chat.completion.chunk"),
+            check::Api::Text => ("cmpl", "text_completion"),
+        };
+        Self {
+            id: openai::to_raw(&format!("{prefix}-{request}")),
+            object: openai::to_raw(&object),
+            created: openai::to_raw(&created),
+            model: openai::to_raw(&model),
+        }
+    }
+}
+
 impl Sse {
     pub(crate) fn new(
         request: RequestId,
         api: check::Api,
         created: u64,
-        call: Answered<'_>,
+        answered: Answered<'_>,
     ) -> Self {
-        let (prefix, object) = names(api);
         Self {
             request,
-            id: format!("{prefix}-{request}"),
-            object,
-            created,
-            model: call.model.to_owned(),
-            include_usage: call.include_usage,
+            names: Names::new(request, api, created, answered.model),
+            include_usage: answered.include_usage,
         }
     }
 
@@ -48,22 +77,32 @@
         comment
     }
 
-    /// Gives a chunk the id, time and model of the whole answer. Returns `None`
-    /// for a chunk that only says what the answer took: the entry makes its
-    /// own, which counts over every attempt.
-    fn chunk(&self, data: &[u8]) -> Option<String> {
-        let Ok(mut chunk) = serde_json::from_slice::<openai::Chunk>(data) else {
-            return Some(one_line(data));
+    /// Writes a chunk's event, with the id, time and model of the whole answer.
+    /// A chunk that only says what the answer took is left out: the entry makes
+    /// its own, which counts over every attempt.
+    fn event(&self, offset: u64, data: &[u8], out: &mut Vec<u8>) -> io::Result<()> {
+        let chunk = serde_json::from_slice::<openai::RawChunk<'_>>(data);
+        let Ok(openai::RawChunk(mut fields)) = chunk else {
+            return write!(
+                out,
+                "id: {}:{offset}\ndata: {}\n\n",
+                self.request,
+                one_line(data)
+            );
         };
-        let had_usage = chunk.usage.take().is_some();
-        if had_usage && chunk.choices.is_empty() {
-            return None;
+        let usage = fields.remove("usage");
+        let choices = fields.get("choices");
+        if usage.is_some() && choices.is_none_or(|choices| choices.get() == NO_CHOICES) {
+            return Ok(());
         }
-        chunk.id.clone_from(&self.id);
-        self.object.clone_into(&mut chunk.object);
-        chunk.created = self.created;
-        chunk.model.clone_from(&self.model);
-        Some(openai::to_json(&chunk))
+        fields.insert("id", &self.names.id);
+        fields.insert("object", &self.names.object);
+        fields.insert("created", &self.names.created);
+        fields.insert("model", &self.names.model);
+        write!(out, "id: {}:{offset}\ndata: ", self.request)?;
+        serde_json::to_writer(&mut *out, &openai::RawChunk(fields))?;
+        out.extend_from_slice(b"\n\n");
+        Ok(())
     }
 }
 
@@ -72,29 +111,10 @@
     String::from_utf8_lossy(data).replace(['\r', '\n'], " ")
 }
 
-/// What an answer says of its request.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Answered<'a> {
-    /// The model, as the caller named it.
-    pub(crate) model: &'a str,
-    /// Whether the caller wants the usage in the last chunk.
-    pub(crate) include_usage: bool,
-}
-
-/// What ids begin with and what chunks are called.
-fn names(api: check::Api) -> (&'static str, &'static str) {
-    match api {
-        check::Api::Chat => ("chatcmpl", "chat.completion.chunk"),
-        check::Api::Text => ("cmpl", "text_completion"),
-    }
-}
-
 impl Encode for Sse {
     fn piece(&mut self, offset: u64, data: &[u8], out: &mut Vec<u8>) {
-        if let Some(chunk) = self.chunk(data) {
-            // Writing to a vector cannot fail.
-            let _ = write!(out, "id: {}:{offset}\ndata: {chunk}\n\n", self.request);
-        }
+        // Writing to a vector cannot fail.
+        let _ = self.event(offset, data, out);
     }
 
     fn end(&mut self, ending: entry::Ending, out: &mut Vec<u8>) -> io::Result<()> {
@@ -102,10 +122,10 @@
             entry::Ending::Whole(usage) => {
                 if self.include_usage {
                     let chunk = openai::UsageChunk {
-                        id: &self.id,
-                        object: self.object,
-                        created: self.created,
-                        model: &self.model,
+                        id: &self.names.id,
+                        object: &self.names.object,
+                        created: &self.names.created,
+                        model: &self.names.model,
                         choices: [],
                         usage: usage.into(),
                     };
--- a/crates/lentil_entry/src/driver.rs
+++ b/crates/lentil_entry/src/driver.rs
@@ -1,6 +1,6 @@
 //! Feeds the policy and carries out its commands.
 
-use std::{collections::HashMap, sync::Arc, time};
+use std::{collections::HashMap, iter, sync::Arc, time};
 
 use lentil_policy::{entry, protocol, route, store};
 use lentil_process::{
@@ -22,6 +22,10 @@
 /// Answers of sidecars that may wait for the driver.
 const MAX_WAITING_ANSWERS: usize = 1_024;
 
+/// Inputs that are taken in between two ticks, besides the one that woke the
+/// driver.
+const MAX_BATCH: usize = 256;
+
 /// What reaches the driver.
 pub(crate) enum Input {
     /// An event for the policy.
@@ -76,6 +80,10 @@
             Some(Err(_)) => return,
             None => {}
         }
+        let waiting = || inbox.try_recv().or_else(|_| requests.try_recv()).ok();
+        for input in iter::from_fn(waiting).take(MAX_BATCH) {
+            driver.take_in(&mut policy, input);
+        }
         for command in policy.tick(clock.now(), &mut rng) {
             driver.carry_out(command);
         }
--- a/crates/lentil_entry/src/openai.rs
+++ b/crates/lentil_entry/src/openai.rs
@@ -1,6 +1,8 @@
 //! The JSON of the OpenAI API, as far as the entry reads or writes it. Fields
 //! that it does not know pass through.
 
+use std::collections::BTreeMap;
+
 use lentil_policy::protocol;
 use lentil_types::Outcome;
 use serde_json::{Map, Value, value::RawValue};
@@ -47,32 +49,28 @@
     pub(crate) rest: Map<String, Value>,
 }
 
-/// A chunk of an answer.
-#[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
+/// A chunk of an answer, as far as a gathered answer needs it.
+#[derive(Clone, Debug, Default, serde::Deserialize)]
 pub(crate) struct Chunk {
-    /// Names the answer; the same in every chunk of it.
-    #[serde(default)]
-    pub(crate) id: String,
-    /// Kind of object.
-    #[serde(default)]
-    pub(crate) object: String,
-    /// When the answer began, in seconds since 1970.
-    #[serde(default)]
-    pub(crate) created: u64,
-    /// The model that answered.
-    #[serde(default)]
-    pub(crate) model: String,
     /// What the chunk adds to each choice.
     #[serde(default)]
     pub(crate) choices: Vec<Map<String, Value>>,
-    /// What the answer took, in the last chunk.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(crate) usage: Option<Value>,
     /// Everything else.
     #[serde(flatten)]
     pub(crate) rest: Map<String, Value>,
 }
 
+/// A chunk of an answer whose fields are left as they were written.
+#[derive(Debug, serde::Deserialize, serde::Serialize)]
+#[serde(transparent)]
+pub(crate) struct RawChunk<'a>(#[serde(borrow)] pub(crate) BTreeMap<&'a str, &'a RawValue>);
+
+/// Writes a value once, to be put into many chunks.
+pub(crate) fn to_raw(value: &impl serde::Serialize) -> Box<RawValue> {
+    // The types that are given here cannot fail to be written as JSON.
+    serde_json::value::to_raw_value(value).unwrap_or_default()
+}
+
 /// What an answer took.
 #[derive(Clone, Copy, Debug, serde::Serialize)]
 pub(crate) struct Usage {
@@ -116,10 +114,10 @@
 /// The last chunk of an answer whose caller asked for its usage.
 #[derive(Debug, serde::Serialize)]
 pub(crate) struct UsageChunk<'a> {
-    pub(crate) id: &'a str,
-    pub(crate) object: &'static str,
-    pub(crate) created: u64,
-    pub(crate) model: &'a str,
+    pub(crate) id: &'a RawValue,
+    pub(crate) object: &'a RawValue,
+    pub(crate) created: &'a RawValue,
+    pub(crate) model: &'a RawValue,
     pub(crate) choices: [(); 0],
     pub(crate) usage: Usage,
 }
