--- a/crates/lentil_entry/src/driver.rs
+++ b/crates/lentil_entry/src/driver.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, iter, sync::Arc, time};
 
+use lentil_platform::ObjectStore;
 use lentil_policy::{entry, protocol, route, store};
 use lentil_process::{
     Clock,
@@ -16,7 +17,6 @@
     flow::Flow,
     links,
     reply::Reply,
-    store::ObjectStore,
 };
 
 /// Answers of sidecars that may wait for the driver.
@@ -264,10 +264,10 @@
 
     fn call_store(&self, call: store::StoreCall) {
         self.parts.metrics.count(Counter::StoreCalls);
-        let reply = self.parts.store.call(call);
-        let answers = self.answers.clone();
+        let (store, answers) = (self.parts.store.clone(), self.answers.clone());
         smol::spawn(async move {
-            let event = entry::Event::Store(reply.await);
+            let reply = lentil_platform::carry_out(&*store, call).await;
+            let event = entry::Event::Store(reply);
             // The driver is gone only when the whole process stops.
             let _ = answers.send(Input::Event(event)).await;
         })
--- a/crates/lentil_entry/src/entry.rs
+++ b/crates/lentil_entry/src/entry.rs
@@ -9,6 +9,7 @@
 };
 
 use lentil_config::Market;
+use lentil_platform::ObjectStore;
 use lentil_policy::entry;
 use lentil_process::{
     Clock,
@@ -21,7 +22,6 @@
 
 use crate::{
     api, control::Control, driver, gate::Gate, limits::Limits, links, runners, server, state,
-    store::ObjectStore,
 };
 
 /// Settings of an [`Entry`].
--- a/crates/lentil_entry/src/lib.rs
+++ b/crates/lentil_entry/src/lib.rs
@@ -33,4 +33,4 @@
 pub use entry::{Entry, Settings, Subject};
 pub use follow::follow;
 pub use limits::Limits;
-pub use store::{NoStore, ObjectStore, PlatformStore};
+pub use store::NoStore;
--- a/crates/lentil_entry/src/main.rs
+++ b/crates/lentil_entry/src/main.rs
@@ -76,9 +76,9 @@
     Ok((ConfigVersion(1), Market::parse(&text)?))
 }
 
-fn store(agent: Option<&lentil_control::Agent>) -> Arc<dyn lentil_entry::ObjectStore> {
+fn store(agent: Option<&lentil_control::Agent>) -> Arc<dyn lentil_platform::ObjectStore> {
     match agent {
-        Some(agent) => Arc::new(lentil_entry::PlatformStore(agent.store())),
+        Some(agent) => agent.store(),
         None => Arc::new(lentil_entry::NoStore),
     }
 }
--- a/crates/lentil_entry/src/store.rs
+++ b/crates/lentil_entry/src/store.rs
@@ -1,36 +1,44 @@
-//! The platform's object API, as the entry needs it.
+//! Stands where no object API is configured.
 
-use std::sync::Arc;
+use std::{future, time};
 
-use lentil_policy::store;
-use smol::future::{self, Boxed};
+use lentil_platform::{Listed, Object, ObjectStore, StoreError, StoreFuture};
+use lentil_policy::store::{ObjectKey, ObjectVersion};
 
-/// Carries calls to the platform's object API.
-pub trait ObjectStore: Send + Sync {
-    /// Makes a call. Every call gets an answer: when none came from the
-    /// platform, [`store::StoreReply::Refused`] or [`store::StoreReply::Lost`].
-    fn call(&self, call: store::StoreCall) -> Boxed<store::StoreReply>;
-}
-
-/// Stands where no object API is configured: it refuses every call, so that
-/// calls that may not be repeated are refused as not run.
+/// Refuses every call, so that calls that may not be repeated are refused as
+/// not run.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NoStore;
 
+fn unreached<'a, T: Send + 'a>() -> StoreFuture<'a, T> {
+    let error = StoreError::Unreached("no platform is configured".to_owned());
+    Box::pin(future::ready(Err(error)))
+}
+
 impl ObjectStore for NoStore {
-    fn call(&self, call: store::StoreCall) -> Boxed<store::StoreReply> {
-        let (store::StoreCall::Read { op, .. } | store::StoreCall::Update { op, .. }) = call;
-        Box::pin(future::ready(store::StoreReply::Refused { op }))
+    fn read<'a>(&'a self, _key: &'a ObjectKey) -> StoreFuture<'a, Object> {
+        unreached()
+    }
+
+    fn update<'a>(
+        &'a self,
+        _key: &'a ObjectKey,
+        _expect: ObjectVersion,
+        _value: Vec<u8>,
+    ) -> StoreFuture<'a, ObjectVersion> {
+        unreached()
     }
-}
 
-/// The platform's object API.
-#[derive(Clone)]
-pub struct PlatformStore(pub Arc<dyn lentil_platform::ObjectStore>);
+    fn watch<'a>(
+        &'a self,
+        _key: &'a ObjectKey,
+        _after: ObjectVersion,
+        _wait: time::Duration,
+    ) -> StoreFuture<'a, Option<Object>> {
+        unreached()
+    }
 
-impl ObjectStore for PlatformStore {
-    fn call(&self, call: store::StoreCall) -> Boxed<store::StoreReply> {
-        let store = self.0.clone();
-        Box::pin(async move { lentil_platform::carry_out(&*store, call).await })
+    fn list<'a>(&'a self, _kind: &'a str) -> StoreFuture<'a, Vec<Listed>> {
+        unreached()
     }
 }
--- a/crates/lentil_entry/tests/callers/refusals.rs
+++ b/crates/lentil_entry/tests/callers/refusals.rs
@@ -225,6 +225,8 @@
 #[case(Outcome::NotRun, FailReason::Overloaded, 503)]
 #[case(Outcome::NotRun, FailReason::RateLimited, 429)]
 #[case(Outcome::NotRun, FailReason::Poison, 422)]
+#[case(Outcome::Unknown, FailReason::Backend, 502)]
+#[case(Outcome::Unknown, FailReason::EngineDied, 502)]
 fn a_request_that_is_given_up_says_what_became_of_it(
     #[case] outcome: Outcome,
     #[case] reason: FailReason,
--- a/crates/lentilglade/src/demo.rs
+++ b/crates/lentilglade/src/demo.rs
@@ -4,14 +4,12 @@
 
 use lentil_config::{Market, ServiceKind};
 use lentil_entry::Entry;
-use lentil_fakes::{Engine, EngineSettings, Plain, PlainSettings};
+use lentil_fakes::{Engine, EngineSettings, Plain, PlainSettings, Platform, PlatformSettings};
 use lentil_process::metrics::Metrics;
 use lentil_sidecar::{BackendKind, Sidecar};
 use lentil_types::{BootId, ConfigVersion, NodeName};
 use lentil_wire::{FleetKey, Identity};
 
-use crate::store::DemoStore;
-
 /// Fleet key of a demo. It guards nothing but loopback.
 const DEMO_KEY: &str = "the key of a demo on loopback";
 
@@ -32,6 +30,7 @@
 pub struct Demo {
     entry: Entry,
     backends: Backends,
+    platform: Platform,
 }
 
 /// Stand-ins and the sidecars beside them.
@@ -76,17 +75,26 @@
                 backends.sidecars.push(sidecar);
             }
         }
+        let platform = Platform::start(PlatformSettings::default())?;
+        let store = lentil_platform::Platform::new(lentil_platform::Settings {
+            address: platform.address(),
+            ..lentil_platform::Settings::default()
+        });
         let settings = lentil_entry::Settings {
             listen: loopback(),
             identity: identity("entry-1")?,
             version: ConfigVersion(1),
             market: Arc::new(market),
-            store: Arc::new(DemoStore::default()),
+            store: Arc::new(store),
             limits: lentil_entry::Limits::default(),
             metrics: Metrics::local(),
         };
         let entry = Entry::start(settings).await?;
-        Ok(Self { entry, backends })
+        Ok(Self {
+            entry,
+            backends,
+            platform,
+        })
     }
 
     /// Where the entry listens for callers.
@@ -94,6 +102,11 @@
         self.entry.address()
     }
 
+    /// The stand-in for the platform.
+    pub fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
     /// Where the engines' stand-ins listen.
     pub fn engines(&self) -> Vec<net::SocketAddr> {
         self.backends.engines.iter().map(Engine::address).collect()
--- a/crates/lentilglade/src/lib.rs
+++ b/crates/lentilglade/src/lib.rs
@@ -3,7 +3,6 @@
 pub mod bench;
 mod demo;
 mod session;
-mod store;
 
 pub use demo::{Demo, DemoError};
 pub use session::{Row, Session};
