A caller that hangs up in the middle of a stream is noticed at once

Cause: it was noticed by the second write after it, 10 s later where nothing was to be written. Change: the body's reader watches the connection for its end.

--- a/crates/lentil_entry/src/answer/reader.rs
+++ b/crates/lentil_entry/src/answer/reader.rs
@@ -11,12 +11,15 @@
 use lentil_policy::entry;
 use smol::Timer;
 
-use crate::reply::{Replies, Reply};
+use crate::{
+    reply::{Replies, Reply},
+    transport::HangUp,
+};
 
 /// Bytes that are encoded ahead of the caller.
 const BUFFER_BYTES: usize = 16 * 1024;
 /// Silence after which [`Encode::idle`] is written, so that a caller that has
-/// hung up is noticed.
+/// vanished is noticed and proxies keep the connection.
 const IDLE_TIME: time::Duration = time::Duration::from_secs(5);
 
 /// Writes the parts of an answer.
@@ -42,11 +45,12 @@
     read: usize,
     ended: bool,
     idle: Timer,
+    hang_up: HangUp,
 }
 
 impl<E: Encode> AnswerReader<E> {
     /// An answer of which the head and what `begun` holds have been read.
-    pub(crate) fn new(replies: Replies, encoder: E, begun: Vec<u8>) -> Self {
+    pub(crate) fn new(replies: Replies, encoder: E, begun: Vec<u8>, hang_up: HangUp) -> Self {
         Self {
             replies,
             encoder,
@@ -54,6 +58,7 @@
             read: 0,
             ended: false,
             idle: Timer::after(IDLE_TIME),
+            hang_up,
         }
     }
 
@@ -109,6 +114,9 @@
                 if this.ended {
                     return Poll::Ready(Ok(0));
                 }
+                if this.hang_up.as_mut().poll(context).is_ready() {
+                    return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+                }
                 if !this.is_idle(context) {
                     return Poll::Pending;
                 }
--- a/crates/lentil_entry/src/api.rs
+++ b/crates/lentil_entry/src/api.rs
@@ -243,7 +243,7 @@
 /// Streams an answer as server-sent events.
 fn stream(conn: &mut Conn, api: check::Api, answered: Answered<'_>, replies: Replies) {
     let encoder = Sse::new(replies.request(), api, unix_seconds(), answered);
-    let reader = AnswerReader::new(replies, encoder, Sse::padding());
+    let reader = AnswerReader::new(replies, encoder, Sse::padding(), conn.transport().hang_up());
     set_header(conn, "content-type", "text/event-stream");
     set_header(conn, "cache-control", "no-cache");
     conn.set_status(OK);
@@ -297,7 +297,7 @@
         set_header(conn, headers::OUTCOME, Outcome::Done.into());
         conn.set_response_body(held);
     } else {
-        let reader = AnswerReader::new(replies, Raw, held);
+        let reader = AnswerReader::new(replies, Raw, held, conn.transport().hang_up());
         conn.set_response_body(Body::new_streaming(reader, None));
     }
     Ok(())
--- a/crates/lentil_entry/src/transport.rs
+++ b/crates/lentil_entry/src/transport.rs
@@ -1,7 +1,7 @@
 //! A caller's connection with limits on time.
 
 use std::{
-    io,
+    future, io,
     pin::Pin,
     sync::{Arc, Mutex},
     task::{Context, Poll},
@@ -70,6 +70,9 @@
     }
 }
 
+/// Resolves when a caller has hung up.
+pub(crate) type HangUp = Pin<Box<dyn Future<Output = ()> + Send + Sync>>;
+
 /// A caller's connection. It fails with [`io::ErrorKind::TimedOut`] when a head
 /// takes too long, nothing comes for too long or the caller takes nothing in.
 pub(crate) struct Transport {
@@ -93,6 +96,18 @@
         }
     }
 
+    /// Waits until the caller has hung up. A caller that has sent more instead
+    /// is not watched further.
+    pub(crate) fn hang_up(&self) -> HangUp {
+        let stream = self.stream.clone();
+        Box::pin(async move {
+            let mut byte = [0];
+            if stream.peek(&mut byte).await.is_ok_and(|peeked| peeked > 0) {
+                future::pending::<()>().await;
+            }
+        })
+    }
+
     /// Whether the time for what is being read is over.
     fn is_late(&mut self, context: &mut Context<'_>, phase: Phase) -> bool {
         let limit = match phase {
--- a/crates/lentil_tests/src/fleet.rs
+++ b/crates/lentil_tests/src/fleet.rs
@@ -11,7 +11,7 @@
 use lentil_types::{BootId, ConfigVersion, NodeName};
 use lentil_wire::Identity;
 
-use crate::{Caller, store::SharedStore, wait};
+use crate::{Caller, wait};
 
 /// The fleet key of tests.
 pub const KEY: &str = "the fleet key of tests on loopback";
@@ -139,7 +139,7 @@
         identity: identity("entry"),
         version: ConfigVersion(1),
         market,
-        store: Arc::new(SharedStore(store)),
+        store,
         limits: lentil_entry::Limits::default(),
         metrics: Metrics::local(),
     };
--- a/crates/lentil_tests/src/lib.rs
+++ b/crates/lentil_tests/src/lib.rs
@@ -11,7 +11,6 @@
 mod fleet;
 mod process;
 mod raw;
-mod store;
 pub mod wait;
 
 pub use caller::{Answer, Caller, Streamed};
