--- a/crates/lentilglade/tests/control.rs
+++ b/crates/lentilglade/tests/control.rs
@@ -99,7 +99,7 @@
             identity: identity(name),
             version: ConfigVersion(0),
             market: Arc::new(Market::empty(region())),
-            store: Arc::new(lentil_entry::PlatformStore(agent.store())),
+            store: agent.store(),
             limits: lentil_entry::Limits::default(),
             metrics: Metrics::local(),
         });
