The fault search tells one attempt's pieces from another's

Change: a piece carries its attempt; a whole answer must change attempts only where the new one was resumed, and a resumption must say what its caller got.

--- a/crates/lentil_replay/src/faults/backend.rs
+++ b/crates/lentil_replay/src/faults/backend.rs
@@ -1,7 +1,9 @@
 //! The backend server of a run.
 
+use std::fmt;
+
 use lentil_policy::protocol;
-use lentil_types::{AttemptId, BootId, Fingerprint, Table, WeightsVersion};
+use lentil_types::{Attempt, AttemptId, BootId, Fingerprint, Table, WeightsVersion};
 
 /// Fewest pieces of an answer.
 const MIN_PIECES: u64 = 3;
@@ -13,16 +15,36 @@
     MIN_PIECES + fingerprint.0 % MORE_PIECES
 }
 
-/// A piece of the answer to a request: every engine answers it alike.
-pub(super) fn answer_piece(fingerprint: Fingerprint, offset: u64) -> String {
-    format!("<{fingerprint}:{offset}>")
+/// A piece of the answer to a request, which tells where it is from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct AnswerPiece {
+    pub(super) fingerprint: Fingerprint,
+    pub(super) offset: u64,
+    pub(super) attempt: Attempt,
 }
 
-/// The answer up to a piece.
-pub(super) fn answer_until(fingerprint: Fingerprint, offset: u64) -> String {
-    (0..offset)
-        .map(|at| answer_piece(fingerprint, at))
-        .collect()
+impl AnswerPiece {
+    /// The pieces in a text; `None` when it has anything else.
+    pub(super) fn parse_all(text: &str) -> Option<Vec<Self>> {
+        let inner = text.strip_prefix('<')?.strip_suffix('>')?;
+        inner.split("><").map(Self::parse).collect()
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.split(':');
+        let piece = Self {
+            fingerprint: parts.next()?.parse().ok()?,
+            offset: parts.next()?.parse().ok()?,
+            attempt: parts.next()?.parse().ok()?,
+        };
+        parts.next().is_none().then_some(piece)
+    }
+}
+
+impl fmt::Display for AnswerPiece {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "<{}:{}:{}>", self.fingerprint, self.offset, self.attempt)
+    }
 }
 
 /// An attempt at a backend server.
--- a/crates/lentil_replay/src/faults/checks.rs
+++ b/crates/lentil_replay/src/faults/checks.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time};
 
 use lentil_policy::{entry, protocol};
-use lentil_types::{FailReason, Fingerprint, Instant, Outcome, RequestId, Table};
+use lentil_types::{AttemptId, FailReason, Fingerprint, Instant, Outcome, RequestId, Table};
 
 use super::{
     Promise, Violation, backend,
@@ -28,11 +28,22 @@
     pub(super) paused: time::Duration,
 }
 
+impl Tracked {
+    /// What the caller got, up to a piece.
+    fn said(&self, until: u64) -> String {
+        let until = usize::try_from(until).unwrap_or(usize::MAX);
+        let pieces = self.pieces.get(..until).unwrap_or(&self.pieces);
+        String::from_utf8_lossy(&pieces.concat()).into_owned()
+    }
+}
+
 /// What is known of every request, and the promises broken.
 #[derive(Debug, Default)]
 pub(super) struct Checks {
     pub(super) tracked: Vec<Tracked>,
     by_request: Table<RequestId, usize>,
+    /// Where attempts were resumed.
+    resumed: Table<AttemptId, u64>,
     runs: Table<RequestId, u32>,
     runs_by_key: Table<u64, u32>,
     first_crash: Table<Fingerprint, Instant>,
@@ -87,9 +98,10 @@
             });
         }
         if let Some(resume) = &dispatch.resume {
-            let said = backend::answer_until(fingerprint, resume.offset);
+            self.resumed.insert(dispatch.offer.id, resume.offset);
+            let said = tracked.said(resume.offset);
             self.check(now, Promise::ResumesExactly, said == resume.text, || {
-                format!("request {request} resumes after {:?}", resume.text)
+                format!("request {request} got {said:?}, resumes after {resume:?}")
             });
         }
     }
@@ -131,18 +143,37 @@
             format!("request {request} ended again or after {limit}")
         });
         if matches!(ending, entry::Ending::Whole(_)) {
-            let fingerprint = tracked.sending.fingerprint();
-            let len = backend::answer_len(fingerprint);
-            let whole = backend::answer_until(fingerprint, len).into_bytes();
-            let got = tracked.pieces.concat();
-            self.check(now, Promise::WholeOwnAnswer, got == whole, || {
-                let got = String::from_utf8_lossy(&got).into_owned();
-                format!("request {request} of {fingerprint} got {got:?} as whole")
+            let whole = self.is_whole(&tracked);
+            self.check(now, Promise::WholeOwnAnswer, whole, || {
+                format!(
+                    "request {request} got {:?} as whole",
+                    tracked.said(u64::MAX)
+                )
             });
         }
         self.check_blame(now, &tracked, ending);
     }
 
+    /// Whether a caller has its own answer from the first piece to the last,
+    /// each attempt from where it was resumed.
+    fn is_whole(&self, tracked: &Tracked) -> bool {
+        let fingerprint = tracked.sending.fingerprint();
+        let Some(pieces) = backend::AnswerPiece::parse_all(&tracked.said(u64::MAX)) else {
+            return false;
+        };
+        let own = |(offset, piece): (usize, &backend::AnswerPiece)| {
+            piece.fingerprint == fingerprint && piece.offset == offset as u64
+        };
+        let goes_on = |pair: &[backend::AnswerPiece]| {
+            let (request, attempt) = (tracked.request, pair[1].attempt);
+            let resumed = self.resumed.get(&AttemptId { request, attempt });
+            pair[0].attempt == attempt || resumed == Some(&pair[1].offset)
+        };
+        pieces.len() as u64 == backend::answer_len(fingerprint)
+            && pieces.iter().enumerate().all(own)
+            && pieces.windows(2).all(goes_on)
+    }
+
     fn check_blame(&mut self, now: Instant, tracked: &Tracked, ending: entry::Ending) {
         let refused = matches!(
             ending,
--- a/crates/lentil_replay/src/faults/world.rs
+++ b/crates/lentil_replay/src/faults/world.rs
@@ -974,7 +974,12 @@
             self.tell_sidecar(runner, none, event);
             return;
         }
-        let text = backend::answer_piece(self.plain_fingerprint(id, fingerprint), offset);
+        let piece = backend::AnswerPiece {
+            fingerprint: self.plain_fingerprint(id, fingerprint),
+            offset,
+            attempt: id.attempt,
+        };
+        let text = piece.to_string();
         let data = text.clone().into_bytes();
         let piece = sidecar::Event::Piece {
             id,
