--- a/crates/lentil_policy/src/claim/ledger.rs
+++ b/crates/lentil_policy/src/claim/ledger.rs
@@ -40,10 +40,10 @@
     fn default() -> Self {
         Self {
             retention: time::Duration::from_secs(400 * 24 * 3_600),
-            span: time::Duration::from_secs(10),
-            shards: 2,
-            window: time::Duration::from_millis(20),
-            settle_wait: time::Duration::from_millis(200),
+            span: time::Duration::from_secs(1),
+            shards: 1,
+            window: time::Duration::from_millis(50),
+            settle_wait: time::Duration::from_secs(1),
             retry: time::Duration::from_millis(500),
             act_within: time::Duration::from_secs(5),
             answer_within: time::Duration::from_secs(2),
@@ -166,6 +166,10 @@
         };
         let key = record_key(&ask.team, &ask.key);
         let object = self.object_of(&ask.service, made, &key);
+        if let Some(verdict) = self.known_verdict(&object, &key, &ask, unix) {
+            self.decide(ask, verdict);
+            return;
+        }
         let waiting = Waiting {
             ask,
             key,
@@ -175,6 +179,20 @@
         self.shard(now, object).asks.push(waiting);
     }
 
+    /// A verdict that no later version of the object can change.
+    fn known_verdict(
+        &self,
+        object: &store::ObjectKey,
+        key: &str,
+        ask: &Ask,
+        unix: time::Duration,
+    ) -> Option<Verdict> {
+        let (_, known) = self.shards.get(object)?.known.as_ref()?;
+        let record = known.records.get(key)?;
+        let is_over = record.state != claim::State::Sent;
+        verdict_on(ask, record, unix).filter(|_| is_over)
+    }
+
     /// Takes an ask back: its caller no longer waits. A claim that may stand is
     /// freed.
     pub fn abandon(&mut self, id: AttemptId) {
@@ -235,6 +253,26 @@
         self.shards.insert(key, shard);
     }
 
+    /// Ends that are not recorded yet.
+    pub fn unsettled(&self) -> usize {
+        let of_shard = |shard: &Shard| {
+            let in_flight = match &shard.flight {
+                Some(Flight::Write { settles, .. }) => settles.len(),
+                Some(Flight::Read { .. }) | None => 0,
+            };
+            shard.settles.len() + in_flight
+        };
+        self.shards.values().map(of_shard).sum()
+    }
+
+    /// Records ends at once from now on: the process stops.
+    pub fn hurry(&mut self, now: Instant) {
+        self.settings.settle_wait = time::Duration::ZERO;
+        for (_, shard) in self.shards.iter_mut() {
+            shard.settle_due = shard.settle_due.min(now);
+        }
+    }
+
     /// Begins the calls to the store that are due. Returns them and what was
     /// decided since the last tick.
     pub fn tick(&mut self, now: Instant) -> (Vec<store::StoreCall>, Vec<Decision>) {
--- a/crates/lentil_policy/src/entry/policy.rs
+++ b/crates/lentil_policy/src/entry/policy.rs
@@ -111,7 +111,7 @@
             } => self.on_crashed(now, fingerprint, crashes),
             entry::Event::Clock(unix) => self.ledger.set_clock(now, unix),
             entry::Event::Store(reply) => self.ledger.on_reply(now, reply),
-            entry::Event::Drain => self.draining = true,
+            entry::Event::Drain => self.on_drain(now),
         }
     }
 
@@ -142,11 +142,23 @@
         self.calls.len()
     }
 
+    /// Ends of claimed calls that the store does not have yet. A process that
+    /// stops waits for them as well.
+    pub fn unsettled(&self) -> usize {
+        self.ledger.unsettled()
+    }
+
     /// What went wrong so far.
     pub fn counters(&self) -> entry::Counters {
         self.counters
     }
 
+    /// Takes nothing new from now on.
+    fn on_drain(&mut self, now: Instant) {
+        self.draining = true;
+        self.ledger.hurry(now);
+    }
+
     fn on_arrived(&mut self, now: Instant, arrival: Box<entry::Arrival>) {
         let (request, fingerprint) = (arrival.request, arrival.fingerprint);
         let keyless = arrival.once && arrival.key.is_none();
--- a/crates/lentil_replay/src/lib.rs
+++ b/crates/lentil_replay/src/lib.rs
@@ -1,5 +1,6 @@
 //! Replays recorded traces through the policy and checks stated outcomes.
 
+pub mod claims;
 pub mod commands;
 mod error;
 pub mod faults;
--- a/crates/lentil_replay/src/main.rs
+++ b/crates/lentil_replay/src/main.rs
@@ -14,6 +14,7 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Claims(commands::claims::Args),
     Faults(commands::faults::Args),
     Generate(commands::generate::Args),
 }
@@ -21,6 +22,7 @@
 fn main() -> anyhow::Result<ExitCode> {
     let args: Args = argh::from_env();
     match args.command {
+        Command::Claims(args) => Ok(commands::claims::run(&args)),
         Command::Faults(args) => Ok(commands::faults::run(&args)),
         Command::Generate(args) => Ok(commands::generate::run(&args)?),
     }
