An entry records its requests while its admin server is asked

Cause: lentilctl trace had nobody to answer it. Change: GET /trace?seconds=N streams the requests of the next N seconds in the trace format; without a reader a request pays one atomic load. Conclusion: tested through the admin server and read back by lentil_trace.

--- a/crates/lentil_entry/src/api.rs
+++ b/crates/lentil_entry/src/api.rs
@@ -26,6 +26,7 @@
     limits::Limits,
     openai,
     path::Target,
+    recorder::Recorder,
     refusal::{self, Refusal},
     reply::{Replies, Reply},
     server::Conn,
@@ -48,6 +49,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) requests: Gate,
     pub(crate) draining: AtomicBool,
+    pub(crate) recorder: Recorder,
 }
 
 /// A request that is being handled.
@@ -127,7 +129,7 @@
         let body = self.read_body(conn, session).await?;
         let checker = self.checker(session, conn);
         let call = checker.model_call(api, team, &body)?;
-        let replies = Replies::submit(&self.inputs, call.arrival);
+        let replies = self.submit(call.arrival);
         let answered = Answered {
             model: &call.model,
             include_usage: call.include_usage,
@@ -163,7 +165,7 @@
         let arrival = self
             .checker(session, conn)
             .plain_call(team, service, call)?;
-        let replies = Replies::submit(&self.inputs, arrival);
+        let replies = self.submit(arrival);
         let answer = match wait_head(conn, replies).await {
             Ok((head, replies)) => pass(conn, head, replies).await,
             Err(no_answer) => Err(no_answer),
@@ -172,6 +174,11 @@
         Ok(())
     }
 
+    fn submit(&self, arrival: Box<entry::Arrival>) -> Replies {
+        self.recorder.note(&arrival);
+        Replies::submit(&self.inputs, arrival)
+    }
+
     async fn read_body(&self, conn: &mut Conn, session: &Session) -> Result<Vec<u8>, Refusal> {
         let body = body::read(conn, &session.progress, &self.limits).await?;
         session.progress.begin_answer();
--- a/crates/lentil_entry/src/entry.rs
+++ b/crates/lentil_entry/src/entry.rs
@@ -21,7 +21,8 @@
 use trillium_http::Stopper;
 
 use crate::{
-    api, control::Control, driver, gate::Gate, limits::Limits, links, runners, server, state,
+    api, control::Control, driver, gate::Gate, limits::Limits, links, recorder::Recorder, runners,
+    server, state, trace,
 };
 
 /// Settings of an [`Entry`].
@@ -88,6 +89,7 @@
             metrics: settings.metrics,
             requests: Gate::default(),
             draining: AtomicBool::new(false),
+            recorder: Recorder::new(clock),
         });
         let server = server::Server {
             api: api.clone(),
@@ -129,6 +131,11 @@
         }
     }
 
+    /// What the admin server answers besides: `GET /trace?seconds=N`.
+    pub fn trace_handler(&self) -> impl trillium::Handler + use<> {
+        trace::handler(self.api.recorder.clone())
+    }
+
     /// Takes nothing new, waits until everything in flight has its answer and
     /// closes the connections. Until then further requests are refused as not
     /// run.
--- a/crates/lentil_entry/src/lib.rs
+++ b/crates/lentil_entry/src/lib.rs
@@ -21,12 +21,14 @@
 mod links;
 mod openai;
 mod path;
+mod recorder;
 mod refusal;
 mod reply;
 mod runners;
 mod server;
 mod state;
 mod store;
+mod trace;
 mod transport;
 
 pub use control::Control;
--- a/crates/lentil_entry/src/main.rs
+++ b/crates/lentil_entry/src/main.rs
@@ -55,7 +55,7 @@
         listen: settings.admin,
         key: settings.admin_key.clone(),
     };
-    let admin = admin::Server::start(admin, subject, ()).await?;
+    let admin = admin::Server::start(admin, subject, entry.trace_handler()).await?;
     log::info!(address:% = entry.address(), admin:% = admin.address(); "serving callers");
     signals::terminated().await?;
     entry.drain().await;
--- /dev/null
+++ b/crates/lentil_entry/src/recorder.rs
@@ -0,0 +1,95 @@
+//! Records requests while somebody asks for them.
+
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
+
+use lentil_policy::entry;
+use lentil_process::Clock;
+use lentil_trace::Record;
+use lentil_types::Instant;
+use smol::channel::{Receiver, Sender};
+
+/// Records that may wait for a slow reader. Further ones are left out.
+const MAX_WAITING: usize = 4_096;
+
+/// Records requests while somebody asks for them. Clones share the readers.
+#[derive(Clone, Debug)]
+pub(crate) struct Recorder {
+    clock: Clock,
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Whether there is a reader, so that a request costs nothing without one.
+    active: AtomicBool,
+    readers: Mutex<Vec<Reader>>,
+}
+
+#[derive(Debug)]
+struct Reader {
+    start: Instant,
+    records: Sender<Record>,
+}
+
+impl Recorder {
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            inner: Arc::default(),
+        }
+    }
+
+    /// Starts a trace. It ends when the receiver is dropped.
+    pub(crate) fn follow(&self) -> Receiver<Record> {
+        let (records, receiver) = smol::channel::bounded(MAX_WAITING);
+        let start = self.clock.now();
+        self.readers().push(Reader { start, records });
+        self.inner.active.store(true, Ordering::Release);
+        receiver
+    }
+
+    /// Gives a request to every reader.
+    pub(crate) fn note(&self, arrival: &entry::Arrival) {
+        if !self.inner.active.load(Ordering::Acquire) {
+            return;
+        }
+        let mut readers = self.readers();
+        // The lock is held, so the times of a trace never go back.
+        let now = self.clock.now();
+        readers.retain(|reader| {
+            let at = Instant::ZERO + now.since(reader.start);
+            let sent = reader.records.try_send(record(at, arrival));
+            !sent.is_err_and(|error| error.is_closed())
+        });
+        if readers.is_empty() {
+            self.inner.active.store(false, Ordering::Release);
+        }
+    }
+
+    fn readers(&self) -> MutexGuard<'_, Vec<Reader>> {
+        self.inner
+            .readers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request as a trace has it. The size of its answer is the most that it may
+/// have.
+fn record(at: Instant, arrival: &entry::Arrival) -> Record {
+    let work = &arrival.work;
+    Record {
+        at,
+        team: work.team.clone(),
+        class: work.class,
+        service: work.service.clone(),
+        model: work.model.clone(),
+        pieces: work.pieces.to_vec(),
+        prompt: work.prompt,
+        output: work.output,
+        key: arrival.key.clone(),
+    }
+}
--- a/crates/lentil_entry/tests/callers/main.rs
+++ b/crates/lentil_entry/tests/callers/main.rs
@@ -6,3 +6,4 @@
 mod plain;
 mod refusals;
 mod support;
+mod trace;
