--- a/crates/lentil_entry/src/driver.rs
+++ b/crates/lentil_entry/src/driver.rs
@@ -15,6 +15,7 @@
 use crate::{
     attempt::{Attempt, Order},
     flow::Flow,
+    gate::{Gate, Pass},
     links,
     reply::Reply,
 };
@@ -52,10 +53,13 @@
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
+    /// Open while the store lacks the end of a call that runs once.
+    pub(crate) unsettled: Gate,
 }
 
 struct Driver {
     parts: Parts,
+    unsettled: Option<Pass>,
     answers: Sender<Input>,
     callers: HashMap<RequestId, Caller>,
     attempts: HashMap<AttemptId, Sender<Order>>,
@@ -70,6 +74,7 @@
     let clock = parts.clock;
     let mut driver = Driver {
         parts,
+        unsettled: None,
         answers,
         callers: HashMap::new(),
         attempts: HashMap::new(),
@@ -84,7 +89,9 @@
         for input in iter::from_fn(waiting).take(MAX_BATCH) {
             driver.take_in(&mut policy, input);
         }
-        for command in policy.tick(clock.now(), &mut rng) {
+        let commands = policy.tick(clock.now(), &mut rng);
+        driver.show_unsettled(policy.unsettled());
+        for command in commands {
             driver.carry_out(command);
         }
     }
@@ -129,6 +136,15 @@
         }
     }
 
+    /// Keeps the gate open while the store lacks an end.
+    fn show_unsettled(&mut self, count: usize) {
+        if count == 0 {
+            self.unsettled = None;
+        } else if self.unsettled.is_none() {
+            self.unsettled = Some(self.parts.unsettled.enter());
+        }
+    }
+
     fn count_event(&mut self, event: &entry::Event) {
         let metrics = &self.parts.metrics;
         match event {
--- a/crates/lentil_entry/src/entry.rs
+++ b/crates/lentil_entry/src/entry.rs
@@ -6,6 +6,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    time,
 };
 
 use lentil_config::Market;
@@ -25,6 +26,9 @@
     server, state, trace,
 };
 
+/// Longest time that a stop waits for the store to have every end.
+const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(5);
+
 /// Settings of an [`Entry`].
 #[derive(Clone)]
 pub struct Settings {
@@ -50,6 +54,7 @@
     api: Arc<api::Api>,
     control: Control,
     connections: Gate,
+    unsettled: Gate,
     stopper: Stopper,
     _driver: smol::Task<()>,
     _server: smol::Task<()>,
@@ -75,11 +80,13 @@
             links: links.clone(),
             inputs: inputs.clone(),
         };
+        let unsettled = Gate::default();
         let parts = driver::Parts {
             links,
             store: settings.store,
             clock,
             metrics: settings.metrics.clone(),
+            unsettled: unsettled.clone(),
         };
         let api = Arc::new(api::Api {
             state: control.state.clone(),
@@ -102,6 +109,7 @@
             api,
             control,
             connections: server.connections.clone(),
+            unsettled,
             stopper: server.stopper.clone(),
             _driver: smol::spawn(driver::run(parts, inbox)),
             _server: smol::spawn(server.run(listener)),
@@ -142,6 +150,11 @@
     pub async fn drain(&self) {
         self.subject().begin_drain();
         self.api.requests.below(1).await;
+        let settled = self.unsettled.below(1);
+        let limit = async {
+            smol::Timer::after(SETTLE_LIMIT).await;
+        };
+        smol::future::or(settled, limit).await;
         self.stopper.stop();
         self.connections.below(1).await;
     }
