An entry looks at every request only when one is due

Cause: each event's tick went over all requests in flight twice, once for those that are due and once for the next wake. At the design size an entry takes tens of thousands of pieces a second.

Change: the policy keeps a lower bound of the earliest due time, lowered when a request changes its stage and computed anew when it is reached.

The gain itself was not measured.

--- a/crates/lentil_policy/src/entry/claims.rs
+++ b/crates/lentil_policy/src/entry/claims.rs
@@ -104,6 +104,7 @@
         };
         if wait {
             call.stage = Stage::Waiting { until };
+            self.dirty.push(request);
             return;
         }
         call.follows = Some(id);
--- a/crates/lentil_policy/src/entry/policy.rs
+++ b/crates/lentil_policy/src/entry/policy.rs
@@ -65,7 +65,10 @@
     pub(super) ledger: claim::Ledger,
     pub(super) suspects: poison::Suspects,
     pub(super) retries: RetryBudget,
+    /// Requests whose stage changed.
     pub(super) dirty: Vec<RequestId>,
+    /// No request is due before this.
+    due: Instant,
     pub(super) counters: entry::Counters,
     draining: bool,
     pub(super) commands: Vec<entry::Command>,
@@ -83,6 +86,7 @@
             suspects: poison::Suspects::new(settings.suspects),
             retries: RetryBudget::default(),
             dirty: Vec::new(),
+            due: Instant::NEVER,
             counters: entry::Counters::default(),
             draining: false,
             commands: Vec::new(),
@@ -118,23 +122,30 @@
     /// Runs the systems over every request that changed or whose time has come,
     /// and returns what to do.
     pub fn tick(&mut self, now: Instant, rng: &mut dyn rand::Rng) -> Vec<entry::Command> {
-        self.expire(now);
+        let expiring = self.due <= now;
+        if expiring {
+            self.expire(now);
+        }
         loop {
             for request in std::mem::take(&mut self.dirty) {
                 self.advance(now, request, rng);
+                self.note_due(request);
             }
             self.run_claims(now);
             if self.dirty.is_empty() {
-                return std::mem::take(&mut self.commands);
+                break;
             }
         }
+        if expiring {
+            let due = self.calls.values().map(Call::due);
+            self.due = due.min().unwrap_or(Instant::NEVER);
+        }
+        std::mem::take(&mut self.commands)
     }
 
     /// When the next tick is due without an event.
     pub fn next_wake(&self) -> Instant {
-        let due = self.calls.values().map(Call::due);
-        let calls = due.min().unwrap_or(Instant::NEVER);
-        calls.min(self.ledger.next_wake())
+        self.due.min(self.ledger.next_wake())
     }
 
     /// Requests in flight.
@@ -216,6 +227,12 @@
         }
     }
 
+    fn note_due(&mut self, request: RequestId) {
+        if let Some(call) = self.calls.get(&request) {
+            self.due = self.due.min(call.due());
+        }
+    }
+
     // -----------------------------------------------------------------------
     // Ends
 
