--- a/crates/lentil_policy/src/claim/mod.rs
+++ b/crates/lentil_policy/src/claim/mod.rs
@@ -3,6 +3,7 @@
 //! A claim is committed to the platform's store before its call is sent. See
 //! `docs/at-most-once.md`.
 
+mod commit;
 mod key;
 mod ledger;
 mod object;
--- a/crates/lentil_replay/src/faults/mod.rs
+++ b/crates/lentil_replay/src/faults/mod.rs
@@ -6,13 +6,19 @@
 //! fails and loses answers. Every run is the same on every machine.
 
 mod backend;
+mod backends;
 mod checks;
+mod entries;
+mod exchanges;
 mod fault;
 mod network;
+mod outages;
+mod plan;
 mod promise;
 mod router;
 mod search;
 mod settings;
+mod sidecars;
 mod store;
 mod traffic;
 mod world;
