--- /dev/null
+++ b/crates/lentil_tests/tests/poison.rs
@@ -0,0 +1,92 @@
+//! A request that crashes engines is refused, and others do not suffer.
+
+use std::time;
+
+use lentil_fakes::{Engine, EngineSettings};
+use lentil_tests::{Fleet, FleetSettings, wait};
+use lentil_types::BootId;
+
+const POISON: &str = "the lot that crashes engines";
+/// Requests that run when an engine crashes under them.
+const INNOCENTS: usize = 6;
+
+async fn start() -> Fleet {
+    let engine = EngineSettings {
+        words: 60,
+        pace: time::Duration::from_millis(5),
+        ..EngineSettings::default()
+    };
+    let fleet = Fleet::start(FleetSettings {
+        engines: 3,
+        entries: 2,
+        engine,
+    })
+    .await;
+    for engine in &fleet.engines {
+        engine.crash_on(POISON);
+    }
+    fleet
+}
+
+/// Crashes of every engine so far. Boot ids count up from a round number.
+fn crashes(fleet: &Fleet) -> u64 {
+    let lives = |engine: &Engine| {
+        let BootId(boot) = engine.boot();
+        boot % 1_000
+    };
+    fleet.engines.iter().map(lives).sum()
+}
+
+#[test]
+fn a_request_that_crashes_engines_is_refused_after_two_crashes() {
+    wait::run(async {
+        let fleet = start().await;
+        let first = fleet.caller(0).stream(POISON).await;
+        assert_eq!(first.code(), "poison", "{first:?}");
+        let before = crashes(&fleet);
+        assert!(before <= 2, "{before} crashes");
+        let again = fleet.caller(0).stream(POISON).await;
+        assert_eq!(again.code(), "poison", "{again:?}");
+        assert_eq!(crashes(&fleet), before);
+    });
+}
+
+#[test]
+fn every_entry_refuses_it_once_it_is_known() {
+    wait::run(async {
+        let fleet = start().await;
+        let other = fleet.caller(1);
+        for number in 0..INNOCENTS {
+            assert!(other.stream(&format!("warm {number}")).await.is_whole());
+        }
+        fleet.caller(0).stream(POISON).await;
+        let before = crashes(&fleet);
+        let again = other.stream(POISON).await;
+        assert_eq!(again.code(), "poison", "{again:?}");
+        assert_eq!(crashes(&fleet), before);
+    });
+}
+
+#[test]
+fn innocents_that_shared_the_engine_get_their_answers() {
+    wait::run(async {
+        let fleet = start().await;
+        let begin = |number: usize| {
+            let caller = fleet.caller(number % 2);
+            smol::spawn(async move { caller.stream(&format!("innocent {number}")).await })
+        };
+        let innocents: Vec<_> = (0..INNOCENTS).map(begin).collect();
+        let runs = || fleet.engines.iter().map(Engine::runs).sum::<u64>();
+        wait::until("they run", || runs() == INNOCENTS as u64).await;
+        let poison = fleet.caller(0).stream(POISON).await;
+        assert!(!poison.is_whole(), "{poison:?}");
+        for innocent in innocents {
+            let answer = innocent.await;
+            assert!(answer.is_whole(), "{answer:?}");
+        }
+        for number in 0..INNOCENTS {
+            let again = fleet.caller(0).stream(&format!("innocent {number}")).await;
+            assert!(again.is_whole(), "{again:?}");
+        }
+    });
+}
