Every entry that knows a runner hears at once of requests that crash it

Change: an entry opens a Watch on each connection to a sidecar; a sidecar that drains closes these. Tests of calls that may not be repeated.

--- a/crates/lentil_entry/src/entry.rs
+++ b/crates/lentil_entry/src/entry.rs
@@ -70,7 +70,8 @@
         let address = listener.local_addr()?;
         let clock = Clock::start();
         let (inputs, inbox) = smol::channel::unbounded();
-        let links = Arc::new(links::Links::new(settings.identity, &settings.market));
+        let links = links::Links::new(settings.identity, &settings.market, inputs.clone());
+        let links = Arc::new(links);
         let runners = entry::Event::Runners(runners::of_market(&settings.market));
         // The receiver lives until the driver ends.
         let _ = inputs.send(driver::Input::Event(runners)).await;
--- a/crates/lentil_entry/src/lib.rs
+++ b/crates/lentil_entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod store;
 mod trace;
 mod transport;
+mod watch;
 
 pub use control::Control;
 pub use entry::{Entry, Settings, Subject};
--- a/crates/lentil_entry/src/links.rs
+++ b/crates/lentil_entry/src/links.rs
@@ -8,11 +8,20 @@
 use lentil_config::Market;
 use lentil_types::{RunnerName, Table};
 use lentil_wire::{Exchange, Identity, Link, WireError};
+use smol::channel::Sender;
+
+use crate::{driver::Input, watch};
 
 /// One runner's address and its connection, when there is one.
 struct Slot {
     address: net::SocketAddr,
-    link: smol::lock::Mutex<Option<Link>>,
+    link: smol::lock::Mutex<Option<Watched>>,
+}
+
+/// A connection and the task that follows the sidecar's notices on it.
+struct Watched {
+    link: Link,
+    _watch: smol::Task<()>,
 }
 
 type Slots = Table<RunnerName, Arc<Slot>>;
@@ -21,14 +30,17 @@
 pub(crate) struct Links {
     identity: Identity,
     slots: RwLock<Arc<Slots>>,
+    /// Where the sidecars' notices go.
+    inputs: Sender<Input>,
 }
 
 impl Links {
-    pub(crate) fn new(identity: Identity, market: &Market) -> Self {
+    pub(crate) fn new(identity: Identity, market: &Market, inputs: Sender<Input>) -> Self {
         let slots = Arc::new(next_slots(&Slots::new(), market));
         Self {
             identity,
             slots: RwLock::new(slots),
+            inputs,
         }
     }
 
@@ -49,14 +61,18 @@
         let slot = slot.ok_or(WireError::Ended("a known runner"))?;
         let mut link = slot.link.lock().await;
         if let Some(open) = &*link {
-            match open.open().await {
+            match open.link.open().await {
                 Ok(exchange) => return Ok(exchange),
                 Err(error) => log::debug!(runner:% = runner; "reconnecting: {error}"),
             }
         }
         let fresh = Link::connect(slot.address, &self.identity).await?;
         let exchange = fresh.open().await?;
-        *link = Some(fresh);
+        let watch = watch::run(fresh.clone(), runner.clone(), self.inputs.clone());
+        *link = Some(Watched {
+            link: fresh,
+            _watch: smol::spawn(watch),
+        });
         Ok(exchange)
     }
 
--- a/crates/lentil_sidecar/src/driver.rs
+++ b/crates/lentil_sidecar/src/driver.rs
@@ -39,8 +39,9 @@
     Ask(sidecar::LinkId),
     /// An entry sent what this version does not have.
     Refuse(sidecar::LinkId, FailReason),
-    /// Sends on the channel when nothing is in flight any more.
-    Idle(Sender<()>),
+    /// Ends every exchange when nothing is in flight any more, then sends on the
+    /// channel.
+    Close(Sender<()>),
 }
 
 /// What a driver works with.
@@ -59,7 +60,7 @@
     runs: HashMap<AttemptId, smol::Task<()>>,
     poison: Table<Fingerprint, u32>,
     boot: Option<BootId>,
-    idle: Vec<Sender<()>>,
+    closers: Vec<Sender<()>>,
     /// Permit of the piece that the policy is given now.
     permit: Option<Permit>,
 }
@@ -75,7 +76,7 @@
         runs: HashMap::new(),
         poison: Table::new(),
         boot: None,
-        idle: Vec::new(),
+        closers: Vec::new(),
         permit: None,
     };
     loop {
@@ -111,7 +112,7 @@
             Input::Refuse(link, reason) => {
                 self.links.send(link, Message::Refused(reason), None);
             }
-            Input::Idle(sender) => self.idle.push(sender),
+            Input::Close(sender) => self.closers.push(sender),
         }
     }
 
@@ -153,11 +154,8 @@
         }
         self.permit = None;
         let in_flight = self.policy.in_flight();
-        if in_flight == 0 {
-            for sender in self.idle.drain(..) {
-                // It fails only when nobody waits any more.
-                let _ = sender.try_send(());
-            }
+        if in_flight == 0 && !self.closers.is_empty() {
+            self.close();
         }
         self.parts.state.show(Shown {
             load: self.policy.load(),
@@ -167,6 +165,14 @@
         });
     }
 
+    fn close(&mut self) {
+        self.links.close_all();
+        for closer in self.closers.drain(..) {
+            // It fails only when nobody waits any more.
+            let _ = closer.try_send(());
+        }
+    }
+
     fn carry_out(&mut self, command: sidecar::Command) {
         use sidecar::Command;
         match command {
--- a/crates/lentil_sidecar/src/links.rs
+++ b/crates/lentil_sidecar/src/links.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Closes every exchange when what was sent on it has left.
+    pub(crate) fn close_all(&mut self) {
+        self.links.clear();
+        self.owners.clear();
+    }
+
     fn close_if_done(&mut self, id: LinkId) {
         let is_done = |link: &Link| link.finished && link.attempts.is_empty() && !link.watches;
         if self.links.get(&id).is_some_and(is_done) {
--- a/crates/lentil_sidecar/src/sidecar.rs
+++ b/crates/lentil_sidecar/src/sidecar.rs
@@ -125,10 +125,10 @@
     /// run.
     pub async fn drain(&self) {
         self.subject().begin_drain().await;
-        let (sender, idle) = channel::bounded(1);
+        let (sender, closed) = channel::bounded(1);
         // It fails only when the driver is gone, and with it all that runs.
-        let _ = self.events.send(Input::Idle(sender)).await;
-        let _ = idle.recv().await;
+        let _ = self.events.send(Input::Close(sender)).await;
+        let _ = closed.recv().await;
         self.closing.close();
         if let Some(service) = self.service.lock().await.take() {
             service.await;
--- a/crates/lentil_tests/src/caller.rs
+++ b/crates/lentil_tests/src/caller.rs
@@ -1,6 +1,6 @@
 //! What a caller does and sees.
 
-use std::net;
+use std::{net, time};
 
 use eventsource_stream::Eventsource as _;
 use futures_lite::{AsyncRead, AsyncReadExt as _, Stream, StreamExt as _, stream};
@@ -18,6 +18,7 @@
     client: Client,
     base: String,
     team: String,
+    deadline: Option<time::Duration>,
 }
 
 /// A whole answer.
@@ -70,6 +71,17 @@
             client: Client::new(ClientConfig::new()),
             base: format!("http://{entry}"),
             team: team.to_owned(),
+            deadline: None,
+        }
+    }
+
+    /// The same caller, who waits no longer than this for the end of a plain
+    /// call.
+    #[must_use]
+    pub fn with_deadline(self, deadline: time::Duration) -> Self {
+        Self {
+            deadline: Some(deadline),
+            ..self
         }
     }
 
@@ -124,6 +136,11 @@
             conn.request_headers_mut()
                 .insert("idempotency-key", key.to_owned());
         }
+        if let Some(deadline) = self.deadline {
+            let ms = deadline.as_millis().to_string();
+            conn.request_headers_mut()
+                .insert("x-lentil-deadline-ms", ms);
+        }
         let Ok(mut conn) = wait::within("an answer", conn).await else {
             return Answer::default();
         };
--- a/crates/lentil_tests/tests/once.rs
+++ b/crates/lentil_tests/tests/once.rs
@@ -1,11 +1,15 @@
 //! A call that may not be repeated runs at most once.
 
-use std::time;
+use std::{sync::LazyLock, time};
 
 use lentil_fakes::EngineSettings;
 use lentil_tests::{Answer, Caller, Fleet, FleetSettings, wait};
 
-const KEY: &str = "release-7";
+/// A key as a caller makes it: the Unix time in seconds comes first.
+static KEY: LazyLock<String> = LazyLock::new(|| {
+    let unix = time::SystemTime::UNIX_EPOCH.elapsed();
+    format!("{}-release-7", unix.unwrap_or_default().as_secs())
+});
 
 async fn start() -> Fleet {
     Fleet::start(FleetSettings {
@@ -17,16 +21,16 @@
 }
 
 async fn release(caller: &Caller, body: &str) -> Answer {
-    caller.plain("POST", "/release", Some(KEY), body).await
+    caller.plain("POST", "/release", Some(&KEY), body).await
 }
 
 /// Starts a call whose answer does not come before the test is done with it,
 /// and waits until it has run.
 async fn begin(fleet: &Fleet) -> smol::Task<Answer> {
     fleet.plain.delay_answers(time::Duration::from_secs(2));
-    let caller = fleet.caller(0);
+    let caller = fleet.caller(0).with_deadline(time::Duration::from_secs(5));
     let call = smol::spawn(async move { release(&caller, "lot 7").await });
-    wait::until("the call ran", || fleet.plain.runs(KEY) == 1).await;
+    wait::until("the call ran", || fleet.plain.runs(&KEY) == 1).await;
     call
 }
 
@@ -41,7 +45,7 @@
         for answer in [again, elsewhere] {
             assert_eq!(answer.body, first.body, "{answer:?}");
         }
-        assert_eq!(fleet.plain.runs(KEY), 1);
+        assert_eq!(fleet.plain.runs(&KEY), 1);
     });
 }
 
@@ -54,7 +58,7 @@
             let answer = release(&fleet.caller(entry), "lot 8").await;
             assert_eq!(answer.status, 422, "{answer:?}");
         }
-        assert_eq!(fleet.plain.runs(KEY), 1);
+        assert_eq!(fleet.plain.runs(&KEY), 1);
     });
 }
 
@@ -69,7 +73,7 @@
             let again = release(&fleet.caller(entry), "lot 7").await;
             assert_ne!(again.outcome, "not-run", "{again:?}");
         }
-        assert_eq!(fleet.plain.runs(KEY), 1);
+        assert_eq!(fleet.plain.runs(&KEY), 1);
     });
 }
 
@@ -82,7 +86,7 @@
         drop(call);
         let again = release(&fleet.caller(1), "lot 7").await;
         assert_ne!(again.outcome, "not-run", "{again:?}");
-        assert_eq!(fleet.plain.runs(KEY), 1);
+        assert_eq!(fleet.plain.runs(&KEY), 1);
     });
 }
 
@@ -95,7 +99,7 @@
         let answer = call.await;
         assert_ne!(answer.outcome, "not-run", "{answer:?}");
         assert_ne!(answer.outcome, "done", "{answer:?}");
-        assert_eq!(fleet.plain.runs(KEY), 1);
+        assert_eq!(fleet.plain.runs(&KEY), 1);
     });
 }
 
@@ -109,6 +113,6 @@
         fleet.plain.restart().await.expect("the port is free");
         let done = release(&fleet.caller(0), "lot 7").await;
         assert_eq!((done.status, done.outcome.as_str()), (200, "done"));
-        assert_eq!(fleet.plain.runs(KEY), 1);
+        assert_eq!(fleet.plain.runs(&KEY), 1);
     });
 }
