The policy alone gives up the runs of an engine that died

Cause: the driver and the policy both gave them up, and a second entry's refusal of a condemned request was tested by luck. Conclusion: entries with a connection to the runner hear; others do not yet.

--- a/crates/lentil_entry/src/driver.rs
+++ b/crates/lentil_entry/src/driver.rs
@@ -152,6 +152,7 @@
                 self.callers.remove(request);
             }
             entry::Event::Bid(_) => metrics.count(Counter::Bids),
+            entry::Event::Crashed { .. } => metrics.count(Counter::CrashNotices),
             entry::Event::Store(store::StoreReply::Lost { .. }) => {
                 metrics.count(Counter::StoreLost);
             }
--- a/crates/lentil_entry/src/watch.rs
+++ b/crates/lentil_entry/src/watch.rs
@@ -7,8 +7,8 @@
 
 use crate::driver::Input;
 
-/// Reports every fingerprint that the sidecar condemns, until the connection
-/// ends.
+/// Reports every fingerprint that ran when the sidecar's engine died, until the
+/// connection ends.
 pub(crate) async fn run(link: Link, runner: RunnerName, inputs: Sender<Input>) {
     if let Err(error) = follow(link, &inputs).await {
         log::debug!(runner:% = runner; "its notices ended: {error}");
@@ -21,9 +21,12 @@
     exchange.sender.send(Message::Watch).await?;
     while let Some(message) = exchange.receiver.recv().await? {
         if let Message::Poison(notice) = message {
-            let poison = entry::Event::Poison(notice.fingerprint);
+            let crashed = entry::Event::Crashed {
+                fingerprint: notice.fingerprint,
+                crashes: notice.crashes,
+            };
             // The channel is unbounded: this fails only when the entry is gone.
-            let _ = inputs.try_send(Input::Event(poison));
+            let _ = inputs.try_send(Input::Event(crashed));
         }
     }
     Ok(())
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -55,8 +55,10 @@
     StreamsResumed,
     /// Requests refused because they crashed engines.
     PoisonRefused,
-    /// Crashes of the backend server.
+    /// Times that the backend server went down.
     EngineCrashes,
+    /// Fingerprints that ran when an engine died, as sidecars told.
+    CrashNotices,
     /// Cache events whose numbers had a gap.
     CacheGaps,
     /// Peers that did not have the fleet key.
--- a/crates/lentil_sidecar/src/backend/mod.rs
+++ b/crates/lentil_sidecar/src/backend/mod.rs
@@ -10,7 +10,7 @@
 mod sse;
 mod status;
 
-use std::{net, panic, sync::Arc};
+use std::{net, panic, sync::Arc, time};
 
 use futures_lite::FutureExt as _;
 use lentil_policy::{protocol, sidecar};
@@ -26,6 +26,9 @@
 pub(crate) use report::Permit;
 pub(crate) use status::watch;
 
+/// Longest wait for an engine's answer about itself.
+const ANSWER_LIMIT: time::Duration = time::Duration::from_secs(1);
+
 /// The backend server.
 pub(crate) struct Backend {
     /// Keeps connections open between requests.
@@ -58,13 +61,19 @@
         self.base.join(path).expect("the path is well formed")
     }
 
-    /// Tells the engine to stop an attempt.
+    /// Tells the engine to stop an attempt. The closed connection says the same
+    /// to an engine that does not answer.
     pub(crate) async fn cancel(&self, id: AttemptId) {
         let path = format!("requests/{}/cancel", request::name(id));
-        // The closed connection says the same to an engine that is busy now.
-        if let Err(error) = self.pooled.post(self.url(&path)).await {
-            log::debug!(request:% = id.request; "the engine was not told to cancel: {error}");
-        }
+        let told = async {
+            if let Err(error) = self.pooled.post(self.url(&path)).await {
+                log::debug!(request:% = id.request; "the engine was not told to cancel: {error}");
+            }
+        };
+        let late = async {
+            smol::Timer::after(ANSWER_LIMIT).await;
+        };
+        smol::future::or(told, late).await;
     }
 }
 
--- a/crates/lentil_sidecar/src/backend/status.rs
+++ b/crates/lentil_sidecar/src/backend/status.rs
@@ -8,14 +8,12 @@
 
 use crate::{BackendKind, driver::Input};
 
-use super::{Backend, error::BackendError};
+use super::{ANSWER_LIMIT, Backend, error::BackendError};
 
 /// Life of a plain backend server, which does not tell its own.
 const PLAIN_BOOT: BootId = BootId(1);
 /// Time between two looks at an engine's status.
 const PERIOD: time::Duration = time::Duration::from_millis(100);
-/// Longest wait for one status.
-const ANSWER_LIMIT: time::Duration = time::Duration::from_secs(1);
 /// An engine without a status for this long is down.
 const SILENCE_LIMIT: time::Duration = time::Duration::from_secs(3);
 
--- a/crates/lentil_sidecar/src/driver.rs
+++ b/crates/lentil_sidecar/src/driver.rs
@@ -1,13 +1,17 @@
 //! Feeds the policy and carries out its commands.
 
-use std::{collections::HashMap, sync::Arc, time};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time,
+};
 
 use lentil_policy::{protocol, queue, sidecar};
 use lentil_process::{
     Clock,
     metrics::{Counter, Metrics},
 };
-use lentil_types::{AttemptId, BootId, FailReason, Fingerprint, Table};
+use lentil_types::{AttemptId, FailReason};
 use lentil_wire::{Message, PoisonNotice};
 use smol::channel::{Receiver, Sender};
 
@@ -20,8 +24,8 @@
 
 /// Longest time between two ticks.
 const TICK_PERIOD: time::Duration = time::Duration::from_millis(50);
-/// Fingerprints that new watchers are told of.
-const MAX_POISON: usize = 1_024;
+/// Fingerprints that new watchers are told of, the latest.
+const MAX_NOTICES: usize = 128;
 
 /// What reaches the driver.
 pub(crate) enum Input {
@@ -33,7 +37,7 @@
     Opened(sidecar::LinkId, Sender<Outgoing>),
     /// The entry has said all that it will on an exchange.
     Finished(sidecar::LinkId),
-    /// An entry wants to be told of poison.
+    /// An entry wants to be told of fingerprints that crash the engine.
     Watch(sidecar::LinkId),
     /// An entry asks how the backend server is.
     Ask(sidecar::LinkId),
@@ -58,8 +62,7 @@
     policy: sidecar::SidecarPolicy,
     links: Links,
     runs: HashMap<AttemptId, smol::Task<()>>,
-    poison: Table<Fingerprint, u32>,
-    boot: Option<BootId>,
+    notices: VecDeque<PoisonNotice>,
     closers: Vec<Sender<()>>,
     /// Permit of the piece that the policy is given now.
     permit: Option<Permit>,
@@ -74,8 +77,7 @@
         policy: sidecar::SidecarPolicy::new(sidecar::Settings::default(), queue),
         links: Links::default(),
         runs: HashMap::new(),
-        poison: Table::new(),
-        boot: None,
+        notices: VecDeque::new(),
         closers: Vec::new(),
         permit: None,
     };
@@ -118,32 +120,20 @@
 
     fn on_event(&mut self, event: sidecar::Event) {
         use sidecar::Event;
-        let mut broken = Vec::new();
         match &event {
             Event::Dispatch(link, dispatch) => self.links.begin(*link, dispatch.offer.id),
             Event::Cancel(id) => self.links.end(*id),
             Event::LinkLost(link) => self.links.remove(*link),
-            Event::EngineUp { boot, .. } => broken = self.on_boot(*boot),
-            Event::EngineDown => broken = self.break_runs(),
+            Event::EngineDown => self.parts.metrics.count(Counter::EngineCrashes),
             Event::Ended { id, .. } | Event::EngineFailed { id, .. } => self.forget(*id),
             _ => {}
         }
-        let now = self.clock.now();
-        self.policy.on_event(now, event);
-        for id in broken {
-            let fault = sidecar::EngineFault::BrokeOff;
-            self.policy
-                .on_event(now, sidecar::Event::EngineFailed { id, fault });
-        }
+        self.policy.on_event(self.clock.now(), event);
     }
 
     fn on_watch(&mut self, link: sidecar::LinkId) {
         self.links.watch(link);
-        for (&fingerprint, &crashes) in self.poison.iter() {
-            let notice = PoisonNotice {
-                fingerprint,
-                crashes,
-            };
+        for &notice in &self.notices {
             self.links.send(link, Message::Poison(notice), None);
         }
     }
@@ -161,7 +151,7 @@
             load: self.policy.load(),
             in_flight,
             links: self.links.len(),
-            poison: self.poison.len(),
+            notices: self.notices.len(),
         });
     }
 
@@ -202,7 +192,10 @@
             Command::Crashed {
                 fingerprint,
                 crashes,
-            } => self.spread_poison(fingerprint, crashes),
+            } => self.spread(PoisonNotice {
+                fingerprint,
+                crashes,
+            }),
         }
     }
 
@@ -230,20 +223,6 @@
         }
     }
 
-    /// The engine is up. In another life it has forgotten what it ran.
-    fn on_boot(&mut self, boot: BootId) -> Vec<AttemptId> {
-        match self.boot.replace(boot) {
-            Some(last) if last != boot => self.break_runs(),
-            _ => Vec::new(),
-        }
-    }
-
-    /// Gives every run up, because the engine that has them is gone or frozen.
-    fn break_runs(&mut self) -> Vec<AttemptId> {
-        self.parts.metrics.count(Counter::EngineCrashes);
-        self.runs.drain().map(|(id, _)| id).collect()
-    }
-
     fn list_cache(&self) {
         if self.parts.backend.kind() == BackendKind::Engine {
             let list = backend::list_cache(self.parts.backend.clone(), self.parts.events.clone());
@@ -251,14 +230,15 @@
         }
     }
 
-    fn spread_poison(&mut self, fingerprint: Fingerprint, crashes: u32) {
-        if self.poison.len() < MAX_POISON || self.poison.contains(&fingerprint) {
-            self.poison.insert(fingerprint, crashes);
+    /// Tells every watcher, and later ones, of a fingerprint that ran when the
+    /// engine died.
+    fn spread(&mut self, notice: PoisonNotice) {
+        let others = |known: &PoisonNotice| known.fingerprint != notice.fingerprint;
+        self.notices.retain(others);
+        if self.notices.len() >= MAX_NOTICES {
+            self.notices.pop_front();
         }
-        let notice = PoisonNotice {
-            fingerprint,
-            crashes,
-        };
+        self.notices.push_back(notice);
         self.links.tell_watchers(&Message::Poison(notice));
     }
 }
--- a/crates/lentil_sidecar/src/links.rs
+++ b/crates/lentil_sidecar/src/links.rs
@@ -22,7 +22,7 @@
     attempts: HashSet<AttemptId>,
     /// The entry has said all that it will.
     finished: bool,
-    /// It is told of poison.
+    /// It is told of fingerprints that crash the engine.
     watches: bool,
 }
 
@@ -85,7 +85,7 @@
         }
     }
 
-    /// Tells this exchange of poison from now on.
+    /// Tells this exchange of fingerprints that crash the engine from now on.
     pub(crate) fn watch(&mut self, id: LinkId) {
         if let Some(link) = self.links.get_mut(&id) {
             link.watches = true;
--- a/crates/lentil_sidecar/src/sidecar.rs
+++ b/crates/lentil_sidecar/src/sidecar.rs
@@ -180,7 +180,7 @@
             "config": load.config,
             "in_flight": shown.in_flight,
             "exchanges": shown.links,
-            "poison": shown.poison,
+            "suspects": shown.notices,
             "draining": self.state.is_draining(),
             "counters": self.metrics.dump(),
         })
--- a/crates/lentil_sidecar/src/state.rs
+++ b/crates/lentil_sidecar/src/state.rs
@@ -15,7 +15,7 @@
     pub(crate) load: protocol::Load,
     pub(crate) in_flight: usize,
     pub(crate) links: usize,
-    pub(crate) poison: usize,
+    pub(crate) notices: usize,
 }
 
 /// What the process shows of itself.
