The demo's session shows every kind of refusal and a repeated once-call

Cause: the session sent only requests that are answered, and its table had no outcome. Change: completions, a passed deadline, a once-call again, with another body and without a key, a stranger, an unknown model; the demo drains at SIGTERM. Conclusion: the table is what an operator sees first.

--- a/crates/lentilglade/src/demo.rs
+++ b/crates/lentilglade/src/demo.rs
@@ -102,6 +102,11 @@
         self.entry.address()
     }
 
+    /// Waits until everything in flight has its answer. Nothing new is taken.
+    pub async fn drain(&self) {
+        self.entry.drain().await;
+    }
+
     /// The stand-in for the platform.
     pub fn platform(&self) -> &Platform {
         &self.platform
--- a/crates/lentilglade/src/main.rs
+++ b/crates/lentilglade/src/main.rs
@@ -70,6 +70,7 @@
     }
     print_greeting(&demo, &market);
     signals::terminated().await?;
+    demo.drain().await;
     Ok(process::ExitCode::SUCCESS)
 }
 
@@ -90,14 +91,14 @@
 async fn run_session(demo: &Demo, market: &Market) -> process::ExitCode {
     let rows = Session::new(demo.address(), market).run(market).await;
     println!(
-        "{:<36} {:>6} {:>6} {:>10}",
-        "request", "status", "whole", "ms"
+        "{:<40} {:>6} {:>8} {:>6} {:>10}",
+        "request", "status", "outcome", "whole", "ms"
     );
     for row in &rows {
         let ms = row.took.as_secs_f64() * 1e3;
         println!(
-            "{:<36} {:>6} {:>6} {ms:>10.2}",
-            row.request, row.status, row.whole
+            "{:<40} {:>6} {:>8} {:>6} {ms:>10.2}",
+            row.request, row.status, row.outcome, row.whole
         );
     }
     if !rows.is_empty() && rows.iter().all(|row| row.whole) {
--- a/crates/lentilglade/src/session.rs
+++ b/crates/lentilglade/src/session.rs
@@ -2,11 +2,16 @@
 
 use std::{net, time};
 
-use lentil_config::{Market, ServiceKind};
+use lentil_config::{Market, Service, ServiceKind};
 use lentil_types::Class;
-use trillium_client::Client;
+use trillium_client::{Client, Conn};
 use trillium_smol::ClientConfig;
 
+/// Status of a whole answer.
+const OK: u16 = 200;
+/// Status of a deadline that has passed.
+const GATEWAY_TIMEOUT: u16 = 504;
+
 /// One request of a session and what came of it.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -14,14 +19,32 @@
     pub request: String,
     /// HTTP status; 0 without an answer.
     pub status: u16,
-    /// Whether the whole answer came.
+    /// What the answer says of the request's outcome. A stream says it by its
+    /// end.
+    pub outcome: String,
+    /// Whether the whole answer came, and was the one that belongs here.
     pub whole: bool,
     /// Time to the whole answer.
     pub took: time::Duration,
 }
 
-/// Sends one request of every class, streamed and not, and both kinds of plain
-/// call.
+/// What belongs to a request.
+struct Expected {
+    status: u16,
+    /// What the body contains.
+    body: &'static str,
+}
+
+impl Expected {
+    const CALL: Self = Self::ok("\"call\"");
+
+    const fn ok(body: &'static str) -> Self {
+        Self { status: OK, body }
+    }
+}
+
+/// Sends one request of every class, streamed and not, both kinds of plain
+/// call, and requests that are refused.
 pub struct Session {
     client: Client,
     base: String,
@@ -52,82 +75,171 @@
                     rows.push(self.chat(&model.name, class, stream).await);
                 }
             }
+            rows.push(self.completion(&model.name).await);
+            rows.push(self.late_chat(&model.name).await);
         }
-        for service in market
-            .services
-            .iter()
-            .filter(|service| service.kind == ServiceKind::Plain)
-        {
-            rows.push(self.plain("GET", &service.name, "/lookup", None).await);
-            for call in &service.once_calls {
-                let key = format!("{}-demo", unix_seconds());
-                let row = self.plain(&call.method, &service.name, &call.path, Some(&key));
-                rows.push(row.await);
-            }
+        let is_plain = |service: &&Service| service.kind == ServiceKind::Plain;
+        for service in market.services.iter().filter(is_plain) {
+            self.plain_calls(service, &mut rows).await;
         }
+        rows.push(self.stranger().await);
+        rows.push(self.unknown_model().await);
         rows
     }
 
+    // -----------------------------------------------------------------------
+    // Models
+
     async fn chat(&self, model: &str, class: Class, stream: bool) -> Row {
-        let body = serde_json::json!({
-            "model": model, "stream": stream,
-            "messages": [{ "role": "user", "content": "classify lot 1" }],
-        });
-        let kind = if stream { "streamed" } else { "whole" };
+        let (kind, ending) = match stream {
+            true => ("streamed", "data: [DONE]"),
+            false => ("whole", "\"finish_reason\":\"stop\""),
+        };
         let conn = self
-            .client
-            .post(format!("{}/v1/chat/completions", self.base).as_str())
-            .with_request_header("x-lentil-class", class.to_string())
-            .with_body(body.to_string());
-        self.send(format!("chat {class} {kind}"), conn, |answer| {
-            let ending = if stream {
-                "data: [DONE]"
-            } else {
-                "\"finish_reason\":\"stop\""
+            .post("/v1/chat/completions", &question(model, stream))
+            .with_request_header("x-lentil-class", class.to_string());
+        self.send(format!("chat {class} {kind}"), conn, &Expected::ok(ending))
+            .await
+    }
+
+    async fn completion(&self, model: &str) -> Row {
+        let body = serde_json::json!({ "model": model, "prompt": "classify lot 1" });
+        let conn = self.post("/v1/completions", &body);
+        let expected = Expected::ok("\"text_completion\"");
+        self.send("completion".to_owned(), conn, &expected).await
+    }
+
+    async fn late_chat(&self, model: &str) -> Row {
+        let conn = self
+            .post("/v1/chat/completions", &question(model, false))
+            .with_request_header("x-lentil-deadline-ms", "0");
+        let expected = Expected {
+            status: GATEWAY_TIMEOUT,
+            body: "\"deadline\"",
+        };
+        self.send("chat past its deadline".to_owned(), conn, &expected)
+            .await
+    }
+
+    async fn unknown_model(&self) -> Row {
+        let conn = self.post("/v1/chat/completions", &question("no-model", false));
+        let expected = Expected {
+            status: 404,
+            body: "\"model_not_found\"",
+        };
+        self.send("unknown model".to_owned(), conn, &expected).await
+    }
+
+    async fn stranger(&self) -> Row {
+        let conn = self.client.get(format!("{}/v1/models", self.base).as_str());
+        let expected = Expected {
+            status: 401,
+            body: "\"invalid_api_key\"",
+        };
+        self.send_as("no API key".to_owned(), conn, None, &expected)
+            .await
+    }
+
+    // -----------------------------------------------------------------------
+    // Plain services
+
+    async fn plain_calls(&self, service: &Service, rows: &mut Vec<Row>) {
+        let name = &service.name;
+        let lookup = self.plain("GET", name, "/lookup", None, "");
+        let row = self.send(format!("GET {name}/lookup"), lookup, &Expected::CALL);
+        rows.push(row.await);
+        for call in &service.once_calls {
+            let key = format!("{}-demo-{name}", unix_seconds());
+            let asked = format!("{} {name}{}", call.method, call.path);
+            let other_body = Expected {
+                status: 422,
+                body: "\"key_reused\"",
             };
-            answer.contains(ending)
-        })
-        .await
+            let no_key = Expected {
+                status: 400,
+                body: "\"missing_field\"",
+            };
+            for (note, key, body, expected) in [
+                ("", Some(key.as_str()), "lot 1", Expected::CALL),
+                (", again", Some(key.as_str()), "lot 1", Expected::CALL),
+                (", other body", Some(key.as_str()), "lot 2", other_body),
+                (", no key", None, "lot 1", no_key),
+            ] {
+                let conn = self.plain(&call.method, name, &call.path, key, body);
+                let row = self.send(format!("{asked}{note}"), conn, &expected);
+                rows.push(row.await);
+            }
+        }
     }
 
-    async fn plain(&self, method: &str, service: &str, path: &str, key: Option<&str>) -> Row {
+    fn plain(
+        &self,
+        method: &str,
+        service: &str,
+        path: &str,
+        key: Option<&str>,
+        body: &'static str,
+    ) -> Conn {
         let url = format!("{}/services/{service}{path}", self.base);
         let mut conn = self.client.build_conn(method, url.as_str());
         if let Some(key) = key {
             conn.request_headers_mut()
                 .insert("idempotency-key", key.to_owned());
         }
-        let name = format!("{method} {service}{path}");
-        self.send(name, conn, |answer| answer.contains("\"call\""))
-            .await
+        conn.with_body(body)
+    }
+
+    // -----------------------------------------------------------------------
+    // Sending
+
+    fn post(&self, path: &str, body: &serde_json::Value) -> Conn {
+        let url = format!("{}{path}", self.base);
+        self.client.post(url.as_str()).with_body(body.to_string())
+    }
+
+    async fn send(&self, request: String, conn: Conn, expected: &Expected) -> Row {
+        self.send_as(request, conn, Some(&self.key), expected).await
     }
 
-    async fn send(
+    async fn send_as(
         &self,
         request: String,
-        conn: trillium_client::Conn,
-        is_whole: impl Fn(&str) -> bool,
+        mut conn: Conn,
+        key: Option<&str>,
+        expected: &Expected,
     ) -> Row {
         let begin = time::Instant::now();
-        let conn = conn.with_request_header("authorization", format!("Bearer {}", self.key));
-        let (status, answer) = match conn.await {
+        if let Some(key) = key {
+            conn.request_headers_mut()
+                .insert("authorization", format!("Bearer {key}"));
+        }
+        let (status, outcome, answer) = match conn.await {
             Ok(mut conn) => {
                 let status = conn.status().map_or(0, |status| status as u16);
+                let outcome = conn.response_headers().get_str("x-lentil-outcome");
+                let outcome = outcome.unwrap_or_default().to_owned();
                 let answer = conn.response_body().read_string().await.unwrap_or_default();
-                (status, answer)
+                (status, outcome, answer)
             }
-            Err(error) => (0, error.to_string()),
+            Err(error) => (0, String::new(), error.to_string()),
         };
-        let whole = status == 200 && is_whole(&answer);
         Row {
             request,
             status,
-            whole,
+            outcome,
+            whole: status == expected.status && answer.contains(expected.body),
             took: begin.elapsed(),
         }
     }
 }
 
+fn question(model: &str, stream: bool) -> serde_json::Value {
+    serde_json::json!({
+        "model": model, "stream": stream,
+        "messages": [{ "role": "user", "content": "classify lot 1" }],
+    })
+}
+
 /// The time with which an idempotency key made now begins.
 fn unix_seconds() -> u64 {
     let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
--- a/crates/lentilglade/tests/demo.rs
+++ b/crates/lentilglade/tests/demo.rs
@@ -8,11 +8,15 @@
 #[case::lombardy(include_str!("../../../examples/lombardy.toml"))]
 fn every_request_of_the_session_is_whole(#[case] text: &str) {
     let market = Market::parse(text).expect("the example is valid");
-    let rows = smol::block_on(async {
+    let (rows, store_calls) = smol::block_on(async {
         let demo = Demo::start(market.clone()).await.expect("the demo starts");
-        Session::new(demo.address(), &market).run(&market).await
+        let rows = Session::new(demo.address(), &market).run(&market).await;
+        demo.drain().await;
+        (rows, demo.platform().calls())
     });
     let broken: Vec<_> = rows.iter().filter(|row| !row.whole).collect();
     assert!(broken.is_empty(), "{broken:?}");
-    assert_eq!(rows.len(), 8);
+    assert_eq!(rows.len(), 15);
+    let claims = |((kind, _), _): &((String, _), _)| kind.starts_with("claim");
+    assert!(store_calls.iter().any(claims), "{store_calls:?}");
 }
