Crashes reach every entry through the region's document

Cause: sidecars counted crashes and nothing carried the counts to entries.

The path from an agent to the entry's policy has no test of its own yet.

--- a/crates/lentil_control/src/lib.rs
+++ b/crates/lentil_control/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`lentil_policy::membership::Membership`]; this crate is the I/O around them.
 
 mod agent;
+mod crashes;
 mod links;
 mod listener;
 mod setup;
@@ -14,6 +15,7 @@
 mod worker;
 
 pub use agent::{Agent, Applied, Settings, Status, TextError};
+pub use crashes::record_crashes;
 pub use links::{Links, ask};
 pub use setup::{SetupError, start, subject};
 pub use subject::Controlled;
--- a/crates/lentil_control/tests/agent.rs
+++ b/crates/lentil_control/tests/agent.rs
@@ -5,9 +5,9 @@
 use lentil_control::{Agent, Settings};
 use lentil_fakes::PlatformSettings;
 use lentil_platform::{Instance, InstanceRole, Platform};
-use lentil_policy::{config_sync::Doc, store::ObjectVersion, store_budget};
-use lentil_types::{NodeName, PlaceName, RegionName, RunnerState};
-use lentil_wire::Identity;
+use lentil_policy::{config_sync::Doc, poison, store::ObjectVersion, store_budget};
+use lentil_types::{Fingerprint, NodeName, PlaceName, RegionName, RunnerState};
+use lentil_wire::{Identity, PoisonNotice};
 
 /// How long a condition is waited for before the test fails.
 const LIMIT: time::Duration = time::Duration::from_secs(120);
@@ -195,3 +195,49 @@
         assert!(refused.is_err());
     });
 }
+
+/// Waits until an agent has the poison document with so many crashes of a
+/// fingerprint.
+async fn wait_for_crashes(agent: &Agent, fingerprint: Fingerprint, crashes: u32) {
+    let applied = agent.applied();
+    let wait = async {
+        loop {
+            let next = applied.recv().await.expect("the agent runs");
+            if next.doc != Doc::Poison {
+                continue;
+            }
+            let document = poison::Document::parse(&next.value).expect("well formed");
+            if document.crashes(fingerprint) == crashes {
+                return;
+            }
+        }
+    };
+    let timer = async {
+        smol::Timer::after(LIMIT).await;
+        panic!("crashes are not known: {}", agent.status().dump());
+    };
+    smol::future::or(wait, timer).await;
+}
+
+#[test]
+fn crashes_reach_every_agent_of_the_region() {
+    let platform = start_platform();
+    put(&platform, 0, "one");
+    smol::block_on(async {
+        let agents = start_fleet(&platform, 3).await;
+        let (reports, crashes) = smol::channel::unbounded();
+        let record = lentil_control::record_crashes(agents[0].store(), region(), crashes);
+        let _record = smol::spawn(record);
+        for crashes in [1, 2] {
+            let fingerprint = Fingerprint(7);
+            let notice = PoisonNotice {
+                fingerprint,
+                crashes,
+            };
+            reports.try_send(notice).expect("it is open");
+        }
+        for agent in &agents {
+            wait_for_crashes(agent, Fingerprint(7), 2).await;
+        }
+    });
+}
--- a/crates/lentil_sidecar/src/driver.rs
+++ b/crates/lentil_sidecar/src/driver.rs
@@ -54,6 +54,8 @@
     pub(crate) events: Sender<Input>,
     pub(crate) state: Arc<State>,
     pub(crate) metrics: Metrics,
+    /// Crashes for the region's document.
+    pub(crate) crashes: Sender<PoisonNotice>,
 }
 
 struct Driver {
@@ -240,5 +242,7 @@
         }
         self.notices.push_back(notice);
         self.links.tell_watchers(&Message::Poison(notice));
+        // Nobody listens in a process without a platform.
+        let _ = self.parts.crashes.try_send(notice);
     }
 }
--- a/crates/lentil_sidecar/src/main.rs
+++ b/crates/lentil_sidecar/src/main.rs
@@ -47,6 +47,13 @@
         let follow = lentil_sidecar::follow(sidecar.control(), agent.applied());
         smol::spawn(follow)
     });
+    let record = agent
+        .as_ref()
+        .zip(settings.region.clone())
+        .map(|(agent, region)| {
+            let record = lentil_control::record_crashes(agent.store(), region, sidecar.crashes());
+            smol::spawn(record)
+        });
     let subject = lentil_control::subject(Arc::new(sidecar.subject()), agent.as_ref());
     let admin = admin::Settings {
         listen: settings.admin,
@@ -56,6 +63,6 @@
     log::info!(runner:% = own.runner, address:% = sidecar.address(), admin:% = admin.address(); "serving entries");
     signals::terminated().await?;
     sidecar.drain().await;
-    drop(follow);
+    drop((follow, record));
     Ok(())
 }
--- a/crates/lentil_sidecar/src/sidecar.rs
+++ b/crates/lentil_sidecar/src/sidecar.rs
@@ -12,8 +12,8 @@
     metrics::Metrics,
 };
 use lentil_types::RunnerState;
-use lentil_wire::{Identity, Strangers};
-use smol::channel::{self, Sender};
+use lentil_wire::{Identity, PoisonNotice, Strangers};
+use smol::channel::{self, Receiver, Sender};
 
 use crate::{
     BackendKind, Control, backend,
@@ -25,6 +25,9 @@
 /// Inputs that may wait for the driver.
 const MAX_WAITING_INPUTS: usize = 1_024;
 
+/// Crashes that may wait to be recorded.
+const MAX_WAITING_CRASHES: usize = 1_024;
+
 /// Settings of a [`Sidecar`].
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -48,6 +51,7 @@
     metrics: Metrics,
     /// Closing it tells the service to stop.
     closing: Sender<()>,
+    crashes: Receiver<PoisonNotice>,
     service: smol::lock::Mutex<Option<smol::Task<()>>>,
     _tasks: Vec<smol::Task<()>>,
 }
@@ -62,6 +66,7 @@
         let address = listener.local_addr()?;
         let (events, inbox) = channel::bounded(MAX_WAITING_INPUTS);
         let (closing, closed) = channel::bounded(1);
+        let (crash_sender, crashes) = channel::bounded(MAX_WAITING_CRASHES);
         let backend = Arc::new(backend::Backend::new(settings.backend, settings.kind));
         let state = Arc::new(State::default());
         let service = service::Service {
@@ -78,6 +83,7 @@
             events: events.clone(),
             state: state.clone(),
             metrics: settings.metrics.clone(),
+            crashes: crash_sender,
         };
         let mut tasks = vec![
             smol::spawn(driver::run(parts, inbox)),
@@ -93,6 +99,7 @@
             events,
             metrics: settings.metrics,
             closing,
+            crashes,
             service: smol::lock::Mutex::new(Some(service)),
             _tasks: tasks,
         })
@@ -103,6 +110,11 @@
         self.address
     }
 
+    /// Crashes of its engine, with the fingerprints that ran in them.
+    pub fn crashes(&self) -> Receiver<PoisonNotice> {
+        self.crashes.clone()
+    }
+
     /// A handle that changes what the sidecar works with.
     pub fn control(&self) -> Control {
         Control {
