Operators apply, show and see the status of a text; capacity is measured

Cause: a text could not be changed from the command line, and nothing measured what control costs. Change: lentilctl apply (conditional update; the loser of a race sees a diff and exit code 4; a lost answer is settled by reading back), show and status (asks every listed process for its version, with no traffic while nobody asks). lentilglade capacity measures the slopes of the cache view, the text and config_sync, and a real entry and sidecar among peers. Conclusion: the figures of docs/CAPACITY.md can be made with one command.

--- a/crates/lentil_wire/src/lib.rs
+++ b/crates/lentil_wire/src/lib.rs
@@ -33,7 +33,7 @@
 pub use codec::{MAX_FRAME_BYTES, decode, encode};
 pub use error::{ConvertError, WireError};
 pub use exchange::{Exchange, Receiver, Sender};
-pub use handshake::{FleetKey, Identity, MAJOR, MINOR};
+pub use handshake::{FleetKey, Identity, KeyTooShort, MAJOR, MINOR};
 pub use link::Link;
 pub use message::{ConfigText, Message, PoisonNotice, Sync, Synced};
 pub use peer::Peer;
--- a/crates/lentilctl/src/error.rs
+++ b/crates/lentilctl/src/error.rs
@@ -31,6 +31,30 @@
         status: u16,
         body: String,
     },
+    /// Somebody else has changed the text.
+    #[error("version {accepted} was accepted meanwhile; this text is of version {from}\n{diff}")]
+    Raced {
+        from: u64,
+        accepted: u64,
+        /// What the texts have differently, line by line.
+        diff: String,
+        changes: Vec<lentil_config::Change>,
+        /// Whether an answer was lost, so that this text may have been in force
+        /// in between.
+        lost: bool,
+    },
+    /// The platform did not do what was asked.
+    #[error("the platform: {0}")]
+    Platform(#[from] lentil_platform::StoreError),
+    /// The accepted text is not UTF-8.
+    #[error("the accepted text: {0}")]
+    Utf8(#[from] std::str::Utf8Error),
+    /// The fleet key cannot be used.
+    #[error("the fleet key: {0}")]
+    Key(#[from] lentil_wire::KeyTooShort),
+    /// A name is not well formed.
+    #[error(transparent)]
+    Name(#[from] lentil_types::NameError),
     /// Standard output is closed.
     #[error("cannot write: {0}")]
     Output(#[from] io::Error),
@@ -41,6 +65,9 @@
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
             Self::Faulty { .. } => 1,
+            Self::Raced { .. } => 4,
+            Self::Platform(_) => 3,
+            Self::Utf8(_) | Self::Key(_) | Self::Name(_) => 2,
             Self::File { .. } | Self::Refused { .. } | Self::Output(_) => 2,
             Self::Unreached { .. } => 3,
         }
@@ -65,6 +92,22 @@
                     .to_owned()
             }
             Self::Refused { .. } => "read the answer above; the process's log says more".to_owned(),
+            Self::Raced { lost: true, .. } => {
+                "an answer was lost: this text may have been in force in between. Your file is \
+                 unchanged; run show, edit that text, and apply it with its version"
+                    .to_owned()
+            }
+            Self::Raced { accepted, .. } => format!(
+                "your file is unchanged; run show, make your change in that text, and apply it \
+                 with --from {accepted}"
+            ),
+            Self::Platform(error) if error.is_lost() => {
+                "the update may be in force; run show before anything else".to_owned()
+            }
+            Self::Platform(_) => "nothing was changed; see whether the platform answers".to_owned(),
+            Self::Utf8(_) => "apply a text that is UTF-8".to_owned(),
+            Self::Key(_) => "name the file that holds the fleet's secret".to_owned(),
+            Self::Name(_) => "write the name with A-Z a-z 0-9 . _ - : /".to_owned(),
             Self::Output(_) => "see where the output goes".to_owned(),
         }
     }
--- a/crates/lentilctl/src/main.rs
+++ b/crates/lentilctl/src/main.rs
@@ -5,6 +5,7 @@
 //! 3 the other side was not reached; 4 somebody else changed the text first.
 //! `--json` prints one JSON document instead of text, also for errors.
 
+mod apply;
 mod check;
 mod client;
 mod diff;
@@ -12,7 +13,10 @@
 mod dump;
 mod error;
 mod output;
+mod platform;
 mod reference;
+mod show;
+mod status;
 mod trace;
 
 use std::process;
@@ -30,24 +34,30 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Apply(apply::Args),
     Check(check::Args),
     Diff(diff::Args),
     Dump(dump::Args),
     Drain(drain::Args),
     Trace(trace::Args),
     Reference(reference::Args),
+    Show(show::Args),
+    Status(status::Args),
 }
 
 fn main() -> process::ExitCode {
     let args = parse();
     let output = output::Output { json: args.json };
     let outcome = match args.command {
+        Command::Apply(args) => smol::block_on(apply::run(args, output)),
         Command::Check(args) => check::run(&args, output),
         Command::Diff(args) => diff::run(&args, output),
         Command::Dump(args) => smol::block_on(dump::run(args, output)),
         Command::Drain(args) => smol::block_on(drain::run(args, output)),
         Command::Trace(args) => smol::block_on(trace::run(args)),
         Command::Reference(_) => Ok(reference::run()),
+        Command::Show(args) => smol::block_on(show::run(args, output)),
+        Command::Status(args) => smol::block_on(status::run(args, output)),
     };
     match outcome {
         Ok(output::Answer::Yes) => process::ExitCode::SUCCESS,
--- a/crates/lentilctl/src/output.rs
+++ b/crates/lentilctl/src/output.rs
@@ -37,6 +37,17 @@
             if let CtlError::Faulty { faults, .. } = error {
                 value["faults"] = serde_json::to_value(&faults.0).unwrap_or_default();
             }
+            if let CtlError::Raced {
+                accepted,
+                diff,
+                changes,
+                ..
+            } = error
+            {
+                value["accepted"] = (*accepted).into();
+                value["diff"] = diff.as_str().into();
+                value["changes"] = serde_json::to_value(changes).unwrap_or_default();
+            }
             print_json(&value);
         } else {
             eprintln!("error: {error}\nnext: {}", error.hint());
--- /dev/null
+++ b/crates/lentilctl/src/show.rs
@@ -0,0 +1,56 @@
+//! `lentilctl show`.
+
+use std::{net, path};
+
+use lentil_types::RegionName;
+
+use crate::{
+    error::CtlError,
+    output::{Answer, Output},
+    platform::TextStore,
+};
+
+/// print the accepted text of a region, or write it to a file, with its version
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "show")]
+pub(crate) struct Args {
+    /// address of the platform
+    #[argh(option)]
+    platform: net::SocketAddr,
+    /// the region
+    #[argh(option)]
+    region: RegionName,
+    /// file to write the text to; only the version is printed then
+    #[argh(option)]
+    file: Option<path::PathBuf>,
+}
+
+pub(crate) async fn run(args: Args, output: Output) -> Result<Answer, CtlError> {
+    let accepted = TextStore::new(args.platform, &args.region).read().await?;
+    let version = accepted.version;
+    let value = serde_json::json!({ "version": version, "text": accepted.text });
+    let text = match &args.file {
+        Some(path) => {
+            write(path, &accepted.text)?;
+            format!(
+                "version {version} is in {}; apply it with --from {version}",
+                path.display()
+            )
+        }
+        None => format!("# version {version}\n{}", accepted.text),
+    };
+    output.print(&text, &value);
+    Ok(if version == 0 {
+        Answer::No
+    } else {
+        Answer::Yes
+    })
+}
+
+fn write(path: &path::Path, text: &str) -> Result<(), CtlError> {
+    let error = |source| CtlError::File {
+        path: path.to_owned(),
+        source,
+    };
+    std::fs::write(path, text).map_err(error)
+}
--- /dev/null
+++ b/crates/lentilctl/src/status.rs
@@ -0,0 +1,176 @@
+//! `lentilctl status`.
+
+use std::{net, path, sync::Arc, time};
+
+use lentil_platform::{Instance, InstanceList as _};
+use lentil_policy::{
+    config_sync::{Doc, Known},
+    store::ObjectVersion,
+};
+use lentil_types::{NodeName, RegionName};
+use lentil_wire::{FleetKey, Identity, Link, Sync, Synced, WireError};
+use strum::IntoEnumIterator as _;
+
+use crate::{
+    error::CtlError,
+    output::{Answer, Output},
+    platform::{self, TextStore},
+};
+
+/// Processes that are asked at once.
+const AT_ONCE: usize = 32;
+/// How long a process may take to answer.
+const TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// print which version each process runs; exit code 1 when any lags or does not
+/// answer
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct Args {
+    /// address of the platform
+    #[argh(option)]
+    platform: net::SocketAddr,
+    /// the region
+    #[argh(option)]
+    region: RegionName,
+    /// file with the fleet key
+    #[argh(option)]
+    fleet_key_file: path::PathBuf,
+}
+
+/// One process.
+#[derive(serde::Serialize)]
+struct Row {
+    node: NodeName,
+    place: String,
+    role: String,
+    /// How it is; `silent` when it did not answer.
+    state: String,
+    version: Option<u64>,
+    /// Versions that it is behind the accepted one.
+    behind: Option<u64>,
+    /// How long ago the store confirmed its version, in milliseconds.
+    age_ms: Option<u64>,
+}
+
+#[derive(serde::Serialize)]
+struct Status {
+    accepted: u64,
+    processes: Vec<Row>,
+}
+
+pub(crate) async fn run(args: Args, output: Output) -> Result<Answer, CtlError> {
+    let identity = identity(&args.fleet_key_file)?;
+    let accepted = TextStore::new(args.platform, &args.region)
+        .read()
+        .await?
+        .version;
+    let instances = platform::client(args.platform).instances(None).await?;
+    let answers = ask_all(identity, instances).await;
+    let row = |(instance, synced): (Instance, Option<Synced>)| Row::new(accepted, instance, synced);
+    let status = Status {
+        accepted,
+        processes: answers.into_iter().map(row).collect(),
+    };
+    output.print(&status.table(), &status);
+    let is_current = status.processes.iter().all(|row| row.behind == Some(0));
+    Ok(if is_current { Answer::Yes } else { Answer::No })
+}
+
+fn identity(path: &path::Path) -> Result<Identity, CtlError> {
+    let error = |source| CtlError::File {
+        path: path.to_owned(),
+        source,
+    };
+    let key = std::fs::read_to_string(path).map_err(error)?;
+    let key: FleetKey = key.trim().parse()?;
+    let node = NodeName::new("lentilctl")?;
+    Ok(Identity { node, key })
+}
+
+async fn ask_all(identity: Identity, instances: Vec<Instance>) -> Vec<(Instance, Option<Synced>)> {
+    let identity = Arc::new(identity);
+    let permits = Arc::new(smol::lock::Semaphore::new(AT_ONCE));
+    let ask = |instance: Instance| {
+        let (identity, permits) = (identity.clone(), permits.clone());
+        smol::spawn(async move {
+            let _permit = permits.acquire().await;
+            let synced = ask(&identity, instance.address).await;
+            (instance, synced.ok())
+        })
+    };
+    let tasks: Vec<_> = instances.into_iter().map(ask).collect();
+    let mut answers = Vec::new();
+    for task in tasks {
+        answers.push(task.await);
+    }
+    answers
+}
+
+/// Asks a process what it has, and for no document.
+async fn ask(identity: &Identity, address: net::SocketAddr) -> Result<Synced, WireError> {
+    let everything = |doc| Known {
+        doc,
+        version: ObjectVersion(u64::MAX),
+    };
+    let sync = Sync {
+        known: Doc::iter().map(everything).collect(),
+        wait: time::Duration::ZERO,
+    };
+    let answer = async {
+        let link = Link::connect(address, identity).await?;
+        lentil_control::ask(&link, sync).await
+    };
+    let timer = async {
+        smol::Timer::after(TIMEOUT).await;
+        Err(WireError::Ended("an answer in time"))
+    };
+    smol::future::or(answer, timer).await
+}
+
+impl Row {
+    fn new(accepted: u64, instance: Instance, synced: Option<Synced>) -> Self {
+        let text = |known: &&Known| known.doc == Doc::Config;
+        let known = synced
+            .as_ref()
+            .and_then(|synced| synced.known.iter().find(text));
+        let version = known.map(|known| known.version.0);
+        let age = synced.as_ref().and_then(|synced| synced.reply.age);
+        let state = synced.map_or_else(|| "silent".to_owned(), |synced| synced.state.to_string());
+        Self {
+            node: instance.node,
+            place: instance.place.to_string(),
+            role: instance.role.to_string(),
+            state,
+            version,
+            behind: version.map(|version| accepted.saturating_sub(version)),
+            age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        }
+    }
+}
+
+impl Status {
+    fn table(&self) -> String {
+        let mut table = format!("accepted version {}\n", self.accepted);
+        table += &format!(
+            "{:<24} {:<16} {:<8} {:<8} {:>8} {:>7} {:>8}\n",
+            "node", "place", "role", "state", "version", "behind", "age ms"
+        );
+        let shown =
+            |number: Option<u64>| number.map_or("-".to_owned(), |number| number.to_string());
+        for row in &self.processes {
+            let (version, behind, age) = (row.version, row.behind, row.age_ms);
+            table += &format!(
+                "{:<24} {:<16} {:<8} {:<8} {:>8} {:>7} {:>8}\n",
+                row.node,
+                row.place,
+                row.role,
+                row.state,
+                shown(version),
+                shown(behind),
+                shown(age)
+            );
+        }
+        table
+    }
+}
--- /dev/null
+++ b/crates/lentilctl/tests/store_cli.rs
@@ -0,0 +1,226 @@
+//! Commands that reach the platform, as an operator calls them.
+
+use std::{net, path, process};
+
+use lentil_fakes::{Platform, PlatformSettings};
+use lentil_policy::{config_sync::Doc, store::ObjectVersion};
+use lentil_types::RegionName;
+
+const TEXT: &str = "region = \"nw-georgia\"\n\n[[place]]\nname = \"hall-intake\"\n";
+const OTHER: &str = "region = \"nw-georgia\"\n\n[[place]]\nname = \"hall-baling\"\n";
+
+struct Answer {
+    code: Option<i32>,
+    value: serde_json::Value,
+}
+
+/// A platform, and a folder for an operator's files. It goes when dropped.
+struct Bench {
+    platform: Platform,
+    folder: path::PathBuf,
+}
+
+impl Bench {
+    fn new(name: &str) -> Self {
+        let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&folder).expect("the folder is made");
+        let platform = Platform::start(PlatformSettings::default()).expect("it listens");
+        Self { platform, folder }
+    }
+
+    fn file(&self, name: &str, text: &str) -> String {
+        let path = self.folder.join(name);
+        std::fs::write(&path, text).expect("the file is written");
+        path.display().to_string()
+    }
+
+    fn run(&self, words: &[&str]) -> Answer {
+        let mut command = process::Command::new(env!("CARGO_BIN_EXE_lentilctl"));
+        let address = self.platform.address().to_string();
+        let output = command
+            .args(words)
+            .args(["--platform", &address, "--json"])
+            .output();
+        let output = output.expect("lentilctl runs");
+        let value = serde_json::from_slice(&output.stdout);
+        Answer {
+            code: output.status.code(),
+            value: value.expect("the output is JSON"),
+        }
+    }
+
+    fn accepted(&self) -> (u64, String) {
+        let region = RegionName::new("nw-georgia").expect("a name");
+        let object = self.platform.memory().get(&Doc::Config.key(&region));
+        (
+            object.version.0,
+            String::from_utf8(object.value).expect("UTF-8"),
+        )
+    }
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        // What is left goes with the build's folder.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+#[test]
+fn a_text_is_applied_shown_edited_and_applied_again() {
+    let bench = Bench::new("again");
+    let first = bench.run(&["apply", &bench.file("text.toml", TEXT), "--from", "0"]);
+    assert_eq!((first.code, &first.value["version"]), (Some(0), &1.into()));
+    let file = bench.folder.join("shown.toml").display().to_string();
+    let shown = bench.run(&["show", "--region", "nw-georgia", "--file", &file]);
+    assert_eq!((shown.code, &shown.value["version"]), (Some(0), &1.into()));
+    assert_eq!(std::fs::read_to_string(&file).expect("written"), TEXT);
+    let second = bench.run(&["apply", &bench.file("text.toml", OTHER), "--from", "1"]);
+    assert_eq!(
+        (second.code, &second.value["version"]),
+        (Some(0), &2.into())
+    );
+    assert_eq!(bench.accepted(), (2, OTHER.to_owned()));
+}
+
+#[test]
+fn the_loser_of_a_race_sees_what_differs_and_loses_nothing() {
+    let bench = Bench::new("race");
+    let (mine, theirs) = (
+        bench.file("mine.toml", TEXT),
+        bench.file("theirs.toml", OTHER),
+    );
+    assert_eq!(bench.run(&["apply", &theirs, "--from", "0"]).code, Some(0));
+    let lost = bench.run(&["apply", &mine, "--from", "0"]);
+    assert_eq!(lost.code, Some(4), "{}", lost.value);
+    let diff = lost.value["diff"].as_str().expect("a diff");
+    assert!(diff.contains("-name = \"hall-baling\""), "{diff}");
+    assert!(diff.contains("+name = \"hall-intake\""), "{diff}");
+    assert_eq!(lost.value["accepted"], 1);
+    assert_eq!(std::fs::read_to_string(&mine).expect("there"), TEXT);
+    assert_eq!(bench.accepted(), (1, OTHER.to_owned()));
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_reading_back() {
+    let bench = Bench::new("lost");
+    bench.platform.faults().lose_answers(1);
+    let applied = bench.run(&["apply", &bench.file("text.toml", TEXT), "--from", "0"]);
+    assert_eq!(
+        (applied.code, &applied.value["version"]),
+        (Some(0), &1.into())
+    );
+    assert_eq!(bench.accepted(), (1, TEXT.to_owned()));
+}
+
+#[test]
+fn a_faulty_text_is_never_applied() {
+    let bench = Bench::new("faulty");
+    let file = bench.file("text.toml", "region = 1\nunknown = 2\n");
+    assert_eq!(bench.run(&["apply", &file, "--from", "0"]).code, Some(1));
+    assert_eq!(bench.accepted().0, 0);
+}
+
+#[test]
+fn a_platform_that_is_down_is_named() {
+    let bench = Bench::new("down");
+    bench.platform.faults().set_down(true);
+    let refused = bench.run(&["apply", &bench.file("text.toml", TEXT), "--from", "0"]);
+    assert_eq!(refused.code, Some(3), "{}", refused.value);
+    let shown = bench.run(&["show", "--region", "nw-georgia"]);
+    assert_eq!(shown.code, Some(3), "{}", shown.value);
+}
+
+#[test]
+fn status_says_which_version_each_process_runs_and_who_is_silent() {
+    let bench = Bench::new("status");
+    let region = RegionName::new("nw-georgia").expect("a name");
+    let put = |expect, text: &str| {
+        let key = Doc::Config.key(&region);
+        let value = text.as_bytes().to_vec();
+        bench
+            .platform
+            .memory()
+            .put(&key, ObjectVersion(expect), value)
+            .expect("written");
+    };
+    put(0, TEXT);
+    let agent = smol::block_on(agent(&bench, &region));
+    bench
+        .platform
+        .set_instances(vec![listed("entry-1", agent.address())]);
+    let key = bench.file("key", "the key of a test on loopback\n");
+    let words = ["status", "--region", "nw-georgia", "--fleet-key-file", &key];
+    let status = bench.run(&words);
+    assert_eq!(status.code, Some(0), "{}", status.value);
+    let row = &status.value["processes"][0];
+    assert_eq!((&row["version"], &row["behind"]), (&1.into(), &0.into()));
+    // One that nobody listens for.
+    let closed: net::SocketAddr = ([127, 0, 0, 1], 1).into();
+    let two = vec![
+        listed("entry-1", agent.address()),
+        listed("entry-2", closed),
+    ];
+    bench.platform.set_instances(two);
+    let status = bench.run(&words);
+    assert_eq!(status.code, Some(1), "{}", status.value);
+    assert_eq!(status.value["processes"][1]["state"], "silent");
+}
+
+#[test]
+fn status_says_how_far_a_process_is_behind() {
+    // The process follows another platform, which has no second version.
+    let (bench, old) = (Bench::new("behind"), Bench::new("behind-old"));
+    let text = bench.file("text.toml", TEXT);
+    let later = bench.file("later.toml", OTHER);
+    assert_eq!(old.run(&["apply", &text, "--from", "0"]).code, Some(0));
+    assert_eq!(bench.run(&["apply", &text, "--from", "0"]).code, Some(0));
+    assert_eq!(bench.run(&["apply", &later, "--from", "1"]).code, Some(0));
+    let region = RegionName::new("nw-georgia").expect("a name");
+    let agent = smol::block_on(agent(&old, &region));
+    bench
+        .platform
+        .set_instances(vec![listed("entry-1", agent.address())]);
+    let key = bench.file("key", "the key of a test on loopback\n");
+    let status = bench.run(&["status", "--region", "nw-georgia", "--fleet-key-file", &key]);
+    assert_eq!(status.code, Some(1), "{}", status.value);
+    let row = &status.value["processes"][0];
+    assert_eq!((&row["version"], &row["behind"]), (&1.into(), &1.into()));
+}
+
+fn listed(node: &str, address: net::SocketAddr) -> lentil_platform::Instance {
+    lentil_platform::Instance {
+        node: lentil_types::NodeName::new(node).expect("a name"),
+        role: lentil_platform::InstanceRole::Entry,
+        place: lentil_types::PlaceName::new("hall-intake").expect("a name"),
+        address,
+        state: lentil_types::RunnerState::Live,
+    }
+}
+
+/// An agent that has the first version in force.
+async fn agent(bench: &Bench, region: &RegionName) -> lentil_control::Agent {
+    let client = std::sync::Arc::new(lentil_platform::Platform::new(lentil_platform::Settings {
+        address: bench.platform.address(),
+        ..lentil_platform::Settings::default()
+    }));
+    let agent = lentil_control::Agent::start(lentil_control::Settings {
+        listen: ([127, 0, 0, 1], 0).into(),
+        identity: lentil_wire::Identity {
+            node: lentil_types::NodeName::new("entry-1").expect("a name"),
+            key: "the key of a test on loopback"
+                .parse()
+                .expect("long enough"),
+        },
+        place: lentil_types::PlaceName::new("hall-intake").expect("a name"),
+        region: region.clone(),
+        seeds: Vec::new(),
+        store: client.clone(),
+        instances: client,
+        budget: lentil_policy::store_budget::Settings::default(),
+    });
+    let agent = agent.await.expect("it listens");
+    let applied = agent.applied().recv().await.expect("a text is applied");
+    assert_eq!(applied.version, ObjectVersion(1));
+    agent
+}
--- /dev/null
+++ b/crates/lentilglade/src/capacity/process.rs
@@ -0,0 +1,45 @@
+//! Memory and processor time of a process.
+
+use std::{fs, path, time};
+
+/// Memory that a process holds, in bytes; 0 where the system does not tell.
+pub(super) fn memory(process: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
+
+/// Processor time that a process has used, over all of its threads.
+pub(super) fn cpu(process: &str) -> time::Duration {
+    let Ok(threads) = fs::read_dir(format!("/proc/{process}/task")) else {
+        return time::Duration::ZERO;
+    };
+    let of_thread = |path: path::PathBuf| -> Option<u64> {
+        let text = fs::read_to_string(path.join("schedstat")).ok()?;
+        text.split(' ').next()?.parse().ok()
+    };
+    let nanos = threads
+        .flatten()
+        .filter_map(|thread| of_thread(thread.path()));
+    time::Duration::from_nanos(nanos.sum())
+}
+
+/// What `make` makes and the bytes of memory that each copy of it takes.
+pub(super) fn memory_of<T>(copies: usize, mut make: impl FnMut() -> T) -> f64 {
+    let before = memory("self");
+    let made: Vec<T> = (0..copies).map(|_| make()).collect();
+    let after = memory("self");
+    drop(made);
+    after.saturating_sub(before) as f64 / copies as f64
+}
+
+/// The shortest time of several runs, in nanoseconds.
+pub(super) fn nanos(runs: usize, mut run: impl FnMut()) -> f64 {
+    let one = |_| {
+        let begin = time::Instant::now();
+        run();
+        begin.elapsed().as_nanos() as f64
+    };
+    (0..runs).map(one).fold(f64::INFINITY, f64::min)
+}
--- a/crates/lentilglade/src/lib.rs
+++ b/crates/lentilglade/src/lib.rs
@@ -1,6 +1,7 @@
 //! The newcomer's door: a whole market in one process.
 
 pub mod bench;
+pub mod capacity;
 mod demo;
 mod session;
 
--- a/crates/lentilglade/src/main.rs
+++ b/crates/lentilglade/src/main.rs
@@ -1,6 +1,6 @@
 //! `lentilglade`: the newcomer's door.
 
-use std::{path, process};
+use std::{path, process, time};
 
 use anyhow::Context as _;
 use lentil_config::Market;
@@ -8,6 +8,7 @@
 use lentilglade::{
     Demo, Session,
     bench::{self, BenchSettings},
+    capacity,
 };
 
 /// Try lentilglade in one process.
@@ -22,6 +23,7 @@
 enum Command {
     Demo(DemoArgs),
     Bench(BenchArgs),
+    Capacity(CapacityArgs),
 }
 
 /// run an entry, sidecars and stand-ins from an operators' text
@@ -51,12 +53,26 @@
     words: usize,
 }
 
+/// measure the slopes of docs/CAPACITY.md, on loopback
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct CapacityArgs {
+    /// numbers of peers of a real entry and sidecar, such as 10,100,300;
+    /// without them only what needs no other process is measured
+    #[argh(option, default = "String::new()")]
+    peers: String,
+    /// seconds that each number of peers is looked at (default 20)
+    #[argh(option, default = "20")]
+    seconds: u64,
+}
+
 fn main() -> anyhow::Result<process::ExitCode> {
     let args: Args = argh::from_env();
     logs::init(logs::Settings::default())?;
     match args.command {
         Command::Demo(args) => smol::block_on(demo(args)),
         Command::Bench(args) => smol::block_on(run_bench(args)),
+        Command::Capacity(args) => smol::block_on(run_capacity(&args)),
     }
 }
 
@@ -118,3 +134,46 @@
     print!("{}", bench::table(&pairs));
     Ok(process::ExitCode::SUCCESS)
 }
+
+async fn run_capacity(args: &CapacityArgs) -> anyhow::Result<process::ExitCode> {
+    if args.peers.is_empty() {
+        capacity::lines().iter().for_each(print_line);
+        return Ok(process::ExitCode::SUCCESS);
+    }
+    println!(
+        "{:<8} {:>6} {:>10} {:>8} {:>9} {:>9} {:>11}",
+        "process", "peers", "memory MB", "core %", "peers B/s", "asked B/s", "platform B/s"
+    );
+    for count in args.peers.split(',') {
+        let settings = capacity::PeerSettings {
+            peers: count.trim().parse().context("a number of peers")?,
+            warm: time::Duration::from_secs(10),
+            span: time::Duration::from_secs(args.seconds),
+        };
+        let [entry, sidecar] = capacity::peers(settings).await?;
+        for (name, figures) in [("entry", entry), ("sidecar", sidecar)] {
+            println!(
+                "{name:<8} {:>6} {:>10.1} {:>8.2} {:>9.0} {:>9.0} {:>11.0}",
+                settings.peers,
+                figures.memory as f64 / 1e6,
+                figures.core * 100.0,
+                figures.peers,
+                figures.asked,
+                figures.platform
+            );
+        }
+    }
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn print_line(line: &capacity::Line) {
+    let fit = line.fit();
+    println!("{}", line.name);
+    for point in &line.points {
+        println!("    {:>10.0} {:>14.0}", point.x, point.y);
+    }
+    println!(
+        "    base {:.0}, slope {:.3}, R2 {:.4}",
+        fit.base, fit.slope, fit.straight
+    );
+}
