The capacity benchmark keeps what it measures, and measures memory first

Cause: the memory of the text and of config_sync came out as 0 to 72 kB without order: memory that earlier measurements had freed was used again. Change: copies are never freed, what is needed on the way is made once before, and memory is measured before time.

--- a/crates/lentilglade/src/capacity/cache.rs
+++ b/crates/lentilglade/src/capacity/cache.rs
@@ -13,6 +13,8 @@
 const SIZES: [u64; 5] = [10_000, 20_000, 40_000, 80_000, 160_000];
 const EVENTS: u64 = 2_000;
 const COPIES: usize = 64;
+/// The shortest of so many runs counts.
+const RUNS: usize = 5;
 
 /// A hash as evenly spread as a real one.
 fn piece(number: u64) -> PieceHash {
@@ -46,26 +48,32 @@
     }
 }
 
-pub(super) fn lines() -> Vec<Line> {
-    let point = |size: u64, y| Point { x: size as f64, y };
-    let memory = |size| point(size, process::memory_of(COPIES, || view(size)));
-    let time = |size| {
-        let whole = process::nanos(5, || {
+pub(super) fn memory() -> Line {
+    let point = |size| Point {
+        x: size as f64,
+        y: process::memory_of(COPIES, || view(size)),
+    };
+    Line {
+        name: "cache: cached blocks -> bytes of memory",
+        points: SIZES.map(point).to_vec(),
+    }
+}
+
+pub(super) fn time() -> Line {
+    let point = |size| {
+        let whole = process::nanos(RUNS, || {
             let mut view = view(size);
             change(&mut view, size);
             hint::black_box(&view);
         });
-        let filled = process::nanos(5, || drop(hint::black_box(view(size))));
-        point(size, (whole - filled) / EVENTS as f64)
+        let filled = process::nanos(RUNS, || drop(hint::black_box(view(size))));
+        Point {
+            x: size as f64,
+            y: (whole - filled) / EVENTS as f64,
+        }
     };
-    vec![
-        Line {
-            name: "cache: cached blocks -> bytes of memory",
-            points: SIZES.map(memory).to_vec(),
-        },
-        Line {
-            name: "cache: cached blocks -> ns for an event",
-            points: SIZES.map(time).to_vec(),
-        },
-    ]
+    Line {
+        name: "cache: cached blocks -> ns for an event",
+        points: SIZES.map(point).to_vec(),
+    }
 }
--- a/crates/lentilglade/src/capacity/mod.rs
+++ b/crates/lentilglade/src/capacity/mod.rs
@@ -30,7 +30,16 @@
     }
 }
 
-/// Every line that needs no other process.
+/// Every line that needs no other process. Memory comes first: the times leave
+/// freed memory behind, which would be counted as free.
 pub fn lines() -> Vec<Line> {
-    [cache::lines(), text::lines(), sync::lines()].concat()
+    let memory = [sync::memory(), text::memory(), cache::memory()];
+    let rest = [
+        cache::time(),
+        text::size(),
+        text::parse(),
+        text::edit(),
+        sync::tick(),
+    ];
+    [memory.to_vec(), rest.to_vec()].concat()
 }
--- a/crates/lentilglade/src/capacity/process.rs
+++ b/crates/lentilglade/src/capacity/process.rs
@@ -1,6 +1,6 @@
 //! Memory and processor time of a process.
 
-use std::{fs, path, time};
+use std::{fs, mem, path, time};
 
 /// Memory that a process holds, in bytes; 0 where the system does not tell.
 pub(super) fn memory(process: &str) -> u64 {
@@ -25,12 +25,15 @@
     time::Duration::from_nanos(nanos.sum())
 }
 
-/// What `make` makes and the bytes of memory that each copy of it takes.
+/// The bytes of memory that each copy of what `make` makes takes. The copies are
+/// never freed, so that a later measurement cannot take their place.
 pub(super) fn memory_of<T>(copies: usize, mut make: impl FnMut() -> T) -> f64 {
+    // What is only needed on the way is there before it is counted.
+    mem::forget(make());
     let before = memory("self");
     let made: Vec<T> = (0..copies).map(|_| make()).collect();
     let after = memory("self");
-    drop(made);
+    mem::forget(made);
     after.saturating_sub(before) as f64 / copies as f64
 }
 
--- a/crates/lentilglade/src/capacity/sync.rs
+++ b/crates/lentilglade/src/capacity/sync.rs
@@ -7,7 +7,11 @@
 
 const PEERS: [usize; 5] = [50, 100, 200, 400, 800];
 const TICKS: u64 = 1_000;
-const COPIES: usize = 64;
+const COPIES: usize = 256;
+/// The shortest of so many runs counts.
+const RUNS: usize = 5;
+/// Time between two ticks, in microseconds.
+const TICK_MICROS: u64 = 500_000;
 
 fn sync(peers: usize) -> ConfigSync {
     let place = PlaceName::new("hall-intake").expect("a name");
@@ -21,29 +25,37 @@
     sync
 }
 
-pub(super) fn lines() -> Vec<Line> {
-    let point = |peers: usize, y| Point { x: peers as f64, y };
-    let memory = |peers| point(peers, process::memory_of(COPIES, || sync(peers)));
-    let tick = |peers| {
+fn line(name: &'static str, cost: impl Fn(usize) -> f64) -> Line {
+    let point = |peers: usize| Point {
+        x: peers as f64,
+        y: cost(peers),
+    };
+    Line {
+        name,
+        points: PEERS.map(point).to_vec(),
+    }
+}
+
+pub(super) fn memory() -> Line {
+    line(
+        "sync: peers in the data centre -> bytes of memory",
+        |peers| process::memory_of(COPIES, || sync(peers)),
+    )
+}
+
+/// No peer answers, so every tick passes one over and sorts the others again:
+/// the dearest case.
+pub(super) fn tick() -> Line {
+    line("sync: peers in the data centre -> ns for a tick", |peers| {
         let mut sync = sync(peers);
         let mut rng = rand_pcg::Pcg64Mcg::new(1);
         let mut now = 0;
-        let whole = process::nanos(5, || {
+        let whole = process::nanos(RUNS, || {
             for _ in 0..TICKS {
-                now += 500_000;
+                now += TICK_MICROS;
                 drop(sync.tick(Instant(now), &mut rng));
             }
         });
-        point(peers, whole / TICKS as f64)
-    };
-    vec![
-        Line {
-            name: "sync: peers in the data centre -> bytes of memory",
-            points: PEERS.map(memory).to_vec(),
-        },
-        Line {
-            name: "sync: peers in the data centre -> ns for a tick",
-            points: PEERS.map(tick).to_vec(),
-        },
-    ]
+        whole / TICKS as f64
+    })
 }
--- a/crates/lentilglade/src/capacity/text.rs
+++ b/crates/lentilglade/src/capacity/text.rs
@@ -9,7 +9,9 @@
 
 const RUNNERS: [usize; 5] = [100, 200, 400, 600, 800];
 const TEAMS: usize = 330;
-const COPIES: usize = 16;
+const COPIES: usize = 64;
+/// The shortest of so many runs counts.
+const RUNS: usize = 5;
 
 /// A text with so many runners of one service.
 fn text(runners: usize) -> String {
@@ -34,46 +36,50 @@
     text
 }
 
-pub(super) fn lines() -> Vec<Line> {
-    let point = |runners: usize, y| Point {
+fn line(name: &'static str, cost: impl Fn(usize) -> f64) -> Line {
+    let point = |runners: usize| Point {
         x: runners as f64,
-        y,
+        y: cost(runners),
     };
-    let size = |runners| point(runners, text(runners).len() as f64);
-    let parse = |runners| {
-        let text = text(runners);
-        point(
-            runners,
-            process::nanos(5, || drop(hint::black_box(Market::parse(&text)))),
-        )
-    };
-    let memory = |runners| {
+    Line {
+        name,
+        points: RUNNERS.map(point).to_vec(),
+    }
+}
+
+pub(super) fn memory() -> Line {
+    line("text: runners (330 teams) -> bytes of memory", |runners| {
         let text = text(runners);
-        point(runners, process::memory_of(COPIES, || Market::parse(&text)))
-    };
-    let edit = |runners| {
-        let old = text(runners).into_bytes();
-        let mut new = old.clone();
-        new[old.len() / 2] ^= 1;
-        let edit = || drop(hint::black_box(Edit::between(&old, &new).apply(&old)));
-        point(runners, process::nanos(5, edit))
-    };
-    vec![
-        Line {
-            name: "text: runners (330 teams) -> bytes",
-            points: RUNNERS.map(size).to_vec(),
-        },
-        Line {
-            name: "text: runners (330 teams) -> ns to read and check",
-            points: RUNNERS.map(parse).to_vec(),
-        },
-        Line {
-            name: "text: runners (330 teams) -> bytes of memory",
-            points: RUNNERS.map(memory).to_vec(),
+        process::memory_of(COPIES, || Market::parse(&text))
+    })
+}
+
+pub(super) fn size() -> Line {
+    line("text: runners (330 teams) -> bytes", |runners| {
+        text(runners).len() as f64
+    })
+}
+
+pub(super) fn parse() -> Line {
+    line(
+        "text: runners (330 teams) -> ns to read and check",
+        |runners| {
+            let text = text(runners);
+            process::nanos(RUNS, || drop(hint::black_box(Market::parse(&text))))
         },
-        Line {
-            name: "text: runners (330 teams) -> ns to make and apply an edit",
-            points: RUNNERS.map(edit).to_vec(),
+    )
+}
+
+pub(super) fn edit() -> Line {
+    line(
+        "text: runners (330 teams) -> ns to make and apply an edit",
+        |runners| {
+            let old = text(runners).into_bytes();
+            let mut new = old.clone();
+            new[old.len() / 2] ^= 1;
+            process::nanos(RUNS, || {
+                drop(hint::black_box(Edit::between(&old, &new).apply(&old)));
+            })
         },
-    ]
+    )
 }
