--- a/crates/lentil_control/src/worker.rs
+++ b/crates/lentil_control/src/worker.rs
@@ -127,11 +127,13 @@
         if self.members.tick(now) {
             self.tell_peers(now);
         }
-        for command in self.sync.tick(now, &mut self.rng) {
+        let commands = self.sync.tick(now, &mut self.rng);
+        // Whoever gets a document finds the agent ready.
+        self.show(now);
+        for command in commands {
             self.carry_out(now, command);
         }
         self.answer(now);
-        self.show(now);
     }
 
     // -----------------------------------------------------------------------
