Errors say what became of the request, and the policy's counts are metrics

Cause: an error's message was only its code, answers that came too late were counted and not shown, and a call that had run earlier counted as unknown. Change: messages begin with the outcome in words; late answers and poison reach the metrics; a test of a stream that ends in an error event.

--- a/crates/lentil_entry/src/answer/sse.rs
+++ b/crates/lentil_entry/src/answer/sse.rs
@@ -136,8 +136,7 @@
             entry::Ending::Failed {
                 outcome, reason, ..
             } => {
-                let status = refusal::status_of(reason);
-                let body = openai::error_body(status, &reason.to_string(), reason.into(), outcome);
+                let body = refusal::failed_body(outcome, reason);
                 write!(out, "event: error\ndata: {body}\n\n")?;
             }
         }
--- a/crates/lentil_entry/src/api.rs
+++ b/crates/lentil_entry/src/api.rs
@@ -340,8 +340,7 @@
     if let Some(seconds) = refusal::retry_seconds(status, retry) {
         set_header(conn, "retry-after", &seconds.to_string());
     }
-    let body = openai::error_body(status, &reason.to_string(), reason.into(), outcome);
-    json(conn, status, body);
+    json(conn, status, refusal::failed_body(outcome, reason));
 }
 
 fn refuse(conn: &mut Conn, refusal: &Refusal) {
--- a/crates/lentil_entry/src/driver.rs
+++ b/crates/lentil_entry/src/driver.rs
@@ -63,6 +63,8 @@
     answers: Sender<Input>,
     callers: HashMap<RequestId, Caller>,
     attempts: HashMap<AttemptId, Sender<Order>>,
+    /// What the policy had counted when the metrics last heard of it.
+    shown: entry::Counters,
 }
 
 /// Runs until every sender of requests is gone.
@@ -75,6 +77,7 @@
     let mut driver = Driver {
         parts,
         unsettled: None,
+        shown: entry::Counters::default(),
         answers,
         callers: HashMap::new(),
         attempts: HashMap::new(),
@@ -91,6 +94,7 @@
         }
         let commands = policy.tick(clock.now(), &mut rng);
         driver.show_unsettled(policy.unsettled());
+        driver.show_counters(policy.counters());
         for command in commands {
             driver.carry_out(command);
         }
@@ -116,6 +120,24 @@
 }
 
 impl Driver {
+    /// Adds what the policy has counted since the last time to the metrics.
+    fn show_counters(&mut self, counters: entry::Counters) {
+        let metrics = &self.parts.metrics;
+        for (counter, now, before) in [
+            (Counter::LateAnswers, counters.late, self.shown.late),
+            (
+                Counter::PoisonRefused,
+                counters.poisoned,
+                self.shown.poisoned,
+            ),
+        ] {
+            if now > before {
+                metrics.add(counter, now - before);
+            }
+        }
+        self.shown = counters;
+    }
+
     fn take_in(&mut self, policy: &mut entry::EntryPolicy, input: Input) {
         let now = self.parts.clock.now();
         match input {
@@ -220,8 +242,9 @@
             } => {
                 log::info!(request:% = request, team:% = team, runner; "{outcome}: {reason}");
                 match outcome {
+                    Outcome::Done => Counter::OutcomeDone,
                     Outcome::NotRun => Counter::OutcomeNotRun,
-                    Outcome::Done | Outcome::Unknown => Counter::OutcomeUnknown,
+                    Outcome::Unknown => Counter::OutcomeUnknown,
                 }
             }
         };
--- a/crates/lentil_entry/src/refusal.rs
+++ b/crates/lentil_entry/src/refusal.rs
@@ -117,6 +117,17 @@
     }
 }
 
+/// Error body of a request that the policy gave up.
+pub(crate) fn failed_body(outcome: Outcome, reason: FailReason) -> String {
+    let what = match outcome {
+        Outcome::Done => "the request ran earlier and its answer is no longer kept",
+        Outcome::NotRun => "the request did not run",
+        Outcome::Unknown => "it is not known whether the request ran",
+    };
+    let message = format!("{what}: {reason}");
+    openai::error_body(status_of(reason), &message, reason.into(), outcome)
+}
+
 /// Seconds for the header that says when another try is worth while.
 pub(crate) fn retry_seconds(status: u16, retry: Option<time::Duration>) -> Option<u64> {
     let retry = match (status, retry) {
--- a/crates/lentil_entry/tests/callers/answers.rs
+++ b/crates/lentil_entry/tests/callers/answers.rs
@@ -2,7 +2,7 @@
 
 use crate::support::{Bench, Script, Step, auth, run};
 use lentil_policy::protocol;
-use lentil_types::Tokens;
+use lentil_types::{FailReason, Outcome, Tokens};
 use serde_json::{Value, json};
 
 const USAGE: protocol::Usage = protocol::Usage {
@@ -256,3 +256,26 @@
         }
     });
 }
+
+#[test]
+fn a_stream_that_cannot_be_finished_ends_in_an_error_event() {
+    run(async {
+        let script: Script = Box::new(|dispatch| {
+            let mut steps = vec![Step::Head(200, Vec::new())];
+            if dispatch.resume.is_none() {
+                let data = chunk(0, &json!({ "content": "spring" }), &Value::Null);
+                steps.push(Step::Piece(data.to_string().into_bytes()));
+            }
+            steps.push(Step::Fail(Outcome::Unknown, FailReason::EngineDied, None));
+            steps
+        });
+        let bench = Bench::start(script).await;
+        let response = bench.chat(&ask(&json!({ "stream": true }))).await;
+        assert_eq!((response.status, response.whole), (200, true));
+        assert!(!response.text().contains("[DONE]"));
+        assert!(response.text().contains("event: error\n"));
+        let last = response.events().pop().expect("there is an event");
+        let last: Value = serde_json::from_str(last).expect("the event is JSON");
+        assert_eq!(last["error"]["outcome"], "unknown");
+    });
+}
