Claims have a budget of store calls of their own

Cause: each purpose had 20 calls a second to the store.

Change: 100 calls a second for claims, 200 at once. The old tests keep their limits by setting both; a new one shows that the limits differ.

--- a/crates/lentil_policy/src/store_budget/budget.rs
+++ b/crates/lentil_policy/src/store_budget/budget.rs
@@ -9,10 +9,14 @@
 /// Settings of a [`Budget`].
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Calls a second that each purpose may make.
+    /// Calls a second that each purpose may make, but for claims.
     pub rate: f64,
-    /// Calls that each purpose may make at once.
+    /// Calls that each purpose may make at once, but for claims.
     pub burst: f64,
+    /// Calls a second for claims, which callers wait for.
+    pub claim_rate: f64,
+    /// Calls at once for claims.
+    pub claim_burst: f64,
     /// The circuit breaker over all purposes.
     pub breaker: BreakerSettings,
 }
@@ -22,11 +26,23 @@
         Self {
             rate: 20.0,
             burst: 40.0,
+            claim_rate: 100.0,
+            claim_burst: 200.0,
             breaker: BreakerSettings::default(),
         }
     }
 }
 
+impl Settings {
+    /// Calls a second and at once for a purpose.
+    fn limits(&self, purpose: Purpose) -> (f64, f64) {
+        match purpose {
+            Purpose::Claim => (self.claim_rate, self.claim_burst),
+            _ => (self.rate, self.burst),
+        }
+    }
+}
+
 /// A call may not be made now. Nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Denied {
@@ -145,7 +161,7 @@
             // A probe needs no budget: the breaker spaces them out.
             return self.breaker.admit(now).map_err(Denied::Open);
         }
-        let Settings { rate, burst, .. } = self.settings;
+        let (rate, burst) = self.settings.limits(purpose);
         let full = match self.emptied {
             Some(filled) => Bucket { calls: 0.0, filled },
             None => Bucket {
--- a/crates/lentil_policy/tests/store_budget.rs
+++ b/crates/lentil_policy/tests/store_budget.rs
@@ -15,6 +15,8 @@
     Settings {
         rate: 10.0,
         burst: 20.0,
+        claim_rate: 10.0,
+        claim_burst: 20.0,
         ..Settings::default()
     }
 }
@@ -33,6 +35,17 @@
     made
 }
 
+#[test]
+fn claims_have_more_calls_than_what_no_caller_waits_for() {
+    let mut budget = Budget::new(Settings::default());
+    let mut made = |purpose| {
+        let admit = |_: &i32| budget.admit(Instant::ZERO, purpose, Action::Update).is_ok();
+        (0..1_000).filter(admit).count()
+    };
+    assert_eq!(made(Purpose::Claim), 200);
+    assert_eq!(made(Purpose::Poison), 40);
+}
+
 #[test]
 fn a_purpose_cannot_spend_anothers_calls() {
     let mut budget = Budget::new(settings());
