A test that the poison document reaches an entry's callers

Cause: the path from an agent to the entry's policy had no test.

Change: a document that names a request's fingerprint is put in force through lentil_entry::follow; the same request again is refused (422, not-run, poison).

--- a/crates/lentil_entry/tests/callers/life.rs
+++ b/crates/lentil_entry/tests/callers/life.rs
@@ -1,9 +1,10 @@
 //! Callers that hang up or are slow, drains and new texts.
 
-use std::sync::Arc;
+use std::{sync::Arc, time};
 
 use crate::support::{Bench, Script, Seen, Step, auth, market, run, until};
-use lentil_policy::protocol;
+use lentil_control::Applied;
+use lentil_policy::{config_sync::Doc, poison, protocol, store::ObjectVersion};
 use lentil_process::admin::Subject as _;
 use lentil_types::ConfigVersion;
 use serde_json::json;
@@ -169,3 +170,33 @@
         while !caller.line().await.contains("spring") {}
     });
 }
+
+#[test]
+fn a_request_that_the_poison_document_names_is_refused() {
+    run(async {
+        let usage = protocol::Usage::default();
+        let script: Script = Box::new(move |_| vec![Step::Head(200, Vec::new()), Step::End(usage)]);
+        let bench = Bench::start(script).await;
+        let path = "/services/dockdesk/tag";
+        let first = bench.call("GET", path, &auth(), b"").await;
+        assert_eq!(first.status, 200);
+        let fingerprint = bench.runner.dispatch().await.fingerprint;
+
+        let mut document = poison::Document::default();
+        document.add(fingerprint, poison::POISON_CRASHES, time::Duration::ZERO);
+        let (agent, applied) = channel::unbounded();
+        let next = Applied {
+            doc: Doc::Poison,
+            version: ObjectVersion(1),
+            value: document.to_bytes().into(),
+        };
+        agent.try_send(next).expect("it is open");
+        drop(agent);
+        lentil_entry::follow(bench.entry.control(), applied).await;
+
+        let again = bench.call("GET", path, &auth(), b"").await;
+        assert_eq!(again.status, 422);
+        assert_eq!(again.header("x-lentil-outcome"), Some("not-run"));
+        assert_eq!(again.json()["error"]["code"], "poison");
+    });
+}
