--- a/crates/lentil_entry/src/driver.rs
+++ b/crates/lentil_entry/src/driver.rs
@@ -70,7 +70,7 @@
 /// Runs until every sender of requests is gone.
 pub(crate) async fn run(parts: Parts, requests: Receiver<Input>) {
     let mut rng = rand_pcg::Pcg64Mcg::from_rng(&mut rand::rng());
-    let router = Box::new(route::LeastLoaded::new());
+    let router = Box::new(route::Nested::new(route::NestedSettings::default()));
     let mut policy = entry::EntryPolicy::new(entry::Settings::default(), router);
     let (answers, inbox) = smol::channel::bounded(MAX_WAITING_ANSWERS);
     let clock = parts.clock;
--- a/crates/lentil_policy/src/entry/planning.rs
+++ b/crates/lentil_policy/src/entry/planning.rs
@@ -54,7 +54,7 @@
     fn carry_out(&mut self, now: Instant, offer: &protocol::Offer, plan: route::Plan) {
         let request = offer.id.request;
         match plan {
-            route::Plan::Direct(runner) => self.prepare(now, request, runner, None),
+            route::Plan::Direct { name, boot } => self.prepare(now, request, name, boot),
             route::Plan::Ask(asked) => {
                 for runner in &asked {
                     self.commands
--- a/crates/lentil_policy/src/queue/fifo.rs
+++ b/crates/lentil_policy/src/queue/fifo.rs
@@ -47,12 +47,6 @@
         if self.running() >= self.settings.slots {
             return None;
         }
-        let is_isolated = |job: &queue::Job| job.isolated;
-        let alone =
-            self.jobs.front().is_some_and(is_isolated) || self.running.iter().any(is_isolated);
-        if alone && !self.running.is_empty() {
-            return None;
-        }
         let job = self.jobs.pop_front()?;
         self.running.push(job.clone());
         Some(job)
@@ -70,10 +64,16 @@
         self.jobs.remove(at)
     }
 
+    fn on_started(&mut self, _now: Instant, _id: AttemptId) {}
+
     fn finish(&mut self, _now: Instant, id: AttemptId, _usage: &protocol::Usage) {
         self.running.retain(|job| job.id != id);
     }
 
+    fn expected_cached(&self, _work: &protocol::Work, cached: Pieces) -> Pieces {
+        cached
+    }
+
     fn expected_wait(
         &self,
         _now: Instant,
--- a/crates/lentil_policy/src/queue/mod.rs
+++ b/crates/lentil_policy/src/queue/mod.rs
@@ -1,6 +1,9 @@
 //! Which waiting request a backend server runs next.
 
+mod fair;
 mod fifo;
+mod rate;
+mod shares;
 
 use std::time;
 
@@ -8,6 +11,7 @@
 
 use crate::protocol;
 
+pub use fair::{FairQueue, Settings as FairSettings};
 pub use fifo::{Fifo, Settings as FifoSettings};
 
 /// A request that waits.
@@ -54,9 +58,16 @@
     /// Takes a waiting job out.
     fn remove(&mut self, id: AttemptId) -> Option<Job>;
 
+    /// The prompt of a job that was popped is computed.
+    fn on_started(&mut self, now: Instant, id: AttemptId);
+
     /// A job that was popped has ended, with what it took.
     fn finish(&mut self, now: Instant, id: AttemptId, usage: &protocol::Usage);
 
+    /// Leading pieces that will be cached when a job that came now is run, if
+    /// `cached` are now: those that are being computed for other jobs count.
+    fn expected_cached(&self, work: &protocol::Work, cached: Pieces) -> Pieces;
+
     /// Expected time to the first token of a job that came now.
     fn expected_wait(&self, now: Instant, work: &protocol::Work, cached: Pieces) -> time::Duration;
 
--- a/crates/lentil_policy/src/route/least_loaded.rs
+++ b/crates/lentil_policy/src/route/least_loaded.rs
@@ -65,7 +65,10 @@
             .filter(|row| !exclude.contains(&row.info.name))
             .min_by_key(|row| row.sent);
         match best {
-            Some(row) => route::Plan::Direct(row.info.name.clone()),
+            Some(row) => route::Plan::Direct {
+                name: row.info.name.clone(),
+                boot: None,
+            },
             None => route::Plan::Refuse { retry: RETRY_AFTER },
         }
     }
--- a/crates/lentil_policy/src/route/mod.rs
+++ b/crates/lentil_policy/src/route/mod.rs
@@ -1,6 +1,12 @@
 //! Which runner gets a request.
 
+mod cost;
+mod health;
+mod heat;
+mod homes;
 mod least_loaded;
+mod nested;
+mod recent;
 
 use std::time;
 
@@ -8,7 +14,10 @@
 
 use crate::protocol;
 
+pub use cost::Cost;
+pub use health::HealthSettings;
 pub use least_loaded::LeastLoaded;
+pub use nested::{Nested, Settings as NestedSettings};
 
 /// A runner as the configuration and the instance list give it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,7 +34,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Plan {
     /// Send it to this runner without asking.
-    Direct(RunnerName),
+    Direct {
+        /// The runner.
+        name: RunnerName,
+        /// The engine's life that is known to have the prompt's beginning.
+        boot: Option<lentil_types::BootId>,
+    },
     /// Ask these runners and choose among their bids.
     Ask(Vec<RunnerName>),
     /// No runner can take it.
--- a/crates/lentil_policy/src/sidecar/policy.rs
+++ b/crates/lentil_policy/src/sidecar/policy.rs
@@ -93,7 +93,10 @@
                 cached,
                 status,
                 headers,
-            } => self.on_started(id, cached, status, headers),
+            } => {
+                self.queue.on_started(now, id);
+                self.on_started(id, cached, status, headers);
+            }
             Event::Piece {
                 id,
                 offset,
--- a/crates/lentil_policy/src/sidecar/requests.rs
+++ b/crates/lentil_policy/src/sidecar/requests.rs
@@ -11,20 +11,25 @@
 };
 
 impl SidecarPolicy {
+    /// What an offer would cost here.
+    pub fn bid(&self, now: Instant, offer: &protocol::Offer) -> protocol::Bid {
+        let cached = self.cache.cached(&offer.work.pieces);
+        let cached = self.queue.expected_cached(&offer.work, cached);
+        protocol::Bid {
+            id: offer.id,
+            cached,
+            wait: self.queue.expected_wait(now, &offer.work, cached),
+            load: self.load(),
+        }
+    }
+
     pub(super) fn on_offer(
         &mut self,
         now: Instant,
         link: sidecar::LinkId,
         offer: &protocol::Offer,
     ) {
-        let cached = self.cache.cached(&offer.work.pieces);
-        let wait = self.queue.expected_wait(now, &offer.work, cached);
-        let bid = protocol::Bid {
-            id: offer.id,
-            cached,
-            wait,
-            load: self.load(),
-        };
+        let bid = self.bid(now, offer);
         self.commands.push(sidecar::Command::Bid(link, bid));
     }
 
--- /dev/null
+++ b/crates/lentil_policy/tests/nested.rs
@@ -0,0 +1,244 @@
+//! The router by nested prefixes.
+
+use std::{sync, time::Duration};
+
+use lentil_policy::{
+    protocol,
+    route::{self, Nested, NestedSettings, Router},
+};
+use lentil_types::{
+    Attempt, AttemptId, BootId, Class, Instant, PieceHash, Pieces, RequestId, RunnerName,
+    RunnerState, Tokens, WeightsVersion,
+};
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+
+const BOOT: BootId = BootId(5);
+
+fn name(i: usize) -> RunnerName {
+    format!("sortmind-{i}").parse().unwrap()
+}
+
+fn nested(runners: usize) -> Nested {
+    let mut router = Nested::new(NestedSettings::default());
+    let info = |i| route::RunnerInfo {
+        name: name(i),
+        service: "sortmind".parse().unwrap(),
+        place: "hall-intake".parse().unwrap(),
+    };
+    let infos: Vec<_> = (0..runners).map(info).collect();
+    router.set_runners(Instant::ZERO, &infos);
+    router
+}
+
+fn work(pieces: impl IntoIterator<Item = u64>) -> protocol::Work {
+    let chain: Vec<_> = pieces
+        .into_iter()
+        .map(|i| PieceHash(i.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+        .collect();
+    protocol::Work {
+        service: "sortmind".parse().unwrap(),
+        model: Some("sortmind-7b".parse().unwrap()),
+        team: "a".parse().unwrap(),
+        class: Class::Normal,
+        weights: WeightsVersion(1),
+        prompt: Tokens(chain.len() as u64 * 1_000),
+        pieces: sync::Arc::from(chain),
+        output: Tokens(50),
+    }
+}
+
+fn load(state: RunnerState, running: u32) -> protocol::Load {
+    protocol::Load {
+        boot: BOOT,
+        state,
+        running,
+        ..Default::default()
+    }
+}
+
+fn bid(i: usize, cached: u64, wait_ms: u64) -> route::RunnerBid {
+    let bid = protocol::Bid {
+        id: AttemptId::default(),
+        cached: Pieces(cached),
+        wait: Duration::from_millis(wait_ms),
+        load: load(RunnerState::Live, 0),
+    };
+    route::RunnerBid {
+        runner: name(i),
+        bid,
+    }
+}
+
+fn offer(work: protocol::Work) -> protocol::Offer {
+    protocol::Offer {
+        id: AttemptId {
+            request: RequestId(1),
+            attempt: Attempt::FIRST,
+        },
+        work,
+        budget: Duration::from_secs(10),
+    }
+}
+
+fn asked(router: &mut Nested, work: &protocol::Work, seed: u64) -> Vec<RunnerName> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    match router.plan(Instant::ZERO, work, &[], &mut rng) {
+        route::Plan::Ask(names) => names,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn routers_without_state_ask_the_same_homes() {
+    let (mut one, mut other) = (nested(18), nested(18));
+    let work = work(1..=30);
+    let first = asked(&mut one, &work, 1);
+    let second = asked(&mut other, &work, 2);
+    assert_eq!(first[..3], second[..3]);
+}
+
+#[test]
+fn prompts_that_share_a_prefix_share_a_home() {
+    let mut router = nested(18);
+    let long: Vec<_> = (1..=20).collect();
+    let mut firsts = Vec::new();
+    for lot in 100..110 {
+        let work = work(long.iter().copied().chain([lot]));
+        firsts.push(asked(&mut router, &work, lot)[0].clone());
+    }
+    firsts.sort();
+    firsts.dedup();
+    assert!(firsts.len() <= 6, "{firsts:?}");
+}
+
+#[test]
+fn a_hot_prefix_gets_more_homes() {
+    let mut router = nested(18);
+    let mut firsts = Vec::new();
+    for lot in 1_000..1_400 {
+        let work = work((1..=20).chain([lot]));
+        firsts.push(asked(&mut router, &work, lot)[0].clone());
+    }
+    firsts.sort();
+    firsts.dedup();
+    assert!(firsts.len() >= 9, "all traffic has it: {firsts:?}");
+}
+
+#[test]
+fn the_bid_with_the_most_cached_wins_unless_it_waits_long() {
+    let mut router = nested(4);
+    let offer = offer(work(1..=10));
+    let names: Vec<_> = (0..4).map(name).collect();
+    let choice = router.choose(
+        Instant::ZERO,
+        &offer,
+        &names,
+        &[bid(0, 0, 1_000), bid(1, 10, 100)],
+    );
+    assert!(matches!(choice, route::Choice::Runner { name: n, boot: Some(BOOT) } if n == name(1)));
+    let choice = router.choose(
+        Instant::ZERO,
+        &offer,
+        &names,
+        &[bid(0, 0, 1_000), bid(1, 10, 60_000)],
+    );
+    assert!(matches!(choice, route::Choice::Runner { name: n, .. } if n == name(0)));
+}
+
+#[test]
+fn without_bids_the_first_asked_is_sent_to() {
+    let mut router = nested(4);
+    let names = [name(2), name(1)];
+    let choice = router.choose(Instant::ZERO, &offer(work(1..=3)), &names, &[]);
+    assert_eq!(
+        choice,
+        route::Choice::Runner {
+            name: name(2),
+            boot: None
+        }
+    );
+}
+
+#[test]
+fn a_known_idle_holder_is_sent_to_directly_and_only_in_its_life() {
+    let mut router = nested(18);
+    let work = work(1..=10);
+    router.on_load(Instant::ZERO, &name(7), &load(RunnerState::Live, 0));
+    router.on_dispatch(Instant::ZERO, &name(7), &work);
+    router.on_verdict(Instant::ZERO, &name(7), &work, route::Verdict::Good);
+    router.on_load(Instant::ZERO, &name(7), &load(RunnerState::Live, 0));
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let plan = router.plan(Instant::ZERO, &work, &[], &mut rng);
+    assert_eq!(
+        plan,
+        route::Plan::Direct {
+            name: name(7),
+            boot: Some(BOOT)
+        }
+    );
+    let other_life = protocol::Load {
+        boot: BootId(6),
+        ..load(RunnerState::Live, 0)
+    };
+    router.on_load(Instant::ZERO, &name(7), &other_life);
+    let plan = router.plan(Instant::ZERO, &work, &[], &mut rng);
+    assert!(matches!(plan, route::Plan::Ask(_)), "{plan:?}");
+}
+
+#[test]
+fn a_leaving_runner_is_not_asked() {
+    let mut router = nested(18);
+    let work = work(1..=10);
+    let home = asked(&mut router, &work, 1)[0].clone();
+    router.on_load(Instant::ZERO, &home, &load(RunnerState::Leaving, 0));
+    assert!(!asked(&mut router, &work, 1).contains(&home));
+}
+
+#[test]
+fn failing_runners_are_ejected_but_never_the_whole_service() {
+    let mut router = nested(4);
+    let work = work(1..=10);
+    let fail = |router: &mut Nested, i| {
+        for _ in 0..3 {
+            router.on_verdict(Instant::ZERO, &name(i), &work, route::Verdict::Bad);
+        }
+    };
+    fail(&mut router, 0);
+    assert!(!asked(&mut router, &work, 1).contains(&name(0)));
+    for i in 1..4 {
+        fail(&mut router, i);
+    }
+    assert!(asked(&mut router, &work, 1).len() >= 3);
+}
+
+#[test]
+fn refusals_do_not_eject() {
+    let mut router = nested(4);
+    let work = work(1..=10);
+    let home = asked(&mut router, &work, 1)[0].clone();
+    for _ in 0..10 {
+        router.on_verdict(Instant::ZERO, &home, &work, route::Verdict::Refused);
+    }
+    assert_eq!(asked(&mut router, &work, 1)[0], home);
+}
+
+#[test]
+fn a_cold_runner_warms_up_slowly() {
+    let mut router = nested(2);
+    let work = work(1..=10);
+    router.on_load(Instant::ZERO, &name(0), &load(RunnerState::Live, 0));
+    let restarted = protocol::Load {
+        boot: BootId(6),
+        ..load(RunnerState::Live, 0)
+    };
+    router.on_load(Instant::ZERO, &name(0), &restarted);
+    router.on_dispatch(Instant::ZERO, &name(0), &work);
+    let names = [name(0), name(1)];
+    let bids = [bid(0, 0, 10), bid(1, 0, 1_000)];
+    let choice = router.choose(Instant::ZERO, &offer(work.clone()), &names, &bids);
+    assert!(matches!(choice, route::Choice::Runner { name: n, .. } if n == name(1)));
+    let warm = Instant::from_millis(5_000);
+    let choice = router.choose(warm, &offer(work), &names, &bids);
+    assert!(matches!(choice, route::Choice::Runner { name: n, .. } if n == name(0)));
+}
--- /dev/null
+++ b/crates/lentil_replay/src/baseline.rs
@@ -0,0 +1,253 @@
+//! Routers to measure against.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time,
+};
+
+use lentil_policy::{protocol, route, sidecar};
+use lentil_types::{Instant, PieceHash, RunnerName, RunnerState, Table};
+use rand::RngExt as _;
+use xxhash_rust::xxh3;
+
+/// Advice to a caller that no runner could take.
+const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// A runner with this multiple of the mean load, and one more, is full.
+const BOUND: f32 = 1.25;
+
+/// How a [`Baseline`] picks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// Each runner in turn.
+    RoundRobin,
+    /// The runner with the fewest requests from here.
+    LeastLoaded,
+    /// The runner that the first piece hashes to, or the next that is not full.
+    PrefixHash,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    info: route::RunnerInfo,
+    load: Option<(Instant, protocol::Load)>,
+    flight: u32,
+}
+
+/// A router without nested prefixes and without bids.
+#[derive(Debug)]
+pub struct Baseline {
+    pick: Pick,
+    rows: Table<RunnerName, Row>,
+    turn: usize,
+}
+
+impl Baseline {
+    /// A router that knows no runner yet.
+    pub fn new(pick: Pick) -> Self {
+        Self {
+            pick,
+            rows: Table::new(),
+            turn: 0,
+        }
+    }
+
+    fn pick<'a>(
+        &'a self,
+        rows: &[&'a Row],
+        piece: Option<PieceHash>,
+        rng: &mut dyn rand::Rng,
+    ) -> Option<&'a Row> {
+        match (self.pick, piece) {
+            (Pick::RoundRobin, _) => rows.get(self.turn % rows.len().max(1)).copied(),
+            (Pick::PrefixHash, Some(piece)) => {
+                let total: u32 = rows.iter().map(|row| row.flight).sum();
+                let bound = total as f32 / rows.len().max(1) as f32 * BOUND + 1.0;
+                let mut rows = rows.to_vec();
+                rows.sort_by_key(|row| xxh3::xxh3_64_with_seed(row.info.name.as_bytes(), piece.0));
+                let free = rows.iter().find(|row| (row.flight as f32) < bound);
+                free.or(rows.first()).copied()
+            }
+            _ => {
+                let least = rows.iter().map(|row| row.flight).min()?;
+                let least: Vec<_> = rows.iter().filter(|row| row.flight == least).collect();
+                Some(least[rng.random_range(0..least.len())])
+            }
+        }
+    }
+}
+
+impl route::Router for Baseline {
+    fn set_runners(&mut self, _now: Instant, runners: &[route::RunnerInfo]) {
+        let row = |info: &route::RunnerInfo| Row {
+            info: info.clone(),
+            load: None,
+            flight: 0,
+        };
+        let rows = runners.iter().map(|info| (info.name.clone(), row(info)));
+        self.rows = rows.collect();
+    }
+
+    fn on_load(&mut self, now: Instant, runner: &RunnerName, load: &protocol::Load) {
+        if let Some(row) = self.rows.get_mut(runner) {
+            row.load = Some((now, *load));
+        }
+    }
+
+    fn plan(
+        &mut self,
+        now: Instant,
+        work: &protocol::Work,
+        exclude: &[RunnerName],
+        rng: &mut dyn rand::Rng,
+    ) -> route::Plan {
+        self.turn += 1;
+        let is_live = |row: &&Row| {
+            let state = row.load.map(|(at, load)| (at, load.state));
+            state.is_none_or(|(at, state)| {
+                state == RunnerState::Live || now.since(at) >= RETRY_AFTER
+            })
+        };
+        let rows: Vec<_> = self
+            .rows
+            .values()
+            .filter(|row| row.info.service == work.service && !exclude.contains(&row.info.name))
+            .filter(is_live)
+            .collect();
+        match self.pick(&rows, work.pieces.first().copied(), rng) {
+            Some(row) => route::Plan::Direct {
+                name: row.info.name.clone(),
+                boot: None,
+            },
+            None => route::Plan::Refuse { retry: RETRY_AFTER },
+        }
+    }
+
+    fn choose(
+        &mut self,
+        _now: Instant,
+        _offer: &protocol::Offer,
+        _asked: &[RunnerName],
+        _bids: &[route::RunnerBid],
+    ) -> route::Choice {
+        route::Choice::Refuse { retry: RETRY_AFTER }
+    }
+
+    fn on_dispatch(&mut self, _now: Instant, runner: &RunnerName, _work: &protocol::Work) {
+        if let Some(row) = self.rows.get_mut(runner) {
+            row.flight += 1;
+        }
+    }
+
+    fn on_verdict(
+        &mut self,
+        _now: Instant,
+        runner: &RunnerName,
+        _work: &protocol::Work,
+        _verdict: route::Verdict,
+    ) {
+        if let Some(row) = self.rows.get_mut(runner) {
+            row.flight = row.flight.saturating_sub(1);
+        }
+    }
+
+    fn dump(&self) -> Vec<String> {
+        Vec::new()
+    }
+}
+
+/// The sidecars of a replay, as an [`Oracle`] sees them.
+pub type Sidecars = Arc<Mutex<Table<RunnerName, sidecar::SidecarPolicy>>>;
+
+/// Knows every runner's cache and queue without delay and takes the cheapest
+/// runner. The upper bound for other routers.
+pub struct Oracle {
+    cost: route::Cost,
+    sidecars: Sidecars,
+    runners: Vec<route::RunnerInfo>,
+}
+
+impl Oracle {
+    /// A router that looks into `sidecars`.
+    pub fn new(cost: route::Cost, sidecars: Sidecars) -> Self {
+        Self {
+            cost,
+            sidecars,
+            runners: Vec::new(),
+        }
+    }
+}
+
+impl route::Router for Oracle {
+    fn set_runners(&mut self, _now: Instant, runners: &[route::RunnerInfo]) {
+        self.runners = runners.to_vec();
+    }
+
+    fn on_load(&mut self, _now: Instant, _runner: &RunnerName, _load: &protocol::Load) {}
+
+    fn plan(
+        &mut self,
+        now: Instant,
+        work: &protocol::Work,
+        _exclude: &[RunnerName],
+        rng: &mut dyn rand::Rng,
+    ) -> route::Plan {
+        let offer = protocol::Offer {
+            id: lentil_types::AttemptId::default(),
+            work: work.clone(),
+            budget: time::Duration::MAX,
+        };
+        let sidecars = self.sidecars.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut best: Option<(f64, u32, &RunnerName)> = None;
+        for info in self
+            .runners
+            .iter()
+            .filter(|info| info.service == work.service)
+        {
+            let Some(sidecar) = sidecars.get(&info.name) else {
+                continue;
+            };
+            let bid = sidecar.bid(now, &offer);
+            if bid.load.state != RunnerState::Live {
+                continue;
+            }
+            let cost = self.cost.of(work, bid.cached, bid.wait);
+            // Equal costs go to the runner with the fewest requests.
+            let draw = (bid.load.running + bid.load.queued) * 1_024 + rng.random_range(0..1_024);
+            if best.is_none_or(|(least, other, _)| (cost, draw) < (least, other)) {
+                best = Some((cost, draw, &info.name));
+            }
+        }
+        match best {
+            Some((_, _, name)) => route::Plan::Direct {
+                name: name.clone(),
+                boot: None,
+            },
+            None => route::Plan::Refuse { retry: RETRY_AFTER },
+        }
+    }
+
+    fn choose(
+        &mut self,
+        _now: Instant,
+        _offer: &protocol::Offer,
+        _asked: &[RunnerName],
+        _bids: &[route::RunnerBid],
+    ) -> route::Choice {
+        route::Choice::Refuse { retry: RETRY_AFTER }
+    }
+
+    fn on_dispatch(&mut self, _now: Instant, _runner: &RunnerName, _work: &protocol::Work) {}
+
+    fn on_verdict(
+        &mut self,
+        _now: Instant,
+        _runner: &RunnerName,
+        _work: &protocol::Work,
+        _verdict: route::Verdict,
+    ) {
+    }
+
+    fn dump(&self) -> Vec<String> {
+        Vec::new()
+    }
+}
--- a/crates/lentil_replay/src/commands/generate.rs
+++ b/crates/lentil_replay/src/commands/generate.rs
@@ -1,8 +1,11 @@
 //! `generate`: writes the seeded traces.
 
-use std::{path, process};
+use std::{fs, io, path, process};
 
-use crate::ReplayError;
+use lentil_trace::{Header, Record, WriteError, Writer};
+use strum::IntoEnumIterator as _;
+
+use crate::{Region, ReplayError, Scenario, file_name, traffic};
 
 /// Writes the seeded traces.
 #[derive(argh::FromArgs)]
@@ -16,9 +19,28 @@
 /// Runs the subcommand.
 ///
 /// # Errors
-/// [`ReplayError`] when a trace cannot be written.
+/// [`ReplayError`] when a trace cannot be made or written.
 pub fn run(args: &Args) -> Result<process::ExitCode, ReplayError> {
     let path = args.out.clone();
-    std::fs::create_dir_all(&args.out).map_err(|source| ReplayError::File { path, source })?;
+    fs::create_dir_all(&args.out).map_err(|source| ReplayError::File { path, source })?;
+    for region in Region::iter() {
+        let own_trace = |scenario: &Scenario| scenario.trace() == *scenario;
+        for scenario in Scenario::iter().filter(own_trace) {
+            let records = traffic::make(region, scenario)?;
+            let path = args.out.join(file_name(region, scenario));
+            let source = format!("generated: {region}, {scenario}");
+            write(&path, &source, &records)
+                .map_err(|source| ReplayError::Write { path, source })?;
+        }
+    }
     Ok(process::ExitCode::SUCCESS)
 }
+
+fn write(path: &path::Path, source: &str, records: &[Record]) -> Result<(), WriteError> {
+    let file = io::BufWriter::new(fs::File::create(path)?);
+    let mut writer = Writer::new(file, &Header::new(source))?;
+    for record in records {
+        writer.write(record)?;
+    }
+    writer.flush()
+}
--- a/crates/lentil_replay/src/commands/mod.rs
+++ b/crates/lentil_replay/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! One module a subcommand.
 
 pub mod claims;
+pub mod compare;
 pub mod faults;
 pub mod generate;
--- a/crates/lentil_replay/src/error.rs
+++ b/crates/lentil_replay/src/error.rs
@@ -6,6 +6,15 @@
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
 pub enum ReplayError {
+    /// A market's text is not valid.
+    #[error("the market's text is not valid: {0}")]
+    Market(lentil_config::Faults),
+    /// A name is not valid.
+    #[error(transparent)]
+    Name(lentil_types::NameError),
+    /// A figure could not be written as JSON.
+    #[error("cannot be written as JSON: {0}")]
+    Json(#[source] serde_json::Error),
     /// A file could not be used.
     #[error("{}: {source}", path.display())]
     File {
--- a/crates/lentil_replay/src/lib.rs
+++ b/crates/lentil_replay/src/lib.rs
@@ -1,8 +1,22 @@
 //! Replays recorded traces through the policy and checks stated outcomes.
 
+pub mod baseline;
 pub mod claims;
 pub mod commands;
+pub mod engine;
 mod error;
 pub mod faults;
+pub mod keeper;
+mod model;
+mod policy;
+mod report;
+mod scenario;
+mod sim;
+pub mod traffic;
 
 pub use error::ReplayError;
+pub use model::Model;
+pub use policy::Policy;
+pub use report::{ClassFigures, Figures, Report};
+pub use scenario::{FAULT_AT, Fault, Region, Scenario, file_name, load};
+pub use sim::{Setup, run};
--- a/crates/lentil_replay/src/main.rs
+++ b/crates/lentil_replay/src/main.rs
@@ -15,6 +15,7 @@
 #[argh(subcommand)]
 enum Command {
     Claims(commands::claims::Args),
+    Compare(commands::compare::Args),
     Faults(commands::faults::Args),
     Generate(commands::generate::Args),
 }
@@ -23,6 +24,7 @@
     let args: Args = argh::from_env();
     match args.command {
         Command::Claims(args) => Ok(commands::claims::run(&args)),
+        Command::Compare(args) => Ok(commands::compare::run(&args)?),
         Command::Faults(args) => Ok(commands::faults::run(&args)),
         Command::Generate(args) => Ok(commands::generate::run(&args)?),
     }
--- /dev/null
+++ b/crates/lentil_replay/src/scenario.rs
@@ -0,0 +1,107 @@
+//! Markets, scenarios and what happens in them.
+
+use std::{fs, io, path};
+
+use lentil_config::Market;
+use lentil_trace::{Reader, Record};
+use lentil_types::Instant;
+
+use crate::ReplayError;
+
+/// A market that is replayed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString, strum::EnumIter)]
+#[strum(serialize_all = "lowercase")]
+pub enum Region {
+    /// Long intake rules that are read constantly, and scale and dock calls.
+    Dalton,
+    /// Long patient consultations, urgent fit checks and vouchers.
+    Lombardy,
+}
+
+impl Region {
+    /// The operators' text.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Dalton => include_str!("../../../examples/dalton.toml"),
+            Self::Lombardy => include_str!("../../../examples/lombardy.toml"),
+        }
+    }
+
+    /// The operators' text, read.
+    ///
+    /// # Errors
+    /// [`ReplayError::Market`] when the text is not valid.
+    pub fn market(self) -> Result<Market, ReplayError> {
+        Market::parse(self.text()).map_err(ReplayError::Market)
+    }
+}
+
+/// What happens during a replay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString, strum::EnumIter)]
+#[strum(serialize_all = "lowercase")]
+pub enum Scenario {
+    /// Nothing but the traffic.
+    Steady,
+    /// Halfway, other prefixes become hot.
+    Shift,
+    /// A runner crashes and comes back cold.
+    Crash,
+    /// All entries restart at once.
+    Herd,
+    /// For a while, 1.3 times the traffic that the runners can serve comes.
+    Overload,
+}
+
+impl Scenario {
+    /// The trace that is replayed. Crash and herd disturb the steady one.
+    pub fn trace(self) -> Self {
+        match self {
+            Self::Crash | Self::Herd => Self::Steady,
+            other => other,
+        }
+    }
+
+    /// What happens beside the traffic, and when.
+    pub fn fault(self) -> Option<(Instant, Fault)> {
+        match self {
+            Self::Steady | Self::Shift | Self::Overload => None,
+            Self::Crash => Some((FAULT_AT, Fault::Crash)),
+            Self::Herd => Some((FAULT_AT, Fault::Herd)),
+        }
+    }
+}
+
+/// When the fault of a scenario comes.
+pub const FAULT_AT: Instant = Instant::from_millis(20_000);
+
+/// A fault in a replay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The runner with the most requests crashes.
+    Crash,
+    /// All entries restart.
+    Herd,
+}
+
+/// Name of a trace's file.
+pub fn file_name(region: Region, scenario: Scenario) -> String {
+    format!("{region}-{}.jsonl", scenario.trace())
+}
+
+/// Reads the trace of a scenario from the folder `traces`.
+///
+/// # Errors
+/// [`ReplayError`] when there is no valid trace.
+pub fn load(
+    traces: &path::Path,
+    region: Region,
+    scenario: Scenario,
+) -> Result<Vec<Record>, ReplayError> {
+    let path = traces.join(file_name(region, scenario));
+    let file = fs::File::open(&path).map_err(|source| ReplayError::File {
+        path: path.clone(),
+        source,
+    })?;
+    let read = || Reader::new(io::BufReader::new(file))?.collect::<Result<Vec<_>, _>>();
+    read().map_err(|source| ReplayError::Read { path, source })
+}
--- a/crates/lentil_sidecar/src/driver.rs
+++ b/crates/lentil_sidecar/src/driver.rs
@@ -72,7 +72,7 @@
 
 /// Runs until every sender of events is gone.
 pub(crate) async fn run(parts: Parts, inbox: Receiver<Input>) {
-    let queue = Box::new(queue::Fifo::new(queue::FifoSettings::default()));
+    let queue = Box::new(queue::FairQueue::new(queue::FairSettings::default()));
     let mut driver = Driver {
         parts,
         clock: Clock::start(),
