The replay checks the stated outcomes

Cause: compare printed figures that nothing judged. Change: verify replays every scenario of both markets and checks the bounds in bounds.rs. The first 15 s, while runners are cold, are not measured. Fairness is taken between teams that wait at the same runners, since a team's weight is its share of a contended runner. Starvation is counted against the ageing rule: at most 2 starts for each team and each request ahead of it.

--- a/crates/lentil_replay/src/commands/mod.rs
+++ b/crates/lentil_replay/src/commands/mod.rs
@@ -4,3 +4,4 @@
 pub mod compare;
 pub mod faults;
 pub mod generate;
+pub mod verify;
--- a/crates/lentil_replay/src/lib.rs
+++ b/crates/lentil_replay/src/lib.rs
@@ -1,6 +1,7 @@
 //! Replays recorded traces through the policy and checks stated outcomes.
 
 pub mod baseline;
+pub mod bounds;
 pub mod claims;
 pub mod commands;
 pub mod engine;
@@ -13,6 +14,7 @@
 mod scenario;
 mod sim;
 pub mod traffic;
+mod verdict;
 
 pub use error::ReplayError;
 pub use model::Model;
@@ -20,3 +22,4 @@
 pub use report::{ClassFigures, Figures, Report};
 pub use scenario::{FAULT_AT, Fault, Region, Scenario, file_name, load};
 pub use sim::{Setup, run};
+pub use verdict::{Check, Runs, check_market};
--- a/crates/lentil_replay/src/main.rs
+++ b/crates/lentil_replay/src/main.rs
@@ -18,6 +18,7 @@
     Compare(commands::compare::Args),
     Faults(commands::faults::Args),
     Generate(commands::generate::Args),
+    Verify(commands::verify::Args),
 }
 
 fn main() -> anyhow::Result<ExitCode> {
@@ -27,5 +28,6 @@
         Command::Compare(args) => Ok(commands::compare::run(&args)?),
         Command::Faults(args) => Ok(commands::faults::run(&args)),
         Command::Generate(args) => Ok(commands::generate::run(&args)?),
+        Command::Verify(args) => Ok(commands::verify::run(&args)?),
     }
 }
--- a/crates/lentil_replay/src/report.rs
+++ b/crates/lentil_replay/src/report.rs
@@ -1,6 +1,6 @@
 //! What a replay measured.
 
-use lentil_types::{Class, Instant, Table, TeamName};
+use lentil_types::{Class, Instant};
 use strum::IntoEnumIterator as _;
 
 use crate::engine::Found;
@@ -13,14 +13,21 @@
 const STRIDE: usize = 10;
 /// Samples of fairness a second.
 pub const SAMPLES_PER_SECOND: u64 = 10;
-
-/// One sample of what each team was served.
-#[derive(Clone, Debug)]
-struct Sample {
-    served: Vec<f64>,
-    backlogged: Vec<bool>,
+/// Runners begin cold. What happens before this is not measured.
+pub const WARM_UP: Instant = Instant::from_millis(15_000);
+
+/// What a runner did for a team since the sample before.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Served {
+    /// Tokens, over the team's weight.
+    pub(crate) tokens: f64,
+    /// Whether requests of the team wait there.
+    pub(crate) waits: bool,
 }
 
+/// What every runner did for every team: a row a runner.
+pub(crate) type Sample = Vec<Vec<Served>>;
+
 /// Counts of a replay.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -42,20 +49,16 @@
     pub messages: u64,
     /// Requests run that relied on an engine's earlier life.
     pub stale: u64,
-    teams: Table<TeamName, f64>,
+    /// Requests that were overtaken more often than ageing allows.
+    pub starved: u64,
     samples: Vec<Sample>,
 }
 
 impl Report {
-    /// An empty report. `teams` gives the weight of each.
-    pub fn new(teams: Table<TeamName, f64>) -> Self {
-        Self {
-            teams,
-            ..Self::default()
-        }
-    }
-
     pub(crate) fn on_found(&mut self, now: Instant, found: Found, wasted: u64) {
+        if now < WARM_UP {
+            return;
+        }
         let at = (now.0 / BUCKET) as usize;
         if self.buckets.len() <= at {
             self.buckets.resize(at + 1, Found::default());
@@ -76,21 +79,10 @@
         *longest = micros.max(*longest);
     }
 
-    pub(crate) fn on_sample(
-        &mut self,
-        served: &Table<TeamName, f64>,
-        waiting: &Table<TeamName, u32>,
-    ) {
-        let teams = || self.teams.iter();
-        let share = |(team, weight): (&TeamName, &f64)| {
-            served.get(team).copied().unwrap_or_default() / weight
-        };
-        let is_waiting = |team: &TeamName| waiting.get(team).is_some_and(|count| *count > 0);
-        let sample = Sample {
-            served: teams().map(share).collect(),
-            backlogged: teams().map(|(team, _)| is_waiting(team)).collect(),
-        };
-        self.samples.push(sample);
+    pub(crate) fn on_sample(&mut self, now: Instant, sample: Sample) {
+        if now >= WARM_UP {
+            self.samples.push(sample);
+        }
     }
 
     /// All pieces that requests had.
@@ -125,9 +117,9 @@
         times.get(at).map_or(0.0, |&micros| micros as f64 / 1e6)
     }
 
-    /// The least that a backlogged team was served against another, over all
-    /// windows of ten seconds; `None` when no two teams were ever backlogged
-    /// for so long.
+    /// The least that a team was served against another, over all windows of
+    /// ten seconds and the runners at which both had requests waiting all the
+    /// time; `None` when there never were two such teams.
     pub fn fairness(&self) -> Option<f64> {
         self.window_fairness().min_by(f64::total_cmp)
     }
@@ -145,16 +137,10 @@
     }
 
     fn fairness_of(&self, window: &[Sample]) -> Option<f64> {
-        let is_backlogged = |team: &usize| window.iter().all(|sample| sample.backlogged[*team]);
-        let served = |team: usize| window.iter().map(|sample| sample.served[team]).sum::<f64>();
-        let teams = 0..self.teams.len();
-        let shares: Vec<f64> = teams.filter(is_backlogged).map(served).collect();
-        if shares.len() < 2 {
-            return None;
-        }
-        let least = shares.iter().copied().fold(f64::INFINITY, f64::min);
-        let most = shares.iter().copied().fold(0.0, f64::max);
-        Some(least / most.max(1.0))
+        let teams = window[0].first().map_or(0, Vec::len);
+        let pairs = (0..teams).flat_map(|a| (0..a).map(move |b| (a, b)));
+        let ratios = pairs.filter_map(|(a, b)| pair_fairness(window, a, b));
+        ratios.min_by(f64::total_cmp)
     }
 
     /// The figures, for people and programs.
@@ -183,6 +169,25 @@
     }
 }
 
+/// What two teams were served at the runners that both waited for.
+fn pair_fairness(window: &[Sample], a: usize, b: usize) -> Option<f64> {
+    let runners = 0..window[0].len();
+    let waits = |row: &Vec<Served>| row[a].waits && row[b].waits;
+    let is_contended = |runner: &usize| window.iter().all(|sample| waits(&sample[*runner]));
+    let contended: Vec<_> = runners.filter(is_contended).collect();
+    if contended.is_empty() {
+        return None;
+    }
+    let rows = || {
+        window
+            .iter()
+            .flat_map(|sample| contended.iter().map(|at| &sample[*at]))
+    };
+    let of = |team: usize| rows().map(|row| row[team].tokens).sum::<f64>();
+    let (one, other) = (of(a), of(b));
+    Some(one.min(other) / one.max(other).max(1.0))
+}
+
 impl Found {
     /// Part of the pieces that was cached.
     pub fn hit_rate(self) -> f64 {
--- a/crates/lentil_replay/src/sim.rs
+++ b/crates/lentil_replay/src/sim.rs
@@ -16,7 +16,7 @@
     baseline::Sidecars,
     engine::{Action, Engine, plain_output},
     keeper::Keeper,
-    report::SAMPLES_PER_SECOND,
+    report::{SAMPLES_PER_SECOND, Served, WARM_UP},
 };
 
 /// Seed of a replay's random numbers.
@@ -98,6 +98,8 @@
     is_up: bool,
     stepping: bool,
     next_number: u64,
+    /// When requests were started.
+    starts: Vec<Instant>,
     /// When the last event sent reaches the sidecar.
     last_event: Instant,
 }
@@ -110,6 +112,17 @@
     runner: usize,
 }
 
+/// A request that waits at a sidecar.
+#[derive(Clone)]
+struct Waiting {
+    runner: usize,
+    team: TeamName,
+    class: Class,
+    since: Instant,
+    /// Requests of its team that waited there before it.
+    ahead: usize,
+}
+
 /// What a caller waits for.
 struct Call {
     record: usize,
@@ -130,7 +143,7 @@
     sidecars: Sidecars,
     links: Vec<Link>,
     calls: Table<RequestId, Call>,
-    waiting: Table<AttemptId, (TeamName, Class, Instant)>,
+    waiting: Table<AttemptId, Waiting>,
     keeper: Keeper,
     report: Report,
     next_boot: u64,
@@ -148,8 +161,6 @@
 impl<'a> Sim<'a> {
     fn new(setup: Setup<'a>) -> Self {
         let model = setup.policy.model(setup.model);
-        let weight = |team: &lentil_config::Team| (team.name.clone(), f64::from(team.weight));
-        let teams = setup.market.teams.iter().map(weight).collect();
         Self {
             now: Instant::ZERO,
             due: BinaryHeap::new(),
@@ -163,7 +174,7 @@
             calls: Table::new(),
             waiting: Table::new(),
             keeper: Keeper::new(model.keeper_capacity),
-            report: Report::new(teams),
+            report: Report::default(),
             next_boot: 1,
             next_request: 1,
             setup: Setup { model, ..setup },
@@ -220,6 +231,7 @@
                     is_up: false,
                     stepping: false,
                     next_number: 1,
+                    starts: Vec::new(),
                     last_event: Instant::ZERO,
                 });
                 self.engine_up(at);
@@ -370,7 +382,7 @@
         let Some(call) = self.calls.get_mut(&request) else {
             return;
         };
-        if !std::mem::replace(&mut call.first_token, true) {
+        if !std::mem::replace(&mut call.first_token, true) && call.came >= WARM_UP {
             let micros = now.since(call.came).as_micros() as u64;
             let class = self.setup.records[call.record].class;
             self.report.on_first_token(class, micros);
@@ -491,8 +503,15 @@
     fn tell_sidecar(&mut self, runner: usize, event: sidecar::Event) {
         if let sidecar::Event::Dispatch(_, dispatch) = &event {
             let work = &dispatch.offer.work;
-            let waits = (work.team.clone(), work.class, self.now);
-            self.waiting.insert(dispatch.offer.id, waits);
+            let same = |wait: &&Waiting| wait.runner == runner && wait.team == work.team;
+            let waiting = Waiting {
+                runner,
+                team: work.team.clone(),
+                class: work.class,
+                since: self.now,
+                ahead: self.waiting.values().filter(same).count(),
+            };
+            self.waiting.insert(dispatch.offer.id, waiting);
         }
         let now = self.now;
         let name = self.runners[runner].info.name.clone();
@@ -550,9 +569,8 @@
     fn start_request(&mut self, runner: usize, dispatch: &protocol::Dispatch) {
         let id = dispatch.offer.id;
         let work = &dispatch.offer.work;
-        if let Some((_, class, since)) = self.waiting.remove(&id) {
-            let waited = self.now.since(since).as_micros() as u64;
-            self.report.on_wait(class, waited);
+        if let Some(waiting) = self.waiting.remove(&id) {
+            self.on_waited(&waiting);
         }
         if !self.runners[runner].is_up {
             let fault = sidecar::EngineFault::Unreachable;
@@ -578,6 +596,23 @@
         self.wake_runner(runner);
     }
 
+    fn on_waited(&mut self, waiting: &Waiting) {
+        let now = self.now;
+        let waited = now.since(waiting.since);
+        self.report
+            .on_wait(waiting.class, waited.as_micros() as u64);
+        let overdue = waiting.since + queue::FairSettings::default().ageing * 2;
+        let starts = &mut self.runners[waiting.runner].starts;
+        starts.push(now);
+        let overtaken = starts
+            .iter()
+            .filter(|at| **at > overdue && **at < now)
+            .count();
+        // Every second start is an overdue one, and teams take turns in those.
+        let allowed = 2 * self.setup.market.teams.len() * (waiting.ahead + 1);
+        self.report.starved += u64::from(overtaken > allowed);
+    }
+
     fn is_held(&self, piece: &PieceHash) -> bool {
         let at_runner = |runner: &Runner| runner.is_up && runner.engine.has(piece);
         self.keeper.has(piece) || self.runners.iter().any(at_runner)
@@ -714,20 +749,21 @@
     // Measurement
 
     fn sample(&mut self) {
-        let mut served: Table<TeamName, f64> = Table::new();
-        for runner in &mut self.runners {
-            for (team, tokens) in std::mem::take(&mut runner.engine.served).iter() {
-                *served.get_or_insert_with(team.clone(), || 0.0) += tokens;
-            }
-        }
-        let mut waiting: Table<TeamName, u32> = Table::new();
-        for (team, _, _) in self.waiting.values() {
-            *waiting.get_or_insert_with(team.clone(), || 0) += 1;
-        }
-        self.report.on_sample(&served, &waiting);
-        self.after(
-            time::Duration::from_millis(1_000 / SAMPLES_PER_SECOND),
-            Event::Sample,
-        );
+        let mut rows = Vec::new();
+        for at in 0..self.runners.len() {
+            let served = std::mem::take(&mut self.runners[at].engine.served);
+            let row = self.setup.market.teams.iter().map(|team| {
+                let waits = |wait: &Waiting| wait.runner == at && wait.team == team.name;
+                let tokens = served.get(&team.name).copied().unwrap_or_default();
+                Served {
+                    tokens: tokens / f64::from(team.weight),
+                    waits: self.waiting.values().any(waits),
+                }
+            });
+            rows.push(row.collect());
+        }
+        self.report.on_sample(self.now, rows);
+        let period = time::Duration::from_millis(1_000 / SAMPLES_PER_SECOND);
+        self.after(period, Event::Sample);
     }
 }
--- /dev/null
+++ b/crates/lentil_replay/src/verdict.rs
@@ -0,0 +1,257 @@
+//! Checks replays against the bounds.
+
+use std::path;
+
+use lentil_config::{Market, Objective};
+use lentil_trace::Record;
+use lentil_types::{Class, Instant, Table};
+use strum::IntoEnumIterator as _;
+
+use crate::{
+    FAULT_AT, Model, Policy, Region, ReplayError, Report, Scenario, Setup, bounds, load, sim,
+};
+
+/// One stated outcome and whether it holds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Check {
+    /// What is stated.
+    pub name: String,
+    /// What was measured.
+    pub found: f64,
+    /// The bound.
+    pub bound: f64,
+    /// Whether it holds.
+    pub holds: bool,
+}
+
+impl Check {
+    fn at_least(name: String, found: f64, bound: f64) -> Self {
+        let holds = found >= bound;
+        Self {
+            name,
+            found,
+            bound,
+            holds,
+        }
+    }
+
+    fn at_most(name: String, found: f64, bound: f64) -> Self {
+        let holds = found <= bound;
+        Self {
+            name,
+            found,
+            bound,
+            holds,
+        }
+    }
+}
+
+/// Replays of one market.
+pub struct Runs {
+    region: Region,
+    market: Market,
+    traces: path::PathBuf,
+    reports: Table<(usize, usize), Report>,
+}
+
+impl Runs {
+    /// No replay yet. Traces are read from the folder `traces`.
+    ///
+    /// # Errors
+    /// [`ReplayError::Market`] when the market's text is not valid.
+    pub fn new(region: Region, traces: &path::Path) -> Result<Self, ReplayError> {
+        Ok(Self {
+            region,
+            market: region.market()?,
+            traces: traces.to_owned(),
+            reports: Table::new(),
+        })
+    }
+
+    /// The replay of a scenario under a policy.
+    ///
+    /// # Errors
+    /// [`ReplayError`] when the trace cannot be read.
+    pub fn get(&mut self, scenario: Scenario, policy: Policy) -> Result<&Report, ReplayError> {
+        let key = (scenario as usize, policy as usize);
+        if !self.reports.contains(&key) {
+            let report = self.run(scenario, policy, self.market.objective, |_| true)?;
+            self.reports.insert(key, report);
+        }
+        Ok(self.reports.get_or_insert_with(key, Report::default))
+    }
+
+    /// Replays the requests that `keep` names.
+    ///
+    /// # Errors
+    /// [`ReplayError`] when the trace cannot be read.
+    pub fn run(
+        &self,
+        scenario: Scenario,
+        policy: Policy,
+        objective: Objective,
+        keep: impl Fn(&Record) -> bool,
+    ) -> Result<Report, ReplayError> {
+        let mut records = load(&self.traces, self.region, scenario)?;
+        records.retain(|record| keep(record));
+        Ok(sim::run(Setup {
+            market: &self.market,
+            objective,
+            records: &records,
+            fault: scenario.fault(),
+            model: Model::new(self.region),
+            policy,
+        }))
+    }
+
+    fn name(&self, scenario: Scenario, what: &str) -> String {
+        format!("{} {scenario}: {what}", self.region)
+    }
+}
+
+/// Checks every outcome that is stated for one market.
+///
+/// # Errors
+/// [`ReplayError`] when a trace cannot be read.
+pub fn check_market(runs: &mut Runs) -> Result<Vec<Check>, ReplayError> {
+    let mut checks = Vec::new();
+    for scenario in Scenario::iter() {
+        checks.extend(check_oracle(runs, scenario)?);
+        checks.extend(check_service(runs, scenario)?);
+    }
+    for scenario in [Scenario::Steady, Scenario::Shift, Scenario::Crash] {
+        checks.extend(check_baselines(runs, scenario)?);
+    }
+    checks.extend(check_urgent(runs)?);
+    checks.extend(check_recovery(runs)?);
+    checks.extend(check_objectives(runs)?);
+    Ok(checks)
+}
+
+fn check_oracle(runs: &mut Runs, scenario: Scenario) -> Result<Vec<Check>, ReplayError> {
+    let oracle = runs.get(scenario, Policy::Oracle)?.figures();
+    let ours = runs.get(scenario, Policy::Nested)?.figures();
+    let hit_rate = oracle.hit_rate * bounds::HIT_RATE_OF_ORACLE;
+    let waste = oracle.waste * bounds::WASTE_OF_ORACLE + bounds::WASTE_OF_PIECES;
+    Ok(vec![
+        Check::at_least(
+            runs.name(scenario, "hit rate of the oracle's"),
+            ours.hit_rate,
+            hit_rate,
+        ),
+        Check::at_most(
+            runs.name(scenario, "waste of the oracle's"),
+            ours.waste,
+            waste,
+        ),
+    ])
+}
+
+/// Nothing is lost, patient work is not dropped or starved, teams are served
+/// alike.
+fn check_service(runs: &mut Runs, scenario: Scenario) -> Result<Vec<Check>, ReplayError> {
+    let report = runs.get(scenario, Policy::Nested)?;
+    let lost: u64 = report.lost.iter().sum();
+    let dropped = report.refused[Class::Patient as usize];
+    let starved = report.starved;
+    let fairness = report.fairness();
+    let mut checks = vec![
+        Check::at_most(runs.name(scenario, "requests lost"), lost as f64, 0.0),
+        Check::at_most(
+            runs.name(scenario, "patient requests dropped"),
+            dropped as f64,
+            0.0,
+        ),
+        Check::at_most(runs.name(scenario, "requests starved"), starved as f64, 0.0),
+    ];
+    if let Some(fairness) = fairness {
+        let name = runs.name(scenario, "fairness");
+        checks.push(Check::at_least(name, fairness, bounds::FAIRNESS));
+    }
+    Ok(checks)
+}
+
+fn check_baselines(runs: &mut Runs, scenario: Scenario) -> Result<Vec<Check>, ReplayError> {
+    let ours = runs.get(scenario, Policy::Nested)?.figures();
+    let mut checks = Vec::new();
+    for policy in Policy::iter().filter(|policy| policy.is_baseline()) {
+        let other = runs.get(scenario, policy)?.figures();
+        let hit_rate = runs.name(scenario, &format!("hit rate against {policy}"));
+        checks.push(Check::at_least(hit_rate, ours.hit_rate, other.hit_rate));
+        let waste = runs.name(scenario, &format!("waste against {policy}"));
+        checks.push(Check::at_most(waste, ours.waste, other.waste));
+    }
+    Ok(checks)
+}
+
+fn check_urgent(runs: &mut Runs) -> Result<Vec<Check>, ReplayError> {
+    let steady = Scenario::Steady;
+    let report = runs.get(steady, Policy::Nested)?;
+    let p95 = report.first_token(Class::Urgent, 0.95);
+    let p99 = report.first_token(Class::Urgent, 0.99);
+    let is_short = |record: &Record| record.pieces.len() < bounds::LONG_PIECES;
+    let alone = runs.run(steady, Policy::Nested, runs.market.objective, is_short)?;
+    let bound = alone.first_token(Class::Urgent, 0.99) * bounds::URGENT_BESIDE_LONG;
+    Ok(vec![
+        Check::at_most(
+            runs.name(steady, "urgent first token p95"),
+            p95,
+            bounds::URGENT_FIRST_TOKEN,
+        ),
+        Check::at_most(
+            runs.name(steady, "urgent first token p99 beside long"),
+            p99,
+            bound,
+        ),
+    ])
+}
+
+fn check_recovery(runs: &mut Runs) -> Result<Vec<Check>, ReplayError> {
+    let herd_end = bounds::after(FAULT_AT, bounds::HERD_MILLIS);
+    let crash_end = bounds::after(FAULT_AT, bounds::CRASH_MILLIS);
+    let steady = runs.get(Scenario::Steady, Policy::Nested)?;
+    let steady_rate = steady.found().hit_rate();
+    let late_rate = steady.found_between(crash_end, Instant::NEVER).hit_rate();
+    let herd = runs.get(Scenario::Herd, Policy::Nested)?;
+    let herd_rate = herd.found_between(FAULT_AT, herd_end).hit_rate();
+    let crash = runs.get(Scenario::Crash, Policy::Nested)?;
+    let crash_rate = crash.found_between(crash_end, Instant::NEVER).hit_rate();
+    let stale = crash.stale as f64;
+    Ok(vec![
+        Check::at_least(
+            runs.name(Scenario::Herd, "hit rate of the first second"),
+            herd_rate,
+            steady_rate * bounds::HERD_HIT_RATE,
+        ),
+        Check::at_least(
+            runs.name(Scenario::Crash, "hit rate after the crash"),
+            crash_rate,
+            late_rate * bounds::CRASH_HIT_RATE,
+        ),
+        Check::at_most(
+            runs.name(Scenario::Crash, "requests that relied on a dead engine"),
+            stale,
+            0.0,
+        ),
+    ])
+}
+
+/// The two objectives trade hit rate against the tail of the first token.
+fn check_objectives(runs: &mut Runs) -> Result<Vec<Check>, ReplayError> {
+    let scenario = Scenario::Overload;
+    let hit_rate = runs.run(scenario, Policy::Nested, Objective::HitRate, |_| true)?;
+    let first_token = runs.run(scenario, Policy::Nested, Objective::FirstToken, |_| true)?;
+    let tail = |report: &Report| report.first_token(Class::Normal, 0.95);
+    Ok(vec![
+        Check::at_least(
+            runs.name(scenario, "hit rate by objective"),
+            hit_rate.found().hit_rate(),
+            first_token.found().hit_rate(),
+        ),
+        Check::at_most(
+            runs.name(scenario, "normal first token p95 by objective"),
+            tail(&first_token),
+            tail(&hit_rate),
+        ),
+    ])
+}
