--- a/crates/lentil_policy/src/queue/fair.rs
+++ b/crates/lentil_policy/src/queue/fair.rs
@@ -154,22 +154,25 @@
         if self.computes_for(job) {
             return false;
         }
-        if job.work.class == Class::Urgent {
-            return true;
-        }
-        let others = self
-            .running
-            .iter()
-            .filter(|run| run.job.work.class != Class::Urgent);
-        let ahead: Tokens = others
-            .clone()
-            .filter(|run| run.prefilling)
-            .map(|run| missing(&run.job))
-            .sum();
+        let others = self.ordinary().count();
         let has_slot =
-            count(others.count()) + self.settings.urgent_slots + self.foreign < self.settings.slots;
+            count(others) + self.settings.urgent_slots + self.foreign < self.settings.slots;
+        job.work.class == Class::Urgent || has_slot
+    }
+
+    /// Whether a job's prompt may be computed beside those under way.
+    fn fits_window(&self, job: &queue::Job) -> bool {
+        let computing = self.ordinary().filter(|run| run.prefilling);
+        let ahead: Tokens = computing.map(|run| missing(&run.job)).sum();
         let fits = ahead == Tokens(0) || ahead + missing(job) <= self.settings.prefill_window;
-        has_slot && fits
+        job.work.class == Class::Urgent || fits
+    }
+
+    /// Running jobs that are not urgent.
+    fn ordinary(&self) -> impl Iterator<Item = &Running> {
+        self.running
+            .iter()
+            .filter(|run| run.job.work.class != Class::Urgent)
     }
 
     /// Whether a running job computes a piece that this one needs next.
@@ -238,6 +241,10 @@
             return None;
         }
         let at = self.next(now)?;
+        if !self.fits_window(&self.waiting[at]) {
+            // Shorter prompts do not overtake it, or it would starve.
+            return None;
+        }
         if self.waiting[at].isolated && !self.running.is_empty() {
             return None;
         }
