The replay ends all exchanges of a dead entry at once

The requests started at 20.000 s were ones whose own exchange was the next to be reported lost: the replay ticked the sidecar between two reports of the same instant. Change: events that come together are given together, then one tick. Conclusion: a fault of the replay, not of the policy. A sidecar's shell that reports a lost connection's exchanges one by one starts such requests too.

--- a/crates/lentil_replay/src/sim.rs
+++ b/crates/lentil_replay/src/sim.rs
@@ -433,10 +433,14 @@
             let life = self.entries[i].life + 1;
             self.entries[i] = self.new_entry(self.entries[i].place.clone(), life);
         }
-        for (i, link) in self.links.clone().into_iter().enumerate() {
-            let lost = sidecar::Event::LinkLost(sidecar::LinkId(i as u64));
-            self.tell_sidecar(link.runner, lost);
-        }
+        for runner in 0..self.runners.len() {
+            let links = self.links.iter().enumerate();
+            let of_runner = links.filter(|(_, link)| link.runner == runner);
+            let lost = |(i, _)| sidecar::Event::LinkLost(sidecar::LinkId(i as u64));
+            let events = of_runner.map(lost).collect();
+            self.tell_sidecar_all(runner, events);
+        }
+        self.waiting = Table::new();
         let calls: Vec<_> = self
             .calls
             .iter()
@@ -502,22 +506,20 @@
 
     fn tell_sidecar(&mut self, runner: usize, event: sidecar::Event) {
         if let sidecar::Event::Dispatch(_, dispatch) = &event {
-            let work = &dispatch.offer.work;
-            let same = |wait: &&Waiting| wait.runner == runner && wait.team == work.team;
-            let waiting = Waiting {
-                runner,
-                team: work.team.clone(),
-                class: work.class,
-                since: self.now,
-                ahead: self.waiting.values().filter(same).count(),
-            };
-            self.waiting.insert(dispatch.offer.id, waiting);
+            self.on_dispatch(runner, dispatch);
         }
+        self.tell_sidecar_all(runner, vec![event]);
+    }
+
+    /// Reports events that come together.
+    fn tell_sidecar_all(&mut self, runner: usize, events: Vec<sidecar::Event>) {
         let now = self.now;
         let name = self.runners[runner].info.name.clone();
         let commands = self.lock(|sidecars| {
             let policy = sidecars.get_mut(&name)?;
-            policy.on_event(now, event);
+            for event in events {
+                policy.on_event(now, event);
+            }
             Some(policy.tick(now))
         });
         for command in commands.unwrap_or_default() {
@@ -525,6 +527,19 @@
         }
     }
 
+    fn on_dispatch(&mut self, runner: usize, dispatch: &protocol::Dispatch) {
+        let work = &dispatch.offer.work;
+        let same = |wait: &&Waiting| wait.runner == runner && wait.team == work.team;
+        let waiting = Waiting {
+            runner,
+            team: work.team.clone(),
+            class: work.class,
+            since: self.now,
+            ahead: self.waiting.values().filter(same).count(),
+        };
+        self.waiting.insert(dispatch.offer.id, waiting);
+    }
+
     fn carry_out_sidecar(&mut self, runner: usize, command: sidecar::Command) {
         use sidecar::Command;
         match command {
