--- a/crates/lentil_policy/src/queue/fifo.rs
+++ b/crates/lentil_policy/src/queue/fifo.rs
@@ -47,6 +47,12 @@
         if self.running() >= self.settings.slots {
             return None;
         }
+        let is_isolated = |job: &queue::Job| job.isolated;
+        let alone =
+            self.jobs.front().is_some_and(is_isolated) || self.running.iter().any(is_isolated);
+        if alone && !self.running.is_empty() {
+            return None;
+        }
         let job = self.jobs.pop_front()?;
         self.running.push(job.clone());
         Some(job)
