--- a/crates/lentil_policy/src/route/nested.rs
+++ b/crates/lentil_policy/src/route/nested.rs
@@ -98,6 +98,12 @@
         load.state == RunnerState::Live || now.since(*at) >= PROBE_AFTER
     }
 
+    /// Whether it is expected to take work again soon.
+    fn is_joining(&self) -> bool {
+        let joins = |(_, load): &(Instant, protocol::Load)| load.state == RunnerState::Joining;
+        self.load.as_ref().is_some_and(joins)
+    }
+
     fn pressure(&self) -> u32 {
         let known = self.load.map_or(0, |(_, load)| load.queued + load.running);
         (known + self.sent).max(self.flight)
@@ -154,9 +160,24 @@
         Some(&mut self.rows[at])
     }
 
-    /// Runners of a service that may be chosen. Ejected ones are among them
-    /// when there would be too few without.
+    /// Runners of a service that may be chosen: those that take work, or, where
+    /// none does, those that are joining.
     fn field(&self, now: Instant, service: &ServiceName, exclude: &[RunnerName]) -> Field {
+        let field = self.field_of(now, service, exclude, |row| row.takes_work(now));
+        if field.nodes.is_empty() {
+            return self.field_of(now, service, exclude, Row::is_joining);
+        }
+        field
+    }
+
+    /// Ejected runners are left out unless more than half would be.
+    fn field_of(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        exclude: &[RunnerName],
+        may_take: impl Fn(&Row) -> bool,
+    ) -> Field {
         let of_service = self.services.get(service).map_or(&[][..], Vec::as_slice);
         let mut nodes = Vec::with_capacity(of_service.len());
         let mut pressure = 0;
@@ -164,7 +185,7 @@
         for &at in of_service {
             let row = &self.rows[at];
             let excluded = !exclude.is_empty() && exclude.contains(&row.info.name);
-            if excluded || !row.takes_work(now) {
+            if excluded || !may_take(row) {
                 continue;
             }
             ejected += usize::from(row.health.is_ejected(now));
@@ -353,7 +374,14 @@
         asked: &[RunnerName],
         bids: &[route::RunnerBid],
     ) -> route::Choice {
-        let can_take = |bid: &&route::RunnerBid| bid.bid.load.state == RunnerState::Live;
+        let states = || bids.iter().map(|bid| bid.bid.load.state);
+        let is_any_live = states().any(|state| state == RunnerState::Live);
+        let wanted = if is_any_live {
+            RunnerState::Live
+        } else {
+            RunnerState::Joining
+        };
+        let can_take = |bid: &&route::RunnerBid| bid.bid.load.state == wanted;
         let cost = |bid: &route::RunnerBid| self.cost(now, &offer.work, bid);
         // Equal bids go to the runner asked first.
         let place = |bid: &route::RunnerBid| asked.iter().position(|name| *name == bid.runner);
--- a/crates/lentil_policy/tests/nested.rs
+++ b/crates/lentil_policy/tests/nested.rs
@@ -242,3 +242,19 @@
     let choice = router.choose(warm, &offer(work), &names, &bids);
     assert!(matches!(choice, route::Choice::Runner { name: n, .. } if n == name(0)));
 }
+
+#[test]
+fn a_service_whose_runners_all_join_is_not_refused() {
+    let mut router = nested(1);
+    let work = work(1..=10);
+    router.on_load(Instant::ZERO, &name(0), &load(RunnerState::Joining, 0));
+    assert_eq!(asked(&mut router, &work, 1), [name(0)]);
+    let mut joining = bid(0, 0, 0);
+    joining.bid.load.state = RunnerState::Joining;
+    let choice = router.choose(Instant::ZERO, &offer(work.clone()), &[name(0)], &[joining]);
+    assert!(matches!(choice, route::Choice::Runner { .. }));
+    router.on_load(Instant::ZERO, &name(0), &load(RunnerState::Leaving, 0));
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let plan = router.plan(Instant::ZERO, &work, &[], &mut rng);
+    assert!(matches!(plan, route::Plan::Refuse { .. }));
+}
