--- a/crates/lentil_policy/src/route/nested.rs
+++ b/crates/lentil_policy/src/route/nested.rs
@@ -48,7 +48,7 @@
             cost: route::Cost::default(),
             place: None,
             bids: true,
-            ask: 5,
+            ask: 3,
             spread: 1.25,
             prior: 20.0,
             bound: 1.25,
