--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -22,5 +22,8 @@
 done < <(grep -vE '^(#|$)' KNOWN-RED.txt || true)
 cargo test --workspace --locked -- --exact "${skips[@]}"
 
+step "stated outcomes: the replay"
+cargo run --release --locked -p lentil_replay -- verify --known-red KNOWN-RED.txt
+
 step "documentation"
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked
