A handshake does not fail when the server is ahead of the client

Cause: the server closed the handshake's stream before the client had ended its own direction, and the client's end then failed with InactiveStreamId; under load this broke a test of isolation once in a landing. Change: the server waits for the client's end before it welcomes it.

--- a/crates/lentil_wire/src/handshake.rs
+++ b/crates/lentil_wire/src/handshake.rs
@@ -151,6 +151,10 @@
     };
     let expected = proof(&identity.key, Side::Client, &hello.nonce, &mine);
     check_proof(&node, &expected, &answer)?;
+    // A stream that this side closed first would fail the client's own end.
+    if let Some(other) = receiver.recv_body().await? {
+        return Err(unexpected("the end of the handshake", Some(&other)));
+    }
     let welcome = generated::Welcome { config: 0 };
     sender.send_body(&Body::Welcome(welcome)).await?;
     sender.finish()?;
--- a/crates/lentil_wire/tests/links.rs
+++ b/crates/lentil_wire/tests/links.rs
@@ -61,6 +61,32 @@
     });
 }
 
+/// The client ends its direction on another thread than the one that moves the
+/// connection's bytes, so the server may be ahead of it.
+#[test]
+fn handshakes_succeed_however_the_sides_are_scheduled() {
+    run(async {
+        let (listener, address) = listen().await;
+        let serve = async {
+            loop {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                let serve_one = async move {
+                    let mut peer = Peer::accept(stream, &ours()).await?;
+                    peer.next().await
+                };
+                smol::spawn(serve_one).detach();
+            }
+        };
+        let connect = async {
+            for _ in 0..500 {
+                let link = Link::connect(address, &ours()).await;
+                assert!(link.is_ok(), "{link:?}");
+            }
+        };
+        smol::future::or(connect, serve).await;
+    });
+}
+
 #[test]
 fn another_key_is_refused_by_the_client() {
     run(async {
