--- a/crates/lentil_entry/src/api.rs
+++ b/crates/lentil_entry/src/api.rs
@@ -13,7 +13,7 @@
     Clock,
     metrics::{Counter, Metrics},
 };
-use lentil_types::{ConfigVersion, FailReason, Outcome, RequestId, TeamName};
+use lentil_types::{ConfigVersion, Outcome, RequestId, TeamName};
 use smol::channel::Sender;
 use trillium_http::Body;
 
@@ -27,8 +27,9 @@
     openai,
     path::Target,
     recorder::Recorder,
-    refusal::{self, Refusal},
+    refusal::Refusal,
     reply::{Replies, Reply},
+    respond,
     server::Conn,
     state::{Current, State},
     transport::Progress,
@@ -86,18 +87,18 @@
             sent.end();
         });
         if self.draining.load(Ordering::Acquire) {
-            set_header(&mut conn, "connection", "close");
+            respond::set_header(&mut conn, "connection", "close");
         }
         let session = Session {
             request: RequestId(rand::random()),
             current: self.state.current(),
             progress,
         };
-        set_header(&mut conn, headers::REQUEST, &session.request.to_string());
+        respond::set_header(&mut conn, headers::REQUEST, &session.request.to_string());
         if let Err(refusal) = self.answer(&mut conn, &session).await {
             self.metrics.count(Counter::RequestsRefused);
             log::debug!(request:% = session.request, code = refusal.code(); "refused: {refusal}");
-            refuse(&mut conn, &refusal);
+            respond::refuse(&mut conn, &refusal);
         }
         conn
     }
@@ -199,12 +200,12 @@
     fn conclude(&self, conn: &mut Conn, session: &Session, answer: &Result<(), NoAnswer>) {
         match answer {
             Ok(()) => {}
-            Err(NoAnswer::Failed(ending)) => fail(conn, *ending),
-            Err(NoAnswer::Stopped) => fail(conn, stopped()),
+            Err(NoAnswer::Failed(ending)) => respond::fail(conn, *ending),
+            Err(NoAnswer::Stopped) => respond::fail(conn, respond::stopped()),
             Err(NoAnswer::CallerGone) => {
                 self.metrics.count(Counter::CallersGone);
                 log::debug!(request:% = session.request; "the caller hung up");
-                set_header(conn, "connection", "close");
+                respond::set_header(conn, "connection", "close");
             }
         }
     }
@@ -219,13 +220,13 @@
         object: "list",
         data: models.map(openai::Model::new).collect(),
     };
-    json(conn, OK, openai::to_json(&list));
+    respond::json(conn, OK, openai::to_json(&list));
 }
 
 fn show_model(conn: &mut Conn, current: &Current, name: &str) -> Result<(), Refusal> {
     let model = current.market.model(name);
     let model = model.ok_or_else(|| Refusal::NoModel(name.to_owned()))?;
-    json(conn, OK, openai::to_json(&openai::Model::new(model)));
+    respond::json(conn, OK, openai::to_json(&openai::Model::new(model)));
     Ok(())
 }
 
@@ -251,8 +252,8 @@
 fn stream(conn: &mut Conn, api: check::Api, answered: Answered<'_>, replies: Replies) {
     let encoder = Sse::new(replies.request(), api, unix_seconds(), answered);
     let reader = AnswerReader::new(replies, encoder, Sse::padding(), conn.transport().hang_up());
-    set_header(conn, "content-type", "text/event-stream");
-    set_header(conn, "cache-control", "no-cache");
+    respond::set_header(conn, "content-type", "text/event-stream");
+    respond::set_header(conn, "cache-control", "no-cache");
     conn.set_status(OK);
     conn.set_response_body(Body::new_streaming(reader, None));
 }
@@ -276,8 +277,8 @@
     };
     let model = answered.model.to_owned();
     let whole = collector.finish(api, replies.request(), created, model, usage);
-    set_header(conn, headers::OUTCOME, Outcome::Done.into());
-    json(conn, OK, openai::to_json(&whole));
+    respond::set_header(conn, headers::OUTCOME, Outcome::Done.into());
+    respond::json(conn, OK, openai::to_json(&whole));
     Ok(())
 }
 
@@ -301,7 +302,7 @@
     }
     conn.set_status(head.status);
     if whole {
-        set_header(conn, headers::OUTCOME, Outcome::Done.into());
+        respond::set_header(conn, headers::OUTCOME, Outcome::Done.into());
         conn.set_response_body(held);
     } else {
         let reader = AnswerReader::new(replies, Raw, held, conn.transport().hang_up());
@@ -317,58 +318,6 @@
     head.headers.iter().any(is_it)
 }
 
-fn stopped() -> entry::Ending {
-    entry::Ending::Failed {
-        outcome: Outcome::Unknown,
-        reason: FailReason::Leaving,
-        retry: None,
-    }
-}
-
-fn fail(conn: &mut Conn, ending: entry::Ending) {
-    let (outcome, reason, retry) = match ending {
-        entry::Ending::Failed {
-            outcome,
-            reason,
-            retry,
-        } => (outcome, reason, retry),
-        // A whole answer without a head is no answer.
-        entry::Ending::Whole(_) => (Outcome::Unknown, FailReason::Backend, None),
-    };
-    let status = refusal::status_of(reason);
-    set_header(conn, headers::OUTCOME, outcome.into());
-    if let Some(seconds) = refusal::retry_seconds(status, retry) {
-        set_header(conn, "retry-after", &seconds.to_string());
-    }
-    json(conn, status, refusal::failed_body(outcome, reason));
-}
-
-fn refuse(conn: &mut Conn, refusal: &Refusal) {
-    let status = refusal.status();
-    set_header(conn, headers::OUTCOME, Outcome::NotRun.into());
-    if let Refusal::Method(allowed) = refusal {
-        set_header(conn, "allow", allowed);
-    }
-    if let Some(seconds) = refusal::retry_seconds(status, None) {
-        set_header(conn, "retry-after", &seconds.to_string());
-    }
-    if matches!(refusal, Refusal::Slow | Refusal::BodyBrokeOff) {
-        // The rest of the body is not waited for.
-        set_header(conn, "connection", "close");
-    }
-    json(conn, status, refusal.body());
-}
-
-fn json(conn: &mut Conn, status: u16, body: String) {
-    set_header(conn, "content-type", "application/json");
-    conn.set_status(status);
-    conn.set_response_body(body);
-}
-
-fn set_header(conn: &mut Conn, name: &'static str, value: &str) {
-    conn.response_headers_mut().insert(name, value.to_owned());
-}
-
 fn unix_seconds() -> u64 {
     let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
     since.map_or(0, |since| since.as_secs())
--- a/crates/lentil_entry/src/lib.rs
+++ b/crates/lentil_entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod recorder;
 mod refusal;
 mod reply;
+mod respond;
 mod runners;
 mod server;
 mod state;
--- /dev/null
+++ b/crates/lentil_entry/src/respond.rs
@@ -0,0 +1,67 @@
+//! Writes responses that are known whole.
+
+use lentil_policy::entry;
+use lentil_types::{FailReason, Outcome};
+
+use crate::{
+    headers,
+    refusal::{self, Refusal},
+    server::Conn,
+};
+
+/// How a request ends when the process stops.
+pub(crate) fn stopped() -> entry::Ending {
+    entry::Ending::Failed {
+        outcome: Outcome::Unknown,
+        reason: FailReason::Leaving,
+        retry: None,
+    }
+}
+
+/// Tells a caller that the policy gave its request up.
+pub(crate) fn fail(conn: &mut Conn, ending: entry::Ending) {
+    let (outcome, reason, retry) = match ending {
+        entry::Ending::Failed {
+            outcome,
+            reason,
+            retry,
+        } => (outcome, reason, retry),
+        // A whole answer without a head is no answer.
+        entry::Ending::Whole(_) => (Outcome::Unknown, FailReason::Backend, None),
+    };
+    let status = refusal::status_of(reason);
+    set_header(conn, headers::OUTCOME, outcome.into());
+    if let Some(seconds) = refusal::retry_seconds(status, retry) {
+        set_header(conn, "retry-after", &seconds.to_string());
+    }
+    json(conn, status, refusal::failed_body(outcome, reason));
+}
+
+/// Tells a caller that its request did not reach the policy.
+pub(crate) fn refuse(conn: &mut Conn, refusal: &Refusal) {
+    let status = refusal.status();
+    set_header(conn, headers::OUTCOME, Outcome::NotRun.into());
+    if let Refusal::Method(allowed) = refusal {
+        set_header(conn, "allow", allowed);
+    }
+    if let Some(seconds) = refusal::retry_seconds(status, None) {
+        set_header(conn, "retry-after", &seconds.to_string());
+    }
+    if matches!(refusal, Refusal::Slow | Refusal::BodyBrokeOff) {
+        // The rest of the body is not waited for.
+        set_header(conn, "connection", "close");
+    }
+    json(conn, status, refusal.body());
+}
+
+/// Answers with a JSON body.
+pub(crate) fn json(conn: &mut Conn, status: u16, body: String) {
+    set_header(conn, "content-type", "application/json");
+    conn.set_status(status);
+    conn.set_response_body(body);
+}
+
+/// Sets a header of the answer.
+pub(crate) fn set_header(conn: &mut Conn, name: &'static str, value: &str) {
+    conn.response_headers_mut().insert(name, value.to_owned());
+}
