The entries of a region roll out weights through the sidecars beside engines

Cause: leases and rollouts were machines that no process ran, and no sidecar passed an order on. Change: Order and Ordered (minor version 3); an entry that holds the region's lease asks every runner how it is and orders, checking the lease right before each order leaves; a sidecar passes an order only if its gate does, and passes none before it has read the lease; stopped rollouts are recorded. A handshake no longer fails when the server closes its stream before the client has closed its own direction. Conclusion: new weights reach every engine of a service; orders for adapters and roles are still not given.

--- /dev/null
+++ b/crates/lentil_entry/src/controller.rs
@@ -0,0 +1,370 @@
+//! Brings runners to the state that the text wants.
+//!
+//! The entries of a region contend for one lease; its holder runs [`lentil_policy::rollout::Rollout`].
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time,
+};
+
+use lentil_platform::{ObjectStore, carry_out};
+use lentil_policy::{
+    lease::{self, Lease},
+    rollout::{self, Rollout},
+    store::ObjectKey,
+};
+use lentil_process::Clock;
+use lentil_types::{
+    ConfigVersion, FencingNumber, Instant, NodeName, RegionName, RunnerName, ServiceName,
+};
+use lentil_wire::{Message, WireError};
+use rand::{RngExt as _, SeedableRng as _};
+use smol::channel::{Receiver, Sender};
+
+use crate::{Control, links::Links};
+
+/// Time between two rounds.
+const ROUND: time::Duration = time::Duration::from_millis(500);
+/// Time between two looks at a lease that another entry has.
+const LEASE_POLL: time::Duration = time::Duration::from_secs(15);
+/// How long a sidecar may take to say how its engine is.
+const ASK_LIMIT: time::Duration = time::Duration::from_secs(2);
+/// How long a sidecar may take to answer an order.
+const ORDER_LIMIT: time::Duration = time::Duration::from_secs(40);
+
+/// Settings of a controller.
+#[derive(Clone)]
+pub struct ControllerSettings {
+    /// Name of this process.
+    pub node: NodeName,
+    /// The region whose lease it contends for.
+    pub region: RegionName,
+    /// The platform's object API.
+    pub store: Arc<dyn ObjectStore>,
+    /// Pace of rollouts.
+    pub rollout: rollout::Settings,
+    /// Time between two looks at every runner while some lag.
+    pub busy_poll: time::Duration,
+    /// The same, while none lags.
+    pub idle_poll: time::Duration,
+}
+
+impl ControllerSettings {
+    /// The usual settings.
+    pub fn new(node: NodeName, region: RegionName, store: Arc<dyn ObjectStore>) -> Self {
+        Self {
+            node,
+            region,
+            store,
+            rollout: rollout::Settings::default(),
+            busy_poll: time::Duration::from_secs(5),
+            idle_poll: time::Duration::from_secs(60),
+        }
+    }
+}
+
+struct Controller {
+    settings: ControllerSettings,
+    control: Control,
+    clock: Clock,
+    lease: Arc<Mutex<Lease>>,
+    rollout: Rollout,
+    version: ConfigVersion,
+    services: HashMap<RunnerName, ServiceName>,
+    /// The tenure whose records were read.
+    tenure: Option<FencingNumber>,
+    next_poll: Instant,
+    events: Sender<rollout::Event>,
+    rng: rand_pcg::Pcg64Mcg,
+}
+
+/// Contends for the lease, and orders while it holds it. Runs until dropped.
+pub async fn control_runners(control: Control, settings: ControllerSettings) {
+    let (events, inbox) = smol::channel::unbounded();
+    let key = lease::key(&settings.region);
+    let lease = lease::Settings {
+        poll: LEASE_POLL.mul_f64(rand::rng().random_range(0.75..1.25)),
+        ..lease::Settings::new(settings.node.clone(), rand::random(), key)
+    };
+    let mut controller = Controller {
+        rollout: Rollout::new(settings.rollout),
+        settings,
+        control,
+        clock: Clock::start(),
+        lease: Arc::new(Mutex::new(Lease::new(lease))),
+        version: ConfigVersion(0),
+        services: HashMap::new(),
+        tenure: None,
+        next_poll: Instant::ZERO,
+        events,
+        rng: rand_pcg::Pcg64Mcg::from_rng(&mut rand::rng()),
+    };
+    loop {
+        controller.round(&inbox).await;
+        smol::Timer::after(ROUND).await;
+    }
+}
+
+impl Controller {
+    async fn round(&mut self, inbox: &Receiver<rollout::Event>) {
+        self.keep_lease().await;
+        let Some(number) = self.permit() else {
+            self.tenure = None;
+            return;
+        };
+        self.take_text();
+        if self.tenure != Some(number) {
+            self.read_records().await;
+            self.tenure = Some(number);
+        }
+        while let Ok(event) = inbox.try_recv() {
+            self.rollout
+                .on_event(self.clock.now(), event, &mut self.rng);
+        }
+        self.poll();
+        for command in self.rollout.tick(self.clock.now(), self.permit()) {
+            match command {
+                rollout::Command::Order(runner, order) => self.order(runner, order),
+                rollout::Command::Record(service, progress) => {
+                    self.record(&service, &progress).await;
+                }
+            }
+        }
+    }
+
+    fn permit(&self) -> Option<FencingNumber> {
+        lock(&self.lease).permit(self.clock.now())
+    }
+
+    async fn keep_lease(&self) {
+        loop {
+            let call = lock(&self.lease).tick(self.clock.now());
+            let Some(call) = call else {
+                return;
+            };
+            let reply = carry_out(&*self.settings.store, call).await;
+            lock(&self.lease).on_reply(self.clock.now(), &reply);
+        }
+    }
+
+    // -----------------------------------------------------------------------
+    // What is wanted
+
+    /// Takes the runners and weights of a new text.
+    fn take_text(&mut self) {
+        let version = self.control.version();
+        if version == self.version {
+            return;
+        }
+        self.version = version;
+        let market = self.control.market();
+        let target = |model: &lentil_config::Model| {
+            let service = market.service(&model.service)?;
+            Some(rollout::Target {
+                service: service.name.clone(),
+                model: model.name.clone(),
+                weights: model.weights,
+                floor: service.floor,
+            })
+        };
+        let targets: Vec<_> = market.models.iter().filter_map(target).collect();
+        let mut services = HashMap::new();
+        for target in &targets {
+            let service = market.service(&target.service);
+            for runner in service.iter().flat_map(|service| &service.runners) {
+                services.insert(runner.name.clone(), target.service.clone());
+            }
+        }
+        let now = self.clock.now();
+        let old = std::mem::replace(&mut self.services, services);
+        for (runner, _) in old {
+            if !self.services.contains_key(&runner) {
+                let removed = rollout::Event::Removed(runner);
+                self.rollout.on_event(now, removed, &mut self.rng);
+            }
+        }
+        let targets = rollout::Event::Targets(targets);
+        self.rollout.on_event(now, targets, &mut self.rng);
+        self.next_poll = now;
+    }
+
+    // -----------------------------------------------------------------------
+    // What is
+
+    /// Asks every runner how it is, when that is due.
+    fn poll(&mut self) {
+        let now = self.clock.now();
+        if now < self.next_poll {
+            return;
+        }
+        let settings = &self.settings;
+        let is_done = self.rollout.is_done();
+        let period = if is_done {
+            settings.idle_poll
+        } else {
+            settings.busy_poll
+        };
+        self.next_poll = now + period;
+        for (runner, service) in &self.services {
+            let look = look(
+                self.control.links.clone(),
+                runner.clone(),
+                service.clone(),
+                self.events.clone(),
+            );
+            smol::spawn(look).detach();
+        }
+    }
+
+    // -----------------------------------------------------------------------
+    // Orders
+
+    fn order(&self, runner: RunnerName, order: rollout::Order) {
+        let (links, events) = (self.control.links.clone(), self.events.clone());
+        let (lease, clock) = (self.lease.clone(), self.clock);
+        let give = async move {
+            // Right before the order leaves, whatever happened since it was made.
+            let may = || lock(&lease).permit(clock.now()) == Some(order.number);
+            let given = within(ORDER_LIMIT, give(&links, &runner, &order, may)).await;
+            let event = match given {
+                Ok(Ok(())) => rollout::Event::Ordered(runner),
+                Ok(Err(fault)) => rollout::Event::OrderFailed(runner, fault),
+                Err(error) => {
+                    log::warn!(runner:% = runner; "an order was not answered: {error}");
+                    rollout::Event::OrderFailed(runner, rollout::OrderFault::Lost)
+                }
+            };
+            let _ = events.send(event).await;
+        };
+        smol::spawn(give).detach();
+    }
+
+    // -----------------------------------------------------------------------
+    // Records of rollouts
+
+    fn record_key(&self, service: &ServiceName) -> ObjectKey {
+        ObjectKey {
+            kind: "rollouts".into(),
+            name: format!("{}/{service}", self.settings.region).into(),
+        }
+    }
+
+    async fn read_records(&mut self) {
+        let mut services: Vec<_> = self.services.values().cloned().collect();
+        services.sort_unstable();
+        services.dedup();
+        for service in services {
+            let object = self.settings.store.read(&self.record_key(&service)).await;
+            let value = object.map(|object| object.value).unwrap_or_default();
+            let text = String::from_utf8(value).unwrap_or_default();
+            if let Ok(progress) = text.parse() {
+                let recorded = rollout::Event::Recorded(service, progress);
+                self.rollout
+                    .on_event(self.clock.now(), recorded, &mut self.rng);
+            }
+        }
+    }
+
+    async fn record(&self, service: &ServiceName, progress: &rollout::Progress) {
+        let key = self.record_key(service);
+        let store = &self.settings.store;
+        let written = async {
+            let version = store.read(&key).await?.version;
+            store
+                .update(&key, version, progress.to_string().into_bytes())
+                .await
+        };
+        match written.await {
+            Ok(_) => log::warn!(service:% = service; "a rollout failed at a runner: {progress}"),
+            Err(error) => log::error!(service:% = service; "a rollout is not recorded: {error}"),
+        }
+    }
+}
+
+fn lock(lease: &Mutex<Lease>) -> MutexGuard<'_, Lease> {
+    lease.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Asks a runner's sidecar how its engine is.
+async fn look(
+    links: Arc<Links>,
+    runner: RunnerName,
+    service: ServiceName,
+    events: Sender<rollout::Event>,
+) {
+    match within(ASK_LIMIT, ask(&links, &runner)).await {
+        Ok(load) => {
+            let view = rollout::View {
+                service,
+                boot: load.boot,
+                weights: load.weights,
+                state: load.state,
+            };
+            let _ = events.send(rollout::Event::Runner(runner, view)).await;
+        }
+        // Unanswered is not gone: what was last known stays.
+        Err(error) => log::debug!(runner:% = runner; "not asked: {error}"),
+    }
+}
+
+async fn ask(
+    links: &Links,
+    runner: &RunnerName,
+) -> Result<lentil_policy::protocol::Load, WireError> {
+    let mut exchange = links.open(runner).await?;
+    let config = ConfigVersion(u64::MAX);
+    exchange
+        .sender
+        .send(Message::Ask {
+            config,
+            text: false,
+        })
+        .await?;
+    // The other side may have answered and closed the stream already.
+    let _ = exchange.sender.finish();
+    match exchange.receiver.recv().await? {
+        Some(Message::Load(load)) => Ok(load),
+        other => Err(unexpected("load", other.as_ref())),
+    }
+}
+
+async fn give(
+    links: &Links,
+    runner: &RunnerName,
+    order: &rollout::Order,
+    may: impl Fn() -> bool,
+) -> Result<Result<(), rollout::OrderFault>, WireError> {
+    let mut exchange = links.open(runner).await?;
+    if !may() {
+        return Ok(Err(rollout::OrderFault::Fenced));
+    }
+    exchange.sender.send(Message::Order(order.clone())).await?;
+    // The other side may have answered and closed the stream already.
+    let _ = exchange.sender.finish();
+    match exchange.receiver.recv().await? {
+        Some(Message::Ordered(outcome)) => Ok(outcome),
+        other => Err(unexpected("ordered", other.as_ref())),
+    }
+}
+
+fn unexpected(expected: &'static str, got: Option<&Message>) -> WireError {
+    match got {
+        Some(got) => WireError::Unexpected {
+            expected,
+            got: got.name(),
+        },
+        None => WireError::Ended(expected),
+    }
+}
+
+async fn within<T>(
+    limit: time::Duration,
+    work: impl Future<Output = Result<T, WireError>>,
+) -> Result<T, WireError> {
+    let timer = async {
+        smol::Timer::after(limit).await;
+        Err(WireError::Ended("an answer in time"))
+    };
+    smol::future::or(work, timer).await
+}
--- a/crates/lentil_entry/src/lib.rs
+++ b/crates/lentil_entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod check;
 mod control;
+mod controller;
 mod driver;
 mod entry;
 mod flow;
@@ -34,6 +35,7 @@
 mod watch;
 
 pub use control::Control;
+pub use controller::{ControllerSettings, control_runners};
 pub use entry::{Entry, Settings, Subject};
 pub use follow::follow;
 pub use limits::Limits;
--- a/crates/lentil_entry/src/main.rs
+++ b/crates/lentil_entry/src/main.rs
@@ -50,6 +50,12 @@
         let follow = lentil_entry::follow(entry.control(), agent.applied());
         smol::spawn(follow)
     });
+    let controller = agent.as_ref().zip(settings.region.clone());
+    let controller = controller.map(|(agent, region)| {
+        let node = settings.node.clone();
+        let own = lentil_entry::ControllerSettings::new(node, region, agent.store());
+        smol::spawn(lentil_entry::control_runners(entry.control(), own))
+    });
     let subject = lentil_control::subject(Arc::new(entry.subject()), agent.as_ref());
     let admin = admin::Settings {
         listen: settings.admin,
@@ -59,7 +65,7 @@
     log::info!(address:% = entry.address(), admin:% = admin.address(); "serving callers");
     signals::terminated().await?;
     entry.drain().await;
-    drop(follow);
+    drop((follow, controller));
     Ok(())
 }
 
--- a/crates/lentil_policy/src/lease/holder.rs
+++ b/crates/lentil_policy/src/lease/holder.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use lentil_types::{FencingNumber, Instant, NodeName};
+use lentil_types::{FencingNumber, Instant, NodeName, RegionName};
 
 use super::Record;
 use crate::store::{ObjectKey, ObjectVersion, OpId, StoreCall, StoreReply};
@@ -38,6 +38,14 @@
     }
 }
 
+/// The object of the lease for orders in a region.
+pub fn key(region: &RegionName) -> ObjectKey {
+    ObjectKey {
+        kind: "leases".into(),
+        name: region.as_str().into(),
+    }
+}
+
 /// What the lease's object was when it was last seen to change.
 #[derive(Clone, Debug)]
 struct Seen {
--- a/crates/lentil_policy/src/lease/mod.rs
+++ b/crates/lentil_policy/src/lease/mod.rs
@@ -13,5 +13,5 @@
 mod record;
 
 pub use gate::{FencingGate, GateError};
-pub use holder::{Lease, Settings};
+pub use holder::{Lease, Settings, key};
 pub use record::{Record, RecordError};
--- a/crates/lentil_policy/src/rollout/message.rs
+++ b/crates/lentil_policy/src/rollout/message.rs
@@ -44,17 +44,18 @@
 }
 
 /// Why an order was not carried out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::FromRepr)]
 #[strum(serialize_all = "kebab-case")]
+#[repr(u8)]
 pub enum OrderFault {
     /// The weight store has too much to do; the weights may be good.
-    Throttled,
+    Throttled = 1,
     /// The engine could not load these weights.
-    BadWeights,
+    BadWeights = 2,
     /// The fencing number is old or the sidecar has not learned it yet.
-    Fenced,
+    Fenced = 3,
     /// No answer came: it may be carried out.
-    Lost,
+    Lost = 4,
 }
 
 /// What happened.
--- a/crates/lentil_policy/src/rollout/mod.rs
+++ b/crates/lentil_policy/src/rollout/mod.rs
@@ -12,4 +12,4 @@
 
 pub use message::{Command, Event, Order, OrderFault, Target, View};
 pub use policy::{Rollout, Settings};
-pub use progress::{Progress, StopReason};
+pub use progress::{Progress, ProgressError, StopReason};
--- a/crates/lentil_policy/src/rollout/policy.rs
+++ b/crates/lentil_policy/src/rollout/policy.rs
@@ -114,6 +114,18 @@
         self.progress.get(service)
     }
 
+    /// Whether every runner that was seen has the weights wanted, or its rollout
+    /// has stopped.
+    pub fn is_done(&self) -> bool {
+        let is_done = |row: &Row| {
+            let target = self.targets.get(&row.view.service);
+            let progress = self.progress.get(&row.view.service);
+            let is_stopped = progress.is_some_and(|progress| progress.stopped.is_some());
+            is_stopped || target.is_none_or(|target| target.weights == row.view.weights)
+        };
+        !self.rows.is_empty() && self.rows.values().all(is_done)
+    }
+
     /// Runners of a service that take work.
     pub fn ready(&self, service: &ServiceName) -> usize {
         let is_ready = |row: &&Row| row.view.service == *service && row.is_ready();
--- a/crates/lentil_policy/src/rollout/progress.rs
+++ b/crates/lentil_policy/src/rollout/progress.rs
@@ -1,5 +1,7 @@
 //! How a service's rollout goes.
 
+use std::{fmt, num, str};
+
 use lentil_types::{Instant, WeightsVersion};
 
 /// Why a rollout stopped by itself.
@@ -27,6 +29,53 @@
     pub first: Option<Instant>,
 }
 
+/// A record of a rollout is not as it should be.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum ProgressError {
+    /// It has not three fields.
+    #[error("a rollout's record has three fields")]
+    Fields,
+    /// A number is not one.
+    #[error("a rollout's record: {0}")]
+    Number(#[from] num::ParseIntError),
+    /// The reason for the stop is none.
+    #[error("a rollout's record: {0}")]
+    Reason(#[from] strum::ParseError),
+}
+
+/// Without the time of the first runner, which is of one process's clock.
+impl fmt::Display for Progress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} ", self.weights, self.failures)?;
+        match self.stopped {
+            Some(reason) => reason.fmt(f),
+            None => f.write_str("-"),
+        }
+    }
+}
+
+impl str::FromStr for Progress {
+    type Err = ProgressError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let fields: Vec<_> = s.split(' ').collect();
+        let [weights, failures, stopped] = fields[..] else {
+            return Err(ProgressError::Fields);
+        };
+        let stopped = match stopped {
+            "-" => None,
+            reason => Some(reason.parse()?),
+        };
+        Ok(Self {
+            weights: weights.parse()?,
+            failures: failures.parse()?,
+            stopped,
+            first: None,
+        })
+    }
+}
+
 impl Progress {
     /// A rollout that has not begun.
     pub fn new(weights: WeightsVersion) -> Self {
--- a/crates/lentil_policy/tests/rollout.rs
+++ b/crates/lentil_policy/tests/rollout.rs
@@ -341,3 +341,13 @@
     bench.step(Some(FencingNumber(9)));
     assert_eq!(bench.orders[0].2.number, FencingNumber(9));
 }
+
+#[test]
+fn a_record_reads_back_as_it_was_written() {
+    let mut progress = Progress::new(NEW);
+    assert_eq!(progress.to_string().parse(), Ok(progress));
+    progress.failures = 2;
+    progress.stopped = Some(StopReason::WentDown);
+    assert_eq!(progress.to_string().parse(), Ok(progress));
+    assert!("2 2".parse::<Progress>().is_err());
+}
--- a/crates/lentil_sidecar/src/backend/mod.rs
+++ b/crates/lentil_sidecar/src/backend/mod.rs
@@ -4,6 +4,7 @@
 mod chunk;
 mod engine;
 mod error;
+mod order;
 mod plain;
 mod report;
 mod request;
--- /dev/null
+++ b/crates/lentil_sidecar/src/backend/order.rs
@@ -0,0 +1,42 @@
+//! Orders to an engine.
+
+use std::time;
+
+use lentil_policy::rollout;
+
+use super::Backend;
+
+/// How long an engine may take to answer an order.
+const ORDER_LIMIT: time::Duration = time::Duration::from_secs(30);
+
+impl Backend {
+    /// Gives an order to the engine.
+    pub(crate) async fn order(&self, order: &rollout::Order) -> Result<(), rollout::OrderFault> {
+        let body = serde_json::json!({
+            "fencing": order.number,
+            "order": { "weights": { "model": order.model, "version": order.weights } },
+        });
+        let conn = self
+            .single
+            .post(self.url("orders"))
+            .with_body(body.to_string());
+        let answer = async {
+            let conn = conn.await.map_err(|_| rollout::OrderFault::Lost)?;
+            outcome(conn.status().map_or(0, |status| status as u16))
+        };
+        let timer = async {
+            smol::Timer::after(ORDER_LIMIT).await;
+            Err(rollout::OrderFault::Lost)
+        };
+        smol::future::or(answer, timer).await
+    }
+}
+
+fn outcome(status: u16) -> Result<(), rollout::OrderFault> {
+    match status {
+        200..=299 => Ok(()),
+        409 => Err(rollout::OrderFault::Fenced),
+        429 | 503 => Err(rollout::OrderFault::Throttled),
+        _ => Err(rollout::OrderFault::BadWeights),
+    }
+}
--- a/crates/lentil_sidecar/src/control.rs
+++ b/crates/lentil_sidecar/src/control.rs
@@ -4,10 +4,10 @@
 
 use lentil_config::Market;
 use lentil_policy::sidecar;
-use lentil_types::ConfigVersion;
+use lentil_types::{ConfigVersion, FencingNumber};
 use smol::channel::Sender;
 
-use crate::{driver::Input, state::State};
+use crate::{driver::Input, orders::Orders, state::State};
 
 /// A handle that changes what a running sidecar works with. Clones act on the
 /// same sidecar.
@@ -15,6 +15,7 @@
 pub struct Control {
     pub(crate) state: Arc<State>,
     pub(crate) events: Sender<Input>,
+    pub(crate) orders: Arc<Orders>,
 }
 
 impl Control {
@@ -28,6 +29,11 @@
         self.state.config().1
     }
 
+    /// Passes orders on whose fencing number is at least this one.
+    pub fn learn(&self, number: FencingNumber) {
+        self.orders.learn(number);
+    }
+
     /// Puts a text in force when its version is higher than the one in force,
     /// and returns whether it did.
     pub async fn set_market(&self, version: ConfigVersion, market: &Arc<Market>) -> bool {
--- a/crates/lentil_sidecar/src/main.rs
+++ b/crates/lentil_sidecar/src/main.rs
@@ -54,6 +54,11 @@
             let record = lentil_control::record_crashes(agent.store(), region, sidecar.crashes());
             smol::spawn(record)
         });
+    let learn = agent.as_ref().zip(settings.region.clone());
+    let learn = learn.map(|(agent, region)| {
+        let learn = lentil_sidecar::learn(sidecar.control(), agent.store(), region);
+        smol::spawn(learn)
+    });
     let subject = lentil_control::subject(Arc::new(sidecar.subject()), agent.as_ref());
     let admin = admin::Settings {
         listen: settings.admin,
@@ -63,6 +68,6 @@
     log::info!(runner:% = own.runner, address:% = sidecar.address(), admin:% = admin.address(); "serving entries");
     signals::terminated().await?;
     sidecar.drain().await;
-    drop((follow, record));
+    drop((follow, record, learn));
     Ok(())
 }
--- a/crates/lentil_sidecar/src/service.rs
+++ b/crates/lentil_sidecar/src/service.rs
@@ -21,7 +21,7 @@
     net::{TcpListener, TcpStream},
 };
 
-use crate::{driver::Input, links::Outgoing};
+use crate::{driver::Input, links::Outgoing, orders::Orders};
 
 /// Entries and strangers that may be connected at once.
 const MAX_CONNECTIONS: usize = 4_096;
@@ -40,6 +40,7 @@
     pub(crate) next_link: AtomicU64,
     /// Closed when the process stops.
     pub(crate) closing: channel::Receiver<()>,
+    pub(crate) orders: Arc<Orders>,
 }
 
 /// Accepts connections until the service closes, then waits until they have
@@ -122,10 +123,12 @@
 async fn serve_exchange(service: Arc<Service>, exchange: Exchange) {
     let link = sidecar::LinkId(service.next_link.fetch_add(1, Ordering::Relaxed));
     let (outbox, outgoing) = channel::bounded(MAX_WAITING_MESSAGES);
+    // The driver decides when the answer is over, by dropping its end.
+    let orders_outbox = outbox.downgrade();
     service.tell(Input::Opened(link, outbox)).await;
     let Exchange { sender, receiver } = exchange;
     let write = write(sender, outgoing);
-    let read = read(&service, link, receiver);
+    let read = read(&service, link, receiver, orders_outbox);
     let ended: Result<(), WireError> = smol::future::or(write, read).await;
     if let Err(error) = ended {
         log::debug!("an exchange broke off: {error}");
@@ -148,6 +151,7 @@
     service: &Service,
     link: sidecar::LinkId,
     mut receiver: Receiver,
+    outbox: channel::WeakSender<Outgoing>,
 ) -> Result<(), WireError> {
     loop {
         let message = match receiver.recv().await {
@@ -162,6 +166,18 @@
             }
             Err(error) => return Err(error),
         };
+        if let Message::Order(order) = message {
+            let outcome = service.orders.carry_out(&order).await;
+            let message = Message::Ordered(outcome);
+            let answer = Outgoing {
+                message,
+                _permit: None,
+            };
+            if let Some(outbox) = outbox.upgrade() {
+                let _ = outbox.send(answer).await;
+            }
+            continue;
+        }
         service.tell(input_of(link, message)?).await;
     }
     service.tell(Input::Finished(link)).await;
--- a/crates/lentil_sidecar/src/sidecar.rs
+++ b/crates/lentil_sidecar/src/sidecar.rs
@@ -18,6 +18,7 @@
 use crate::{
     BackendKind, Control, backend,
     driver::{self, Input},
+    orders::Orders,
     service,
     state::State,
 };
@@ -48,6 +49,7 @@
     address: net::SocketAddr,
     state: Arc<State>,
     events: Sender<Input>,
+    orders: Arc<Orders>,
     metrics: Metrics,
     /// Closing it tells the service to stop.
     closing: Sender<()>,
@@ -69,6 +71,7 @@
         let (crash_sender, crashes) = channel::bounded(MAX_WAITING_CRASHES);
         let backend = Arc::new(backend::Backend::new(settings.backend, settings.kind));
         let state = Arc::new(State::default());
+        let orders = Arc::new(Orders::new(backend.clone()));
         let service = service::Service {
             identity: settings.identity,
             events: events.clone(),
@@ -77,6 +80,7 @@
             strangers: Mutex::new(Strangers::default()),
             next_link: AtomicU64::new(1),
             closing: closed,
+            orders: orders.clone(),
         };
         let parts = driver::Parts {
             backend: backend.clone(),
@@ -97,6 +101,7 @@
             address,
             state,
             events,
+            orders,
             metrics: settings.metrics,
             closing,
             crashes,
@@ -120,6 +125,7 @@
         Control {
             state: self.state.clone(),
             events: self.events.clone(),
+            orders: self.orders.clone(),
         }
     }
 
--- a/crates/lentil_wire/src/convert.rs
+++ b/crates/lentil_wire/src/convert.rs
@@ -2,11 +2,11 @@
 
 use std::time;
 
-use lentil_policy::protocol;
+use lentil_policy::{protocol, rollout};
 use lentil_types::{
-    Attempt, AttemptId, BootId, Class, ConfigVersion, FailReason, Fingerprint, IdempotencyKey,
-    ModelName, Outcome, PieceHash, Pieces, RequestId, RunnerState, ServiceName, TeamName, Tokens,
-    WeightsVersion,
+    Attempt, AttemptId, BootId, Class, ConfigVersion, FailReason, FencingNumber, Fingerprint,
+    IdempotencyKey, ModelName, Outcome, PieceHash, Pieces, RequestId, RunnerState, ServiceName,
+    TeamName, Tokens, WeightsVersion,
 };
 
 use crate::{
@@ -54,6 +54,14 @@
             Self::Watch => Body::Watch(generated::Watch {}),
             Self::Sync(sync) => Body::Sync(convert_sync::sync_out(&sync)),
             Self::Synced(synced) => Body::Synced(convert_sync::synced_out(synced)),
+            Self::Order(order) => Body::Order(generated::Order {
+                number: order.number.0,
+                model: order.model.to_string(),
+                weights: order.weights.0,
+            }),
+            Self::Ordered(outcome) => Body::Ordered(generated::Ordered {
+                fault: outcome.err().map_or(0, |fault| fault as u32),
+            }),
         }
     }
 
@@ -89,6 +97,12 @@
             Body::Watch(_) => Self::Watch,
             Body::Sync(sync) => Self::Sync(convert_sync::sync_in(&sync)?),
             Body::Synced(synced) => Self::Synced(convert_sync::synced_in(synced)?),
+            Body::Order(order) => Self::Order(rollout::Order {
+                number: FencingNumber(order.number),
+                model: ModelName::new(&order.model)?,
+                weights: WeightsVersion(order.weights),
+            }),
+            Body::Ordered(ordered) => Self::Ordered(ordered_in(&ordered)?),
             Body::Hello(_) | Body::Challenge(_) | Body::Proof(_) | Body::Welcome(_) => {
                 return Err(ConvertError::Missing("place for a handshake"));
             }
@@ -145,6 +159,16 @@
     u32::try_from(pieces.0).unwrap_or(u32::MAX)
 }
 
+fn ordered_in(
+    ordered: &generated::Ordered,
+) -> Result<Result<(), rollout::OrderFault>, ConvertError> {
+    let fault = match ordered.fault {
+        0 => return Ok(Ok(())),
+        fault => rollout::OrderFault::from_repr(small(fault)),
+    };
+    Ok(Err(unknown(fault, "order fault", ordered.fault)?))
+}
+
 // ---------------------------------------------------------------------------
 // Parts of messages
 
--- a/crates/lentil_wire/src/handshake.rs
+++ b/crates/lentil_wire/src/handshake.rs
@@ -21,7 +21,7 @@
 /// Major version of the messages. Another one is refused.
 pub const MAJOR: u32 = 1;
 /// Minor version of the messages. A higher one adds kinds of messages.
-pub const MINOR: u32 = 2;
+pub const MINOR: u32 = 3;
 
 /// Longest handshake, from the connection on.
 pub(crate) const TIMEOUT: time::Duration = time::Duration::from_secs(5);
@@ -116,7 +116,8 @@
     let proof = proof(&identity.key, Side::Client, &mine, &challenge.nonce);
     let proof = generated::Proof { proof };
     sender.send_body(&Body::Proof(proof)).await?;
-    sender.finish()?;
+    // The server may have welcomed this process and closed the stream already.
+    let _ = sender.finish();
     match receiver.recv_body().await? {
         Some(Body::Welcome(_)) => Ok(greeted(node, challenge.minor)),
         other => Err(unexpected("welcome", other.as_ref())),
--- a/crates/lentil_wire/src/message.rs
+++ b/crates/lentil_wire/src/message.rs
@@ -2,11 +2,11 @@
 
 use std::time;
 
-use lentil_policy::{config_sync, protocol};
+use lentil_policy::{config_sync, protocol, rollout};
 use lentil_types::{AttemptId, BootId, ConfigVersion, FailReason, Fingerprint, RunnerState};
 
 /// Members of `Message.body` in the schema.
-pub(crate) const MEMBERS: u32 = 22;
+pub(crate) const MEMBERS: u32 = 24;
 
 /// A configuration text and its version.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -94,6 +94,10 @@
     Sync(Sync),
     /// Answers a [`Message::Sync`].
     Synced(Synced),
+    /// Loads weights at the runner.
+    Order(rollout::Order),
+    /// Answers a [`Message::Order`].
+    Ordered(Result<(), rollout::OrderFault>),
 }
 
 impl Message {
@@ -107,6 +111,7 @@
         match self {
             Self::Watch => 1,
             Self::Sync(_) | Self::Synced(_) => 2,
+            Self::Order(_) | Self::Ordered(_) => 3,
             _ => 0,
         }
     }
--- a/crates/lentil_wire/tests/sync.rs
+++ b/crates/lentil_wire/tests/sync.rs
@@ -5,9 +5,10 @@
 use bytes::BytesMut;
 use lentil_policy::{
     config_sync::{Body, Doc, Edit, Known, Reply, Update},
+    rollout,
     store::ObjectVersion,
 };
-use lentil_types::{BootId, RunnerState};
+use lentil_types::{BootId, FencingNumber, ModelName, RunnerState, WeightsVersion};
 use lentil_wire::{Message, Sync, Synced, decode, encode};
 use rstest::rstest;
 
@@ -35,6 +36,14 @@
     })
 }
 
+fn order() -> rollout::Order {
+    rollout::Order {
+        number: FencingNumber(7),
+        model: ModelName::new("sortmind-7b").expect("a name"),
+        weights: WeightsVersion(2),
+    }
+}
+
 fn edits() -> Body {
     Body::Edits {
         base: ObjectVersion(8),
@@ -46,6 +55,9 @@
 #[case::ask(Message::Sync(Sync { known: known(), wait: time::Duration::from_secs(2) }))]
 #[case::whole(synced(Body::Whole(b"text".to_vec()), None))]
 #[case::edits(synced(edits(), Some(time::Duration::from_micros(5))))]
+#[case::order(Message::Order(order()))]
+#[case::taken(Message::Ordered(Ok(())))]
+#[case::refused(Message::Ordered(Err(rollout::OrderFault::Fenced)))]
 fn a_message_reads_back_as_it_was_written(#[case] message: Message) {
     let mut buffer = BytesMut::from(&encode(message.clone()).expect("encoded")[..]);
     assert_eq!(decode(&mut buffer).expect("decoded"), Some(message));
