The market's objective reaches the router

Cause: entries routed under the default objective whatever the text said. Change: Event::Objective at the start and with every new text; Router::set_objective.

--- a/crates/lentil_entry/src/control.rs
+++ b/crates/lentil_entry/src/control.rs
@@ -40,6 +40,7 @@
             return false;
         }
         self.links.update(market);
+        self.tell(entry::Event::Objective(market.objective));
         self.tell(entry::Event::Runners(runners::of_market(market)));
         log::info!(version:% = version; "configuration in force");
         true
--- a/crates/lentil_entry/src/entry.rs
+++ b/crates/lentil_entry/src/entry.rs
@@ -73,7 +73,9 @@
         let links = links::Links::new(settings.identity, &settings.market, inputs.clone());
         let links = Arc::new(links);
         let runners = entry::Event::Runners(runners::of_market(&settings.market));
+        let objective = entry::Event::Objective(settings.market.objective);
         // The receiver lives until the driver ends.
+        let _ = inputs.send(driver::Input::Event(objective)).await;
         let _ = inputs.send(driver::Input::Event(runners)).await;
         let state = state::State::new(settings.version, settings.market);
         let control = Control {
--- a/crates/lentil_policy/src/entry/message.rs
+++ b/crates/lentil_policy/src/entry/message.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use lentil_config::Objective;
 use lentil_types::{
     AttemptId, FailReason, Fingerprint, IdempotencyKey, Instant, Outcome, RequestId, RunnerName,
 };
@@ -57,6 +58,8 @@
     },
     /// A runner said how it is, outside any request.
     Load(RunnerName, protocol::Load),
+    /// What the market is run for changed.
+    Objective(Objective),
     /// The set of runners changed.
     Runners(Vec<route::RunnerInfo>),
     /// The time of day, since the Unix epoch. Told at the start and every few
--- a/crates/lentil_policy/src/entry/policy.rs
+++ b/crates/lentil_policy/src/entry/policy.rs
@@ -108,6 +108,7 @@
             }
             entry::Event::Lost { runner, id, sent } => self.on_lost(now, &runner, id, sent),
             entry::Event::Load(runner, load) => self.router.on_load(now, &runner, &load),
+            entry::Event::Objective(objective) => self.router.set_objective(objective),
             entry::Event::Runners(runners) => self.router.set_runners(now, &runners),
             entry::Event::Crashed {
                 fingerprint,
--- a/crates/lentil_policy/src/route/mod.rs
+++ b/crates/lentil_policy/src/route/mod.rs
@@ -10,6 +10,7 @@
 
 use std::time;
 
+use lentil_config::Objective;
 use lentil_types::{Instant, RunnerName, ServiceName};
 
 use crate::protocol;
@@ -93,6 +94,9 @@
     /// kept.
     fn set_runners(&mut self, now: Instant, runners: &[RunnerInfo]);
 
+    /// Sets what the market is run for. Routers without a trade-off ignore it.
+    fn set_objective(&mut self, _objective: Objective) {}
+
     /// A runner said how it is.
     fn on_load(&mut self, now: Instant, runner: &RunnerName, load: &protocol::Load);
 
--- a/crates/lentil_policy/src/route/nested.rs
+++ b/crates/lentil_policy/src/route/nested.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use lentil_config::Objective;
 use lentil_types::{BootId, Instant, PlaceName, RunnerName, RunnerState, ServiceName, Table};
 use rand::RngExt as _;
 use xxhash_rust::xxh3;
@@ -328,6 +329,10 @@
         }
     }
 
+    fn set_objective(&mut self, objective: Objective) {
+        self.settings.cost.objective = objective;
+    }
+
     fn on_load(&mut self, now: Instant, runner: &RunnerName, load: &protocol::Load) {
         if let Some(row) = self.row_mut(runner) {
             row.load = Some((now, *load));
--- a/crates/lentil_policy/tests/nested.rs
+++ b/crates/lentil_policy/tests/nested.rs
@@ -2,6 +2,7 @@
 
 use std::{sync, time::Duration};
 
+use lentil_config::Objective;
 use lentil_policy::{
     protocol,
     route::{self, Nested, NestedSettings, Router},
@@ -258,3 +259,17 @@
     let plan = router.plan(Instant::ZERO, &work, &[], &mut rng);
     assert!(matches!(plan, route::Plan::Refuse { .. }));
 }
+
+#[test]
+fn under_first_token_an_urgent_request_does_not_wait_for_a_cached_prefix() {
+    let mut router = nested(2);
+    let mut urgent = work(1..=10);
+    urgent.class = Class::Urgent;
+    let names = [name(0), name(1)];
+    let bids = [bid(0, 10, 900), bid(1, 0, 800)];
+    for (objective, expected) in [(Objective::HitRate, 0), (Objective::FirstToken, 1)] {
+        router.set_objective(objective);
+        let choice = router.choose(Instant::ZERO, &offer(urgent.clone()), &names, &bids);
+        assert!(matches!(choice, route::Choice::Runner { name: n, .. } if n == name(expected)));
+    }
+}
