--- a/crates/lentil_replay/src/faults/sidecars.rs
+++ b/crates/lentil_replay/src/faults/sidecars.rs
@@ -8,7 +8,7 @@
 use super::{
     FaultKind, Promise, Sabotage,
     network::What,
-    world::{World, new_sidecar, node_life},
+    world::{World, new_sidecar},
 };
 
 impl World {
@@ -124,7 +124,7 @@
                 format!("{id} runs at a leaving sidecar, which says {state}")
             });
         let at = self.now + self.latency();
-        let life = node_life(&self.sidecars[runner]);
+        let life = self.sidecars[runner].life;
         self.agenda
             .push(at, What::ToBackend(runner, life, dispatch));
     }
--- a/crates/lentil_replay/src/faults/world.rs
+++ b/crates/lentil_replay/src/faults/world.rs
@@ -202,10 +202,6 @@
     }
 }
 
-pub(super) fn node_life(node: &SidecarNode) -> u32 {
-    node.life
-}
-
 pub(super) fn new_sidecar() -> sidecar::SidecarPolicy {
     let queue = queue::Fifo::new(queue::FifoSettings { slots: SLOTS });
     sidecar::SidecarPolicy::new(sidecar::Settings::default(), Box::new(queue))
