--- a/crates/lentil_policy/src/config_sync/sync.rs
+++ b/crates/lentil_policy/src/config_sync/sync.rs
@@ -138,7 +138,7 @@
 
     /// Starts what is due and returns what to do.
     pub fn tick(&mut self, now: Instant, rng: &mut dyn rand::Rng) -> Vec<Command> {
-        self.forgive(now);
+        self.expire_failures(now);
         self.expire_asks(now);
         if self.is_first {
             self.begin(now, rng);
@@ -224,7 +224,7 @@
     fn on_peers(&mut self, mut peers: Vec<Peer>) {
         peers.retain(|peer| peer.node != self.settings.node);
         self.peers = peers;
-        self.plant();
+        self.rebuild_tree();
     }
 
     fn on_stored(&mut self, now: Instant, doc: Doc, found: Option<Document>) {
@@ -265,7 +265,7 @@
     fn on_reply(&mut self, now: Instant, peer: &NodeName, reply: Reply) {
         self.asks.remove(peer);
         if self.failed.remove(peer).is_some() {
-            self.plant();
+            self.rebuild_tree();
         }
         if !self.answered.contains(peer) {
             self.answered.push(peer.clone());
@@ -288,7 +288,7 @@
     fn on_unanswered(&mut self, now: Instant, peer: NodeName) {
         self.asks.remove(&peer);
         self.failed.insert(peer, now + self.settings.stale);
-        self.plant();
+        self.rebuild_tree();
     }
 
     /// Takes what a peer sent. Says whether it fits what is known here.
@@ -383,8 +383,8 @@
     // -----------------------------------------------------------------------
     // Afterwards: watch the store or ask a parent
 
-    /// Builds the tree again.
-    fn plant(&mut self) {
+    /// Builds the tree of the peers here that did not fail.
+    fn rebuild_tree(&mut self) {
         let here =
             |peer: &&Peer| peer.place == self.settings.place && !self.failed.contains(&peer.node);
         let others = self.peers.iter().filter(here).map(|peer| peer.node.clone());
@@ -393,11 +393,11 @@
     }
 
     /// Takes back into account the peers whose failure is long ago.
-    fn forgive(&mut self, now: Instant) {
+    fn expire_failures(&mut self, now: Instant) {
         let count = self.failed.len();
         self.failed.retain(|_, until| now < *until);
         if self.failed.len() < count {
-            self.plant();
+            self.rebuild_tree();
         }
     }
 
