--- a/crates/lentil_policy/src/sidecar/policy.rs
+++ b/crates/lentil_policy/src/sidecar/policy.rs
@@ -196,12 +196,25 @@
         id: AttemptId,
         outcome: Outcome,
         reason: FailReason,
+    ) {
+        let retry = self.settings.retry_after;
+        self.tell_failed_until(link, id, outcome, reason, retry);
+    }
+
+    /// Tells of a failure, and when another try is worth while.
+    pub(super) fn tell_failed_until(
+        &mut self,
+        link: sidecar::LinkId,
+        id: AttemptId,
+        outcome: Outcome,
+        reason: FailReason,
+        retry: time::Duration,
     ) {
         let failed = protocol::Failed {
             id,
             outcome,
             reason,
-            retry: Some(self.settings.retry_after),
+            retry: Some(retry),
             load: self.load(),
         };
         self.commands.push(sidecar::Command::Fail(link, failed));
--- a/crates/lentil_policy/src/sidecar/requests.rs
+++ b/crates/lentil_policy/src/sidecar/requests.rs
@@ -80,8 +80,10 @@
             deadline,
             isolated: dispatch.isolated,
         };
-        if self.queue.push(now, job).is_err() {
-            self.refuse(now, link, id, FailReason::Overloaded);
+        if let Err(full) = self.queue.push(now, job) {
+            self.memory.insert(now, id, Mark::Tombstone);
+            let reason = FailReason::Overloaded;
+            self.tell_failed_until(link, id, Outcome::NotRun, reason, full.retry);
             return;
         }
         let run = Run {
--- a/crates/lentil_policy/tests/fair_queue.rs
+++ b/crates/lentil_policy/tests/fair_queue.rs
@@ -5,9 +5,11 @@
 use lentil_policy::{
     protocol,
     queue::{FairQueue, FairSettings, Job, Queue},
+    sidecar,
 };
 use lentil_types::{
-    Attempt, AttemptId, Class, Instant, PieceHash, Pieces, RequestId, Table, Tokens, WeightsVersion,
+    Attempt, AttemptId, BootId, Class, FailReason, Fingerprint, Instant, PieceHash, Pieces,
+    RequestId, Table, Tokens, WeightsVersion,
 };
 use rstest::rstest;
 
@@ -277,3 +279,40 @@
     let popped = std::iter::from_fn(|| queue.pop(seconds(2))).count();
     assert_eq!(popped, 4);
 }
+
+#[test]
+fn a_refused_caller_is_told_the_predicted_time_to_come_back() {
+    let queue = Box::new(FairQueue::new(FairSettings::default()));
+    let mut policy = sidecar::SidecarPolicy::new(sidecar::Settings::default(), queue);
+    let (boot, weights) = (BootId(1), WeightsVersion(1));
+    policy.on_event(Instant::ZERO, sidecar::Event::EngineUp { boot, weights });
+    let mut work = job(1, "a", Class::Normal, Instant::ZERO).work;
+    work.prompt = Tokens(50_000);
+    let budget = Duration::from_secs(2);
+    let dispatch = protocol::Dispatch {
+        offer: protocol::Offer {
+            id: id(1),
+            work,
+            budget,
+        },
+        boot: None,
+        call: protocol::HttpCall::default(),
+        resume: None,
+        once: false,
+        key: None,
+        fingerprint: Fingerprint(1),
+        isolated: false,
+        recover: false,
+    };
+    let event = sidecar::Event::Dispatch(sidecar::LinkId(1), Box::new(dispatch));
+    policy.on_event(Instant::ZERO, event);
+    let commands = policy.tick(Instant::ZERO);
+    let failed = commands.iter().find_map(|command| match command {
+        sidecar::Command::Fail(_, failed) => Some(failed),
+        _ => None,
+    });
+    let failed = failed.expect("a refusal");
+    assert_eq!(failed.reason, FailReason::Overloaded);
+    // 50,000 tokens at 10,000 a second take 5 s.
+    assert_eq!(failed.retry, Some(Duration::from_secs(3)));
+}
