A caller that hangs up in a crash does not hide it

A run whose engine broke off was forgotten when its caller was gone before the engine was seen to be down, and its fingerprint was not blamed.

Change: such a run stays until it is known whether the engine died.

--- a/crates/lentil_policy/src/sidecar/requests.rs
+++ b/crates/lentil_policy/src/sidecar/requests.rs
@@ -222,9 +222,14 @@
     /// Stops an attempt. A call that may not be repeated and has started is
     /// finished, so that its answer can be had.
     pub(super) fn on_cancel(&mut self, now: Instant, id: AttemptId) {
-        let Some(run) = self.runs.get(&id) else {
+        let Some(run) = self.runs.get_mut(&id) else {
             return;
         };
+        if matches!(run.stage, Stage::Broken { .. }) {
+            // Nobody waits for it, but whether its engine died is not known yet.
+            run.links.clear();
+            return;
+        }
         let (queued, once) = (run.is_queued(), run.once);
         if queued {
             self.queue.remove(id);
--- a/crates/lentil_policy/tests/poison.rs
+++ b/crates/lentil_policy/tests/poison.rs
@@ -150,6 +150,20 @@
     assert_eq!(sidecar_failure(&commands), Some(lost));
 }
 
+#[rstest]
+fn a_caller_that_hangs_up_in_a_crash_does_not_hide_it() {
+    let mut bench = SidecarBench::new();
+    bench.on(sidecar::Event::Dispatch(link(1), dispatch(1, false)));
+    let (id, fault) = (support::attempt(1), sidecar::EngineFault::BrokeOff);
+    bench.on(sidecar::Event::EngineFailed { id, fault });
+    bench.on(sidecar::Event::LinkLost(link(1)));
+    let crashed = sidecar::Command::Crashed {
+        fingerprint: Fingerprint(1),
+        crashes: 1,
+    };
+    assert!(bench.on(sidecar::Event::EngineDown).contains(&crashed));
+}
+
 #[rstest]
 fn the_document_keeps_the_latest_and_stays_small() {
     let unix = time::Duration::from_secs(1_000_000);
