The end of a direction cannot fail an exchange that is answered

Cause: whoever answers first may close a stream before the asker has ended its own direction; the asker's finish then failed, as in the handshake. Change: Sender::finish returns nothing; the receiver says how a stream ended. Conclusion: no asker takes an answered exchange for a broken one.

--- a/crates/lentil_control/src/links.rs
+++ b/crates/lentil_control/src/links.rs
@@ -102,8 +102,7 @@
 async fn exchange(link: &Link, sync: Sync) -> Result<Synced, WireError> {
     let mut exchange = link.open().await?;
     exchange.sender.send(Message::Sync(sync)).await?;
-    // The other side may have answered and closed the stream already.
-    let _ = exchange.sender.finish();
+    exchange.sender.finish();
     match exchange.receiver.recv().await? {
         Some(Message::Synced(synced)) => Ok(synced),
         Some(other) => Err(WireError::Unexpected {
--- a/crates/lentil_control/src/listener.rs
+++ b/crates/lentil_control/src/listener.rs
@@ -83,5 +83,6 @@
     let synced = answered.recv().await;
     let synced = synced.map_err(|_| WireError::Ended("an agent"))?;
     exchange.sender.send(Message::Synced(synced)).await?;
-    exchange.sender.finish()
+    exchange.sender.finish();
+    Ok(())
 }
--- a/crates/lentil_entry/src/attempt.rs
+++ b/crates/lentil_entry/src/attempt.rs
@@ -99,7 +99,7 @@
                     self.report(event_of(&self.runner, message)?).await;
                     if last {
                         // The sidecar may have closed the stream already.
-                        let _ = exchange.sender.finish();
+                        exchange.sender.finish();
                         return Ok(());
                     }
                 }
@@ -109,7 +109,7 @@
                 Next::Order(Order::Cancel) => {
                     // A stream that is closed already has cancelled it.
                     let _ = exchange.sender.send(Message::Cancel(id)).await;
-                    let _ = exchange.sender.finish();
+                    exchange.sender.finish();
                     return Ok(());
                 }
                 Next::Dropped => return Ok(()),
@@ -135,7 +135,7 @@
     async fn ask_withdrawn(&self, id: AttemptId) -> Result<protocol::Withdrawn, WireError> {
         let mut exchange = self.links.open(&self.runner).await?;
         exchange.sender.send(Message::Withdraw(id)).await?;
-        exchange.sender.finish()?;
+        exchange.sender.finish();
         match exchange.receiver.recv().await? {
             Some(Message::Withdrawn(withdrawn)) => Ok(withdrawn),
             other => Err(unexpected("withdrawn", other)),
@@ -164,7 +164,7 @@
     async fn ask_bid(&self, offer: protocol::Offer) -> Result<protocol::Bid, WireError> {
         let mut exchange = self.links.open(&self.runner).await?;
         exchange.sender.send(Message::Offer(offer)).await?;
-        exchange.sender.finish()?;
+        exchange.sender.finish();
         match exchange.receiver.recv().await? {
             Some(Message::Bid(bid)) => Ok(bid),
             other => Err(unexpected("bid", other)),
--- a/crates/lentil_entry/src/controller.rs
+++ b/crates/lentil_entry/src/controller.rs
@@ -322,7 +322,7 @@
         })
         .await?;
     // The other side may have answered and closed the stream already.
-    let _ = exchange.sender.finish();
+    exchange.sender.finish();
     match exchange.receiver.recv().await? {
         Some(Message::Load(load)) => Ok(load),
         other => Err(unexpected("load", other.as_ref())),
@@ -341,7 +341,7 @@
     }
     exchange.sender.send(Message::Order(order.clone())).await?;
     // The other side may have answered and closed the stream already.
-    let _ = exchange.sender.finish();
+    exchange.sender.finish();
     match exchange.receiver.recv().await? {
         Some(Message::Ordered(outcome)) => Ok(outcome),
         other => Err(unexpected("ordered", other.as_ref())),
--- a/crates/lentil_sidecar/src/service.rs
+++ b/crates/lentil_sidecar/src/service.rs
@@ -143,7 +143,8 @@
     while let Ok(Outgoing { message, _permit }) = outgoing.recv().await {
         sender.send(message).await?;
     }
-    sender.finish()
+    sender.finish();
+    Ok(())
 }
 
 /// Passes the entry's messages on. Ends only when the exchange broke off.
--- a/crates/lentil_wire/src/exchange.rs
+++ b/crates/lentil_wire/src/exchange.rs
@@ -96,14 +96,13 @@
         self.write(codec::encode(message)?).await
     }
 
-    /// Closes this direction after what was sent.
-    ///
-    /// # Errors
-    /// [`WireError::H2`] when the stream is closed already.
-    pub fn finish(&mut self) -> Result<(), WireError> {
+    /// Closes this direction after what was sent. Where the other side has
+    /// closed the whole stream already, the receiver says how it ended.
+    pub fn finish(&mut self) {
         self.finished = true;
-        self.stream.send_data(Bytes::new(), true)?;
-        Ok(())
+        if let Err(error) = self.stream.send_data(Bytes::new(), true) {
+            log::debug!("a stream was closed before its end was sent: {error}");
+        }
     }
 
     pub(crate) async fn send_body(&mut self, body: &Body) -> Result<(), WireError> {
--- a/crates/lentil_wire/src/handshake.rs
+++ b/crates/lentil_wire/src/handshake.rs
@@ -116,8 +116,7 @@
     let proof = proof(&identity.key, Side::Client, &mine, &challenge.nonce);
     let proof = generated::Proof { proof };
     sender.send_body(&Body::Proof(proof)).await?;
-    // The server may have welcomed this process and closed the stream already.
-    let _ = sender.finish();
+    sender.finish();
     match receiver.recv_body().await? {
         Some(Body::Welcome(_)) => Ok(greeted(node, challenge.minor)),
         other => Err(unexpected("welcome", other.as_ref())),
@@ -158,7 +157,7 @@
     }
     let welcome = generated::Welcome { config: 0 };
     sender.send_body(&Body::Welcome(welcome)).await?;
-    sender.finish()?;
+    sender.finish();
     Ok(greeted(node, hello.minor))
 }
 
