--- /dev/null
+++ b/crates/lentil_emulator/tests/pages.rs
@@ -0,0 +1,8 @@
+//! The commands of the operators' pages, run as separate processes.
+
+mod page;
+
+#[test]
+fn the_install_page_works_as_written() {
+    page::run(include_str!("../../../docs/install.md"), "install");
+}
