The operators' pages are run by tests, as separate processes

Cause: pages with commands go stale, and nothing ran the daemons, lentilctl and the stand-ins together as an operator would.

Change: a test runs every console block of docs/install.md and docs/new-market.md with free ports, against the real binaries.

--- a/crates/lentil_emulator/tests/page/mod.rs
+++ b/crates/lentil_emulator/tests/page/mod.rs
@@ -1,6 +1,6 @@
 //! Runs the commands of a documentation page.
 //!
-//! A fence "```toml NAME" is written to a file of that name. In a fence
+//! A fence "```LANGUAGE NAME" is written to a file of that name. In a fence
 //! "```console" a line that begins with `$ ` is run; one that ends in ` &` goes
 //! on in the background. The lines below a command must stand in its output.
 //! Loopback ports of the page are replaced by free ones.
@@ -87,7 +87,7 @@
 }
 
 fn steps_of_fence(info: &str, lines: &[String]) -> Vec<Step> {
-    if let Some(name) = info.strip_prefix("toml ") {
+    if let Some((_, name)) = info.split_once(' ') {
         return vec![Step::File {
             name: name.to_owned(),
             text: lines.join("\n"),
@@ -108,9 +108,10 @@
 }
 
 fn command_step(line: &str) -> Step {
+    let line = line.replace("$(date +%s)", &unix_seconds().to_string());
     let (line, background) = match line.strip_suffix(" &") {
         Some(line) => (line, true),
-        None => (line, false),
+        None => (line.as_str(), false),
     };
     let words = shlex::split(line).unwrap_or_else(|| panic!("a quote is open: {line}"));
     Step::Command {
@@ -120,6 +121,11 @@
     }
 }
 
+fn unix_seconds() -> u64 {
+    let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    since.expect("the clock is past 1970").as_secs()
+}
+
 /// The page with a free port in the place of each loopback port.
 fn with_free_ports(page: &str) -> String {
     let mut ports = BTreeMap::new();
--- a/crates/lentil_emulator/tests/pages.rs
+++ b/crates/lentil_emulator/tests/pages.rs
@@ -6,3 +6,8 @@
 fn the_install_page_works_as_written() {
     page::run(include_str!("../../../docs/install.md"), "install");
 }
+
+#[test]
+fn the_new_market_page_works_as_written() {
+    page::run(include_str!("../../../docs/new-market.md"), "new-market");
+}
