--- a/crates/lentil_entry/src/entry.rs
+++ b/crates/lentil_entry/src/entry.rs
@@ -207,7 +207,7 @@
             "config": current.version,
             "region": current.market.region,
             "draining": self.api.draining.load(Ordering::Acquire),
-            "requests": self.api.requests.open(),
+            "in_flight": self.api.requests.open(),
             "counters": self.api.metrics.dump(),
         })
     }
