--- a/crates/lentil_config/src/lib.rs
+++ b/crates/lentil_config/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Market::parse`] reads and checks it. The rest of the system sees only a
 //! checked [`Market`], in which every name that is used is also defined.
-//! [`diff`] says what changes between two of them, and [`reference`] lists every
+//! [`diff`] says what changes between two of them, and [`mod@reference`] lists every
 //! key that a text may have.
 //!
 //! ```
--- a/crates/lentil_policy/src/sidecar/memory.rs
+++ b/crates/lentil_policy/src/sidecar/memory.rs
@@ -6,7 +6,7 @@
 
 use crate::{protocol, sidecar::Answered};
 
-/// Settings of a [`Memory`].
+/// Settings of what a sidecar remembers of attempts.
 #[derive(Clone, Copy, Debug)]
 pub struct MemorySettings {
     /// How long an attempt is remembered. Longer than
