Team weights, class deadlines and the entry's place are in force

Cause: the text's team weights, its class deadlines and the entry's own data centre were checked and read, and reached nobody: every team had weight 1, every request 120 s, and no runner was nearer than another.

Change: a sidecar gives its queue the teams' shares with each text (the replay does the same through the same event); an entry takes the deadline of the request's class; its router knows its place.

--- a/crates/lentil_config/src/market.rs
+++ b/crates/lentil_config/src/market.rs
@@ -4,7 +4,7 @@
 
 use lentil_types::{
     AdapterName, Class, ModelName, PlaceName, RegionName, RunnerName, ScopeName, ServiceName,
-    TeamName, WeightsVersion,
+    Table, TeamName, WeightsVersion,
 };
 
 use crate::{Faults, parse};
@@ -268,6 +268,12 @@
         self.services.iter().find_map(found)
     }
 
+    /// Each team's share of a contended runner, against the other teams'.
+    pub fn shares(&self) -> Table<TeamName, u32> {
+        let share = |team: &Team| (team.name.clone(), team.weight);
+        self.teams.iter().map(share).collect()
+    }
+
     /// Time that a request of this class has when it names no deadline.
     pub fn deadline(&self, class: Class) -> time::Duration {
         let rule = self.classes.iter().find(|rule| rule.name == class);
--- a/crates/lentil_entry/src/check.rs
+++ b/crates/lentil_entry/src/check.rs
@@ -150,7 +150,9 @@
         once: bool,
         key: Option<lentil_types::IdempotencyKey>,
     ) -> Result<Box<entry::Arrival>, Refusal> {
-        let deadline = self.now + headers::budget(self.headers, self.limits)?;
+        let said = headers::budget(self.headers)?;
+        let budget = said.unwrap_or_else(|| self.market().deadline(work.class));
+        let deadline = self.now + budget.min(self.limits.max_budget);
         let fingerprint = fingerprint(&work.service, &call);
         Ok(Box::new(entry::Arrival {
             request: self.request,
--- a/crates/lentil_entry/src/driver.rs
+++ b/crates/lentil_entry/src/driver.rs
@@ -8,7 +8,7 @@
     Clock,
     metrics::{Counter, Metrics, Timing},
 };
-use lentil_types::{AttemptId, Instant, Outcome, RequestId, RunnerName, TeamName};
+use lentil_types::{AttemptId, Instant, Outcome, PlaceName, RequestId, RunnerName, TeamName};
 use rand::SeedableRng as _;
 use smol::channel::{Receiver, RecvError, Sender};
 
@@ -53,6 +53,8 @@
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
+    /// The data centre of this entry.
+    pub(crate) place: Option<PlaceName>,
     /// Open while the store lacks the end of a call that runs once.
     pub(crate) unsettled: Gate,
 }
@@ -70,7 +72,10 @@
 /// Runs until every sender of requests is gone.
 pub(crate) async fn run(parts: Parts, requests: Receiver<Input>) {
     let mut rng = rand_pcg::Pcg64Mcg::from_rng(&mut rand::rng());
-    let router = Box::new(route::Nested::new(route::NestedSettings::default()));
+    let router = Box::new(route::Nested::new(route::NestedSettings {
+        place: parts.place.clone(),
+        ..route::NestedSettings::default()
+    }));
     let mut policy = entry::EntryPolicy::new(entry::Settings::default(), router);
     let (answers, inbox) = smol::channel::bounded(MAX_WAITING_ANSWERS);
     let clock = parts.clock;
--- a/crates/lentil_entry/src/entry.rs
+++ b/crates/lentil_entry/src/entry.rs
@@ -17,7 +17,7 @@
     admin::{self, NotReady},
     metrics::Metrics,
 };
-use lentil_types::ConfigVersion;
+use lentil_types::{ConfigVersion, PlaceName};
 use lentil_wire::Identity;
 use trillium_http::Stopper;
 
@@ -36,6 +36,8 @@
     pub listen: net::SocketAddr,
     /// Who this process is.
     pub identity: Identity,
+    /// The data centre it is in. Runners there go before equal ones elsewhere.
+    pub place: Option<PlaceName>,
     /// Version of `market`; 0 when no text is known yet.
     pub version: ConfigVersion,
     /// What exists.
@@ -86,6 +88,7 @@
         let unsettled = Gate::default();
         let parts = driver::Parts {
             links,
+            place: settings.place,
             store: settings.store,
             clock,
             metrics: settings.metrics.clone(),
--- a/crates/lentil_entry/src/headers.rs
+++ b/crates/lentil_entry/src/headers.rs
@@ -6,7 +6,7 @@
 use lentil_types::{Class, IdempotencyKey};
 use trillium_http::Headers;
 
-use crate::{limits::Limits, refusal::Refusal};
+use crate::refusal::Refusal;
 
 /// Class of a request.
 pub(crate) const CLASS: &str = "x-lentil-class";
@@ -58,13 +58,13 @@
     }
 }
 
-/// How long a caller waits.
-pub(crate) fn budget(headers: &Headers, limits: &Limits) -> Result<time::Duration, Refusal> {
+/// How long a caller says that it waits, if it does.
+pub(crate) fn budget(headers: &Headers) -> Result<Option<time::Duration>, Refusal> {
     let Some(text) = value(headers, DEADLINE)? else {
-        return Ok(limits.default_budget);
+        return Ok(None);
     };
     let ms = text.parse().map_err(|_| bad(DEADLINE))?;
-    Ok(time::Duration::from_millis(ms).min(limits.max_budget))
+    Ok(Some(time::Duration::from_millis(ms)))
 }
 
 /// The key of a call that may not be repeated.
--- a/crates/lentil_entry/src/limits.rs
+++ b/crates/lentil_entry/src/limits.rs
@@ -20,8 +20,6 @@
     pub idle_time: time::Duration,
     /// Time for which a caller may take in nothing of its answer.
     pub stall_time: time::Duration,
-    /// Time that a request has when it names no deadline.
-    pub default_budget: time::Duration,
     /// Longest time that a request may have.
     pub max_budget: time::Duration,
 }
@@ -36,7 +34,6 @@
             body_time: time::Duration::from_secs(60),
             idle_time: time::Duration::from_secs(75),
             stall_time: time::Duration::from_secs(60),
-            default_budget: time::Duration::from_secs(120),
             max_budget: time::Duration::from_secs(3_600),
         }
     }
--- a/crates/lentil_entry/src/main.rs
+++ b/crates/lentil_entry/src/main.rs
@@ -39,6 +39,7 @@
     let entry = lentil_entry::Entry::start(lentil_entry::Settings {
         listen: own.listen,
         identity,
+        place: Some(settings.place.clone()),
         version,
         market: Arc::new(market),
         store: store(agent.as_ref()),
--- a/crates/lentil_entry/tests/callers/refusals.rs
+++ b/crates/lentil_entry/tests/callers/refusals.rs
@@ -1,10 +1,10 @@
 //! What callers see when a request is refused or given up.
 
-use std::time;
+use std::{sync::Arc, time};
 
-use crate::support::{Bench, Response, Script, Step, auth, run};
+use crate::support::{Bench, Response, Script, Step, auth, market, run};
 use lentil_entry::Limits;
-use lentil_types::{FailReason, Outcome};
+use lentil_types::{ConfigVersion, FailReason, Outcome};
 use serde_json::json;
 
 fn unreachable_script() -> Script {
@@ -271,6 +271,21 @@
     });
 }
 
+#[test]
+fn a_request_without_a_deadline_has_that_of_its_class() {
+    run(async {
+        let bench = Bench::start(Box::new(|_| vec![Step::Hold])).await;
+        let rule = "[[class]]\nname = \"urgent\"\ndeadline_s = 1\n";
+        let newer = Arc::new(market(bench.runner.addresses, rule));
+        assert!(bench.entry.set_market(ConfigVersion(2), &newer));
+        let response = bench
+            .call("GET", "/services/dockdesk/tag", &auth(), b"")
+            .await;
+        assert_eq!(response.status, 504);
+        assert_eq!(response.json()["error"]["code"], "deadline");
+    });
+}
+
 #[test]
 fn a_connection_goes_on_after_a_refusal() {
     run(async {
--- a/crates/lentil_entry/tests/callers/support/mod.rs
+++ b/crates/lentil_entry/tests/callers/support/mod.rs
@@ -35,6 +35,7 @@
         let entry = Entry::start(Settings {
             listen: net::SocketAddr::from(([127, 0, 0, 1], 0)),
             identity: identity("entry-1"),
+            place: None,
             version: ConfigVersion(1),
             market: Arc::new(market(runner.addresses, "")),
             store: Arc::new(NoStore),
--- a/crates/lentil_policy/src/queue/fair.rs
+++ b/crates/lentil_policy/src/queue/fair.rs
@@ -37,8 +37,6 @@
     pub output: Tokens,
     /// Shortest advice to a refused caller.
     pub min_retry: time::Duration,
-    /// Share of each team against the others; 1 where none is given.
-    pub weights: Table<TeamName, u32>,
 }
 
 impl Default for Settings {
@@ -53,7 +51,6 @@
             run_time: time::Duration::from_secs(2),
             output: Tokens(100),
             min_retry: time::Duration::from_millis(200),
-            weights: Table::new(),
         }
     }
 }
@@ -101,7 +98,7 @@
     /// An empty queue.
     pub fn new(settings: Settings) -> Self {
         Self {
-            shares: Shares::new(settings.weights.clone()),
+            shares: Shares::default(),
             rate: PrefillRate::new(settings.prefill),
             run_time: Mean(settings.run_time.as_secs_f64()),
             output: Mean(settings.output.0 as f64),
@@ -347,6 +344,10 @@
         self.peaks = [count(self.running.len()), self.peaks[0]];
     }
 
+    fn set_shares(&mut self, shares: &Table<TeamName, u32>) {
+        self.shares.set(shares.clone());
+    }
+
     fn waiting(&self) -> u32 {
         count(self.waiting.len())
     }
--- a/crates/lentil_policy/src/queue/fifo.rs
+++ b/crates/lentil_policy/src/queue/fifo.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time};
 
-use lentil_types::{AttemptId, Instant, Pieces, Tokens};
+use lentil_types::{AttemptId, Instant, Pieces, Table, TeamName, Tokens};
 
 use crate::{protocol, queue};
 
@@ -91,6 +91,9 @@
 
     fn on_engine_load(&mut self, _now: Instant, _running: u32, _backlog: Tokens) {}
 
+    /// Shares do not matter here: jobs run in the order in which they came.
+    fn set_shares(&mut self, _shares: &Table<TeamName, u32>) {}
+
     fn waiting(&self) -> u32 {
         count(self.jobs.len())
     }
--- a/crates/lentil_policy/src/queue/mod.rs
+++ b/crates/lentil_policy/src/queue/mod.rs
@@ -7,7 +7,7 @@
 
 use std::time;
 
-use lentil_types::{AttemptId, Instant, Pieces, Tokens};
+use lentil_types::{AttemptId, Instant, Pieces, Table, TeamName, Tokens};
 
 use crate::protocol;
 
@@ -74,6 +74,9 @@
     /// The engine said how many requests it runs and how many tokens wait.
     fn on_engine_load(&mut self, now: Instant, running: u32, backlog: Tokens);
 
+    /// Sets the teams' shares. What was served before keeps counting.
+    fn set_shares(&mut self, shares: &Table<TeamName, u32>);
+
     /// Jobs that wait.
     fn waiting(&self) -> u32;
 
--- a/crates/lentil_policy/src/queue/shares.rs
+++ b/crates/lentil_policy/src/queue/shares.rs
@@ -11,12 +11,10 @@
 }
 
 impl Shares {
-    /// Teams without a weight have 1.
-    pub(super) fn new(weights: Table<TeamName, u32>) -> Self {
-        Self {
-            weights,
-            served: Table::new(),
-        }
+    /// Sets the weights; teams without one have 1. What was served before keeps
+    /// counting.
+    pub(super) fn set(&mut self, weights: Table<TeamName, u32>) {
+        self.weights = weights;
     }
 
     /// Tokens served to a team, over its weight.
--- a/crates/lentil_policy/src/sidecar/message.rs
+++ b/crates/lentil_policy/src/sidecar/message.rs
@@ -1,7 +1,8 @@
 //! Events that a sidecar's shell reports and commands that it carries out.
 
 use lentil_types::{
-    AttemptId, BootId, ConfigVersion, Fingerprint, PieceHash, Pieces, Tokens, WeightsVersion,
+    AttemptId, BootId, ConfigVersion, Fingerprint, PieceHash, Pieces, Table, TeamName, Tokens,
+    WeightsVersion,
 };
 
 use crate::protocol;
@@ -116,6 +117,8 @@
     },
     /// This configuration is in force.
     Config(ConfigVersion),
+    /// The teams have these shares of the backend server.
+    Shares(Table<TeamName, u32>),
     /// The backend server leaves: what runs goes on, nothing new begins.
     Leave,
 }
--- a/crates/lentil_policy/tests/fair_queue.rs
+++ b/crates/lentil_policy/tests/fair_queue.rs
@@ -101,16 +101,12 @@
 #[case::equal(1, 1)]
 #[case::weighted(3, 1)]
 fn tokens_are_shared_by_weight(#[case] weight_a: u32, #[case] weight_b: u32) {
-    let weights: Table<_, _> = [("a", weight_a), ("b", weight_b)]
+    let shares: Table<_, _> = [("a", weight_a), ("b", weight_b)]
         .into_iter()
         .map(|(team, weight)| (team.parse().unwrap(), weight))
         .collect();
-    let mut queue = FairQueue::new(FairSettings {
-        slots: 1,
-        urgent_slots: 0,
-        weights,
-        ..Default::default()
-    });
+    let mut queue = queue(1);
+    queue.set_shares(&shares);
     for i in 0..200 {
         // Team a asks first and three times as often.
         let team = if i % 4 == 3 { "b" } else { "a" };
--- a/crates/lentil_replay/src/sim.rs
+++ b/crates/lentil_replay/src/sim.rs
@@ -200,23 +200,17 @@
 
     fn add_runners(&mut self) {
         let market = self.setup.market;
-        let weights: Table<TeamName, u32> = market
-            .teams
-            .iter()
-            .map(|team| (team.name.clone(), team.weight))
-            .collect();
+        let shares = market.shares();
         let served = market
             .services
             .iter()
             .filter(|service| service.kind != ServiceKind::KvKeeper);
         for service in served {
             for runner in &service.runners {
-                let settings = queue::FairSettings {
-                    weights: weights.clone(),
-                    ..Default::default()
-                };
-                let queue = Box::new(queue::FairQueue::new(settings));
-                let policy = sidecar::SidecarPolicy::new(sidecar::Settings::default(), queue);
+                let queue = Box::new(queue::FairQueue::new(queue::FairSettings::default()));
+                let mut policy = sidecar::SidecarPolicy::new(sidecar::Settings::default(), queue);
+                let event = sidecar::Event::Shares(shares.clone());
+                policy.on_event(Instant::ZERO, event);
                 let at = self.runners.len();
                 self.names.insert(runner.name.clone(), at);
                 self.lock(|sidecars| sidecars.insert(runner.name.clone(), policy));
--- a/crates/lentil_sidecar/src/control.rs
+++ b/crates/lentil_sidecar/src/control.rs
@@ -40,9 +40,14 @@
         if !self.state.replace(version, market.clone()) {
             return false;
         }
-        let event = sidecar::Event::Config(version);
-        // It fails only when the sidecar is gone.
-        let _ = self.events.send(Input::Event(event)).await;
+        let shares = market.shares();
+        for event in [
+            sidecar::Event::Shares(shares),
+            sidecar::Event::Config(version),
+        ] {
+            // It fails only when the sidecar is gone.
+            let _ = self.events.send(Input::Event(event)).await;
+        }
         log::info!(version:% = version; "configuration in force");
         true
     }
--- a/crates/lentil_tests/src/fleet.rs
+++ b/crates/lentil_tests/src/fleet.rs
@@ -137,6 +137,7 @@
     let settings = lentil_entry::Settings {
         listen: loopback(),
         identity: identity("entry"),
+        place: None,
         version: ConfigVersion(1),
         market,
         store,
--- a/crates/lentilglade/src/demo.rs
+++ b/crates/lentilglade/src/demo.rs
@@ -75,6 +75,11 @@
                 backends.sidecars.push(sidecar);
             }
         }
+        let market = Arc::new(market);
+        for sidecar in &backends.sidecars {
+            let control = sidecar.control();
+            control.set_market(ConfigVersion(1), &market).await;
+        }
         let platform = Platform::start(PlatformSettings::default())?;
         let store = lentil_platform::Platform::new(lentil_platform::Settings {
             address: platform.address(),
@@ -83,8 +88,9 @@
         let settings = lentil_entry::Settings {
             listen: loopback(),
             identity: identity("entry-1")?,
+            place: None,
             version: ConfigVersion(1),
-            market: Arc::new(market),
+            market,
             store: Arc::new(store),
             limits: lentil_entry::Limits::default(),
             metrics: Metrics::local(),
--- a/crates/lentilglade/tests/control.rs
+++ b/crates/lentilglade/tests/control.rs
@@ -97,6 +97,7 @@
         let entry = Entry::start(lentil_entry::Settings {
             listen: loopback(),
             identity: identity(name),
+            place: None,
             version: ConfigVersion(0),
             market: Arc::new(Market::empty(region())),
             store: agent.store(),
--- a/crates/lentilglade/tests/orders.rs
+++ b/crates/lentilglade/tests/orders.rs
@@ -95,6 +95,7 @@
         let entry = Entry::start(lentil_entry::Settings {
             listen: loopback(),
             identity: identity("entry-1"),
+            place: None,
             version: ConfigVersion(1),
             market,
             store: self.store.clone(),
