Requests that failed together do not come back together

Cause: a second round of attempts began 50 ms after the first, for every request alike, so that those which failed with one runner came back in one moment.

Change: the wait differs by half to either side, drawn from the policy's random numbers.

--- a/crates/lentil_policy/src/entry/planning.rs
+++ b/crates/lentil_policy/src/entry/planning.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use lentil_types::{AttemptId, FailReason, Instant, Outcome, RequestId, RunnerName};
+use rand::RngExt as _;
 
 use crate::{entry, protocol, route};
 
@@ -11,8 +12,11 @@
     call::{Call, Stage, Target},
 };
 
-/// Time before runners that failed a request are tried again.
+/// Mean time before runners that failed a request are tried again.
 const SECOND_ROUND: time::Duration = time::Duration::from_millis(50);
+/// Share of [`SECOND_ROUND`] by which requests differ, so that those that failed
+/// together do not come back together.
+const JITTER: f64 = 0.5;
 
 impl EntryPolicy {
     pub(super) fn advance(&mut self, now: Instant, request: RequestId, rng: &mut dyn rand::Rng) {
@@ -23,13 +27,13 @@
             Stage::New { at } if *at <= now => {
                 let offer = Self::offer_of(now, call);
                 let plan = self.router.plan(now, &offer.work, &call.failed, rng);
-                self.carry_out(now, &offer, plan);
+                self.carry_out(now, &offer, plan, rng);
             }
             Stage::Asking { asked, bids, until } if bids.len() == asked.len() || *until <= now => {
                 let offer = Self::offer_of(now, call);
                 match self.router.choose(now, &offer, asked, bids) {
                     route::Choice::Runner { name, boot } => self.prepare(now, request, name, boot),
-                    route::Choice::Refuse { retry } => self.refuse(now, request, retry),
+                    route::Choice::Refuse { retry } => self.refuse(now, request, retry, rng),
                 }
             }
             Stage::Waiting { until } if *until <= now => {
@@ -51,7 +55,13 @@
         }
     }
 
-    fn carry_out(&mut self, now: Instant, offer: &protocol::Offer, plan: route::Plan) {
+    fn carry_out(
+        &mut self,
+        now: Instant,
+        offer: &protocol::Offer,
+        plan: route::Plan,
+        rng: &mut dyn rand::Rng,
+    ) {
         let request = offer.id.request;
         match plan {
             route::Plan::Direct { name, boot } => self.prepare(now, request, name, boot),
@@ -69,7 +79,7 @@
                     };
                 }
             }
-            route::Plan::Refuse { retry } => self.refuse(now, request, retry),
+            route::Plan::Refuse { retry } => self.refuse(now, request, retry, rng),
         }
     }
 
@@ -141,13 +151,20 @@
 
     /// No runner could take a request. Those that failed it get another chance,
     /// once for each attempt.
-    fn refuse(&mut self, now: Instant, request: RequestId, retry: time::Duration) {
+    fn refuse(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        retry: time::Duration,
+        rng: &mut dyn rand::Rng,
+    ) {
         let Some(call) = self.calls.get_mut(&request) else {
             return;
         };
         if !call.failed.is_empty() {
             call.failed.clear();
-            self.replan(request, now + SECOND_ROUND);
+            let share = rng.random_range(1.0 - JITTER..1.0 + JITTER);
+            self.replan(request, now + SECOND_ROUND.mul_f64(share));
             return;
         }
         let last = call.last_failure;
