Sidecars hear of crashes elsewhere; the page tests build their binaries

Ruled out: an entry that had not heard (all three had). A dispatch that was on its way for 8 s reached a sidecar that knew of one crash only, its own. Second cause: in a fresh clone the binaries of crates without tests of their own are not built by cargo test, so the install page's test found no lentil-sidecar.

Change: a sidecar follows the region's document of crashes, as entries do, and refuses what is condemned there. The page tests take the binaries that lentil_tests builds.

--- a/crates/lentil_emulator/tests/page/mod.rs
+++ b/crates/lentil_emulator/tests/page/mod.rs
@@ -162,14 +162,7 @@
 // Running commands
 
 fn program(name: &str) -> path::PathBuf {
-    let own = path::Path::new(env!("CARGO_BIN_EXE_lentil-emulator"));
-    let program = own.with_file_name(format!("{name}{}", env::consts::EXE_SUFFIX));
-    assert!(
-        program.exists(),
-        "{} is missing: build the whole workspace",
-        program.display()
-    );
-    program
+    lentil_tests::binaries().join(name)
 }
 
 fn spawn(folder: &path::Path, words: &[String]) -> Background {
--- a/crates/lentil_policy/src/sidecar/message.rs
+++ b/crates/lentil_policy/src/sidecar/message.rs
@@ -117,6 +117,13 @@
     },
     /// This configuration is in force.
     Config(ConfigVersion),
+    /// A fingerprint ran when engines died, here or elsewhere.
+    Crashed {
+        /// The fingerprint.
+        fingerprint: Fingerprint,
+        /// Crashes seen with it.
+        crashes: u32,
+    },
     /// The teams have these shares of the backend server.
     Shares(Table<TeamName, u32>),
     /// The backend server leaves: what runs goes on, nothing new begins.
--- a/crates/lentil_policy/src/sidecar/policy.rs
+++ b/crates/lentil_policy/src/sidecar/policy.rs
@@ -106,6 +106,10 @@
             Event::Ended { id, usage } => self.on_ended(now, id, usage),
             Event::EngineFailed { id, fault } => self.on_engine_failed(now, id, fault),
             Event::Config(version) => self.config = self.config.max(version),
+            Event::Crashed {
+                fingerprint,
+                crashes,
+            } => self.suspects.learn(now, fingerprint, crashes),
             Event::Shares(shares) => self.queue.set_shares(&shares),
             Event::Leave => self.state = RunnerState::Leaving,
         }
--- a/crates/lentil_policy/tests/poison.rs
+++ b/crates/lentil_policy/tests/poison.rs
@@ -137,6 +137,21 @@
     assert_eq!(runs(&commands), [support::attempt(6)]);
 }
 
+#[rstest]
+fn a_dispatch_that_comes_late_is_refused_where_its_crashes_are_known_from_elsewhere() {
+    let mut bench = SidecarBench::new();
+    let crashes = poison::POISON_CRASHES;
+    let mut late = dispatch(1, false);
+    late.fingerprint = Fingerprint(1);
+    bench.on(sidecar::Event::Crashed {
+        fingerprint: Fingerprint(1),
+        crashes,
+    });
+    let commands = bench.on(sidecar::Event::Dispatch(link(1), late));
+    let refused = (Outcome::NotRun, FailReason::Poison);
+    assert_eq!(sidecar_failure(&commands), Some(refused));
+}
+
 #[rstest]
 fn a_connection_that_broke_off_alone_blames_nobody() {
     let mut bench = SidecarBench::new();
--- a/crates/lentil_replay/src/faults/backends.rs
+++ b/crates/lentil_replay/src/faults/backends.rs
@@ -177,5 +177,13 @@
             };
             self.deliver_entry(entry, life, event);
         }
+        for runner in 0..self.sidecars.len() {
+            let life = self.sidecars[runner].life;
+            let event = sidecar::Event::Crashed {
+                fingerprint,
+                crashes,
+            };
+            self.deliver_sidecar(runner, life, event);
+        }
     }
 }
--- a/crates/lentil_replay/src/faults/plan.rs
+++ b/crates/lentil_replay/src/faults/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use lentil_types::{BootId, Instant, RequestId, RunnerName};
+use lentil_types::{BootId, Instant, RequestId, RunnerName, Table};
 use rand::RngExt as _;
 
 use super::{
@@ -20,7 +20,7 @@
             let boot = BootId(1_000 * (number as u64 + 1));
             self.sidecars.push(SidecarNode {
                 name: RunnerName::new(&format!("runner-{number}")).expect("a name"),
-                policy: new_sidecar(),
+                policy: new_sidecar(Instant::ZERO, &Table::new()),
                 life: 0,
                 wake: Instant::NEVER,
                 left: false,
--- a/crates/lentil_replay/src/faults/sidecars.rs
+++ b/crates/lentil_replay/src/faults/sidecars.rs
@@ -134,7 +134,7 @@
         self.note(|| format!("sidecar {runner} starts again"));
         let node = &mut self.sidecars[runner];
         node.life += 1;
-        node.policy = new_sidecar();
+        node.policy = new_sidecar(self.now, &self.crashed);
         node.wake = Instant::NEVER;
         node.left = false;
         node.came_late.clear();
@@ -168,7 +168,7 @@
         }
         let node = &mut self.sidecars[runner];
         node.life += 1;
-        node.policy = new_sidecar();
+        node.policy = new_sidecar(self.now, &self.crashed);
         node.wake = Instant::NEVER;
         node.left = false;
         node.came_late.clear();
--- a/crates/lentil_replay/src/faults/world.rs
+++ b/crates/lentil_replay/src/faults/world.rs
@@ -202,7 +202,19 @@
     }
 }
 
-pub(super) fn new_sidecar() -> sidecar::SidecarPolicy {
+/// A sidecar that has read which fingerprints crashed engines.
+pub(super) fn new_sidecar(
+    now: Instant,
+    crashed: &Table<Fingerprint, u32>,
+) -> sidecar::SidecarPolicy {
     let queue = queue::Fifo::new(queue::FifoSettings { slots: SLOTS });
-    sidecar::SidecarPolicy::new(sidecar::Settings::default(), Box::new(queue))
+    let mut policy = sidecar::SidecarPolicy::new(sidecar::Settings::default(), Box::new(queue));
+    for (&fingerprint, &crashes) in crashed.iter() {
+        let event = sidecar::Event::Crashed {
+            fingerprint,
+            crashes,
+        };
+        policy.on_event(now, event);
+    }
+    policy
 }
--- a/crates/lentil_replay/tests/faults.rs
+++ b/crates/lentil_replay/tests/faults.rs
@@ -19,6 +19,16 @@
     }
 }
 
+/// Seeds with a dispatch of poison that came seconds after its crashes were
+/// known to every entry.
+#[rstest]
+#[case(2193)]
+#[case(3790)]
+fn a_seed_that_broke_a_promise_keeps_it(#[case] seed: u64) {
+    let report = faults::search(&faults::Settings::default(), seed..seed + 1);
+    assert!(report.violations.is_empty(), "{report}");
+}
+
 #[rstest]
 fn without_faults_every_answer_is_whole() {
     let settings = faults::Settings {
--- a/crates/lentil_sidecar/src/control.rs
+++ b/crates/lentil_sidecar/src/control.rs
@@ -4,7 +4,7 @@
 
 use lentil_config::Market;
 use lentil_policy::sidecar;
-use lentil_types::{ConfigVersion, FencingNumber};
+use lentil_types::{ConfigVersion, FencingNumber, Fingerprint};
 use smol::channel::Sender;
 
 use crate::{driver::Input, orders::Orders, state::State};
@@ -29,6 +29,17 @@
         self.state.config().1
     }
 
+    /// A fingerprint crashed engines: after one crash it runs alone, after two
+    /// it is refused.
+    pub async fn crashed(&self, fingerprint: Fingerprint, crashes: u32) {
+        let event = sidecar::Event::Crashed {
+            fingerprint,
+            crashes,
+        };
+        // It fails only when the sidecar is gone.
+        let _ = self.events.send(Input::Event(event)).await;
+    }
+
     /// Passes orders on whose fencing number is at least this one.
     pub fn learn(&self, number: FencingNumber) {
         self.orders.learn(number);
--- a/crates/lentil_sidecar/src/follow.rs
+++ b/crates/lentil_sidecar/src/follow.rs
@@ -1,7 +1,7 @@
 //! Puts documents in force as an agent finds them.
 
 use lentil_control::Applied;
-use lentil_policy::config_sync::Doc;
+use lentil_policy::{config_sync::Doc, poison};
 use smol::channel::Receiver;
 
 use crate::Control;
@@ -10,12 +10,28 @@
 /// leaves the one before in force.
 pub async fn follow(control: Control, applied: Receiver<Applied>) {
     while let Ok(next) = applied.recv().await {
-        if next.doc != Doc::Config {
-            continue;
+        match next.doc {
+            Doc::Config => apply_text(&control, &next).await,
+            Doc::Poison => apply_poison(&control, &next).await,
+            Doc::Drain => {}
         }
-        match next.market() {
-            Ok(market) => drop(control.set_market(next.config(), &market).await),
-            Err(error) => log::error!(version:% = next.config(); "not in force: {error}"),
+    }
+}
+
+async fn apply_text(control: &Control, next: &Applied) {
+    match next.market() {
+        Ok(market) => drop(control.set_market(next.config(), &market).await),
+        Err(error) => log::error!(version:% = next.config(); "not in force: {error}"),
+    }
+}
+
+async fn apply_poison(control: &Control, next: &Applied) {
+    match poison::Document::parse(&next.value) {
+        Ok(document) => {
+            for entry in document.entries {
+                control.crashed(entry.fingerprint, entry.crashes).await;
+            }
         }
+        Err(error) => log::error!(version = next.version.0; "not in force: {error}"),
     }
 }
--- a/crates/lentil_tests/src/lib.rs
+++ b/crates/lentil_tests/src/lib.rs
@@ -15,5 +15,5 @@
 
 pub use caller::{Answer, Caller, Streamed};
 pub use fleet::{Fleet, FleetSettings, KEY, MODEL, identity, market_text};
-pub use process::Process;
+pub use process::{Process, binaries};
 pub use raw::{RawLink, dispatch, offer};
--- a/crates/lentil_tests/src/process.rs
+++ b/crates/lentil_tests/src/process.rs
@@ -200,7 +200,10 @@
 }
 
 /// Builds the binaries once and returns their folder.
-fn binaries() -> &'static path::Path {
+///
+/// # Panics
+/// When they do not build.
+pub fn binaries() -> &'static path::Path {
     static FOLDER: OnceLock<path::PathBuf> = OnceLock::new();
     FOLDER.get_or_init(|| {
         let built = process::Command::new(env!("CARGO"))
