--- a/crates/lentil_policy/src/route/mod.rs
+++ b/crates/lentil_policy/src/route/mod.rs
@@ -4,7 +4,6 @@
 mod health;
 mod heat;
 mod homes;
-mod least_loaded;
 mod nested;
 mod recent;
 
@@ -17,7 +16,6 @@
 
 pub use cost::Cost;
 pub use health::HealthSettings;
-pub use least_loaded::LeastLoaded;
 pub use nested::{Nested, Settings as NestedSettings};
 
 /// A runner as the configuration and the instance list give it.
