A crashed stand-in's port is left to it

Cause: a_service_that_is_down_runs_a_call_once_when_it_is_back failed once with another server's 404. Stand-ins took ephemeral ports, and while one was down the system could give its port to anybody.

Change: without a port of their own, stand-ins take ports below the ephemeral range, each once in a process.

--- a/crates/lentil_fakes/src/server.rs
+++ b/crates/lentil_fakes/src/server.rs
@@ -1,6 +1,12 @@
 //! An HTTP server that can crash, come back on the same address, and freeze.
 
-use std::{io, net, sync::Arc};
+use std::{
+    io, net, ops, process,
+    sync::{
+        Arc,
+        atomic::{AtomicU16, Ordering},
+    },
+};
 
 use smol::{
     lock::{Mutex, RwLock, RwLockWriteGuardArc},
@@ -13,6 +19,10 @@
 /// Largest head of a request, in bytes. A request names its cache pieces there.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Ports taken when none is asked for. Systems do not give them out by
+/// themselves, so that a crashed server's port stays free for its restart.
+const PORTS: ops::Range<u16> = 18_000..30_000;
+
 /// An HTTP server with faults of whole processes. It stops when dropped.
 pub(crate) struct Server {
     address: net::SocketAddr,
@@ -26,7 +36,10 @@
     /// # Errors
     /// An I/O error when it cannot listen.
     pub(crate) fn start(address: net::SocketAddr, handler: impl Handler) -> io::Result<Self> {
-        let listener = listen(address)?;
+        let listener = match address.port() {
+            0 => listen_at_free_port(address.ip())?,
+            _ => listen(address)?,
+        };
         let address = listener.local_addr()?;
         let handler: Arc<dyn Handler> = Arc::new(handler);
         let accepting = smol::spawn(accept(listener, handler.clone()));
@@ -67,6 +80,22 @@
     smol::Async::<net::TcpListener>::bind(address).map(TcpListener::from)
 }
 
+/// Listens at a port that this process has not taken before.
+fn listen_at_free_port(ip: net::IpAddr) -> io::Result<TcpListener> {
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    let count = PORTS.end - PORTS.start;
+    let start = (process::id() % u32::from(count)) as u16;
+    for _ in 0..count {
+        let offset = TAKEN.fetch_add(1, Ordering::Relaxed) % count;
+        let port = PORTS.start + (start + offset) % count;
+        match listen((ip, port).into()) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            other => return other,
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
 /// Serves connections until dropped, which drops them too.
 async fn accept(listener: TcpListener, handler: Arc<dyn Handler>) {
     let mut connections: Vec<smol::Task<()>> = Vec::new();
