A broken answer of the load tool has a typed reason

Cause: the reading of an answer failed with bare strings.

Change: Break says whether the connection, the content or the end was missing. The report prints its text.

--- a/crates/lentil_load/src/answer.rs
+++ b/crates/lentil_load/src/answer.rs
@@ -4,6 +4,21 @@
 
 use lentil_types::{Class, Outcome, TeamName, Tokens};
 
+/// Why an answer broke off.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum Break {
+    /// The connection could not be made or was lost.
+    #[error("connection: {0}")]
+    Connection(String),
+    /// The answer is no server-sent events of JSON.
+    #[error("not valid: {0}")]
+    Invalid(String),
+    /// The stream ended without its end.
+    #[error("the stream ended without [DONE]")]
+    NoEnd,
+}
+
 /// How a request ended, as its caller saw it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -17,7 +32,7 @@
         status: u16,
     },
     /// The connection broke off, or an answer ended without an end.
-    Broken(String),
+    Broken(Break),
 }
 
 /// What a caller saw of one request.
--- a/crates/lentil_load/src/caller.rs
+++ b/crates/lentil_load/src/caller.rs
@@ -1,14 +1,14 @@
 //! Sends one request and watches its answer.
 
-use std::time;
+use std::{fmt, io, time};
 
-use eventsource_stream::Eventsource as _;
+use eventsource_stream::{EventStreamError, Eventsource as _};
 use futures_lite::{AsyncReadExt as _, StreamExt as _, stream};
 use lentil_trace::Record;
 use lentil_types::{Outcome, Tokens};
 use trillium_client::{Client, Conn};
 
-use crate::{Answer, Ending, prompt};
+use crate::{Answer, Break, Ending, prompt};
 
 /// Bytes read at once.
 const READ_BYTES: usize = 16 * 1024;
@@ -33,7 +33,7 @@
         watch.answer
     }
 
-    async fn complete(&self, record: &Record, watch: &mut Watch) -> Result<Ending, String> {
+    async fn complete(&self, record: &Record, watch: &mut Watch) -> Result<Ending, Break> {
         let body = serde_json::json!({
             "model": record.model,
             "messages": prompt::messages(&record.pieces, record.prompt),
@@ -44,7 +44,7 @@
         let conn = self
             .open("POST", "/v1/chat/completions", record)
             .with_body(body.to_string());
-        let mut conn = conn.await.map_err(|error| error.to_string())?;
+        let mut conn = conn.await.map_err(connection)?;
         if let Some(ending) = refusal(&conn) {
             return Ok(ending);
         }
@@ -61,12 +61,11 @@
         });
         let mut events = Box::pin(chunks.eventsource());
         while let Some(event) = events.next().await {
-            let event = event.map_err(|error| error.to_string())?;
+            let event = event.map_err(broken_events)?;
             if event.data == "[DONE]" {
                 return Ok(Ending::Whole);
             }
-            let value: serde_json::Value =
-                serde_json::from_str(&event.data).map_err(|error| error.to_string())?;
+            let value: serde_json::Value = serde_json::from_str(&event.data).map_err(invalid)?;
             if let Some(error) = value.get("error") {
                 return Ok(Ending::Error {
                     outcome: outcome_of(error),
@@ -75,10 +74,10 @@
             }
             watch.see(&value);
         }
-        Err("the stream ended without [DONE]".to_owned())
+        Err(Break::NoEnd)
     }
 
-    async fn plain(&self, record: &Record) -> Result<Ending, String> {
+    async fn plain(&self, record: &Record) -> Result<Ending, Break> {
         let path = format!("/services/{}/", record.service);
         let method = if record.key.is_some() { "POST" } else { "GET" };
         let mut conn = self.open(method, &path, record);
@@ -86,14 +85,14 @@
             conn.request_headers_mut()
                 .insert("idempotency-key", key.to_string());
         }
-        let mut conn = conn.await.map_err(|error| error.to_string())?;
+        let mut conn = conn.await.map_err(connection)?;
         if let Some(ending) = refusal(&conn) {
             return Ok(ending);
         }
         conn.response_body()
             .read_bytes()
             .await
-            .map_err(|error| error.to_string())?;
+            .map_err(connection)?;
         Ok(Ending::Whole)
     }
 
@@ -121,7 +120,7 @@
         let answer = Answer {
             team: record.team.clone(),
             class: record.class,
-            ending: Ending::Broken(String::new()),
+            ending: Ending::Broken(Break::NoEnd),
             first: None,
             gap: None,
             took: time::Duration::ZERO,
@@ -156,6 +155,21 @@
     }
 }
 
+fn connection(error: impl fmt::Display) -> Break {
+    Break::Connection(error.to_string())
+}
+
+fn invalid(error: impl fmt::Display) -> Break {
+    Break::Invalid(error.to_string())
+}
+
+fn broken_events(error: EventStreamError<io::Error>) -> Break {
+    match error {
+        EventStreamError::Transport(error) => connection(error),
+        other => invalid(other),
+    }
+}
+
 /// The ending of an answer that is an error from the start.
 fn refusal(conn: &Conn) -> Option<Ending> {
     let status = conn.status().map_or(0, |status| status as u16);
--- a/crates/lentil_load/src/lib.rs
+++ b/crates/lentil_load/src/lib.rs
@@ -12,7 +12,7 @@
 mod prompt;
 mod report;
 
-pub use answer::{Answer, Ending};
+pub use answer::{Answer, Break, Ending};
 pub use load::{Load, LoadError, Settings};
 pub use prompt::messages;
 pub use report::{ClassReport, Report, Spread, TeamReport};
--- a/crates/lentil_load/src/report.rs
+++ b/crates/lentil_load/src/report.rs
@@ -117,7 +117,7 @@
         let prompt: Tokens = answers.iter().map(|answer| answer.prompt).sum();
         let cached: Tokens = answers.iter().map(|answer| answer.cached).sum();
         let breaks = answers.iter().filter_map(|answer| match &answer.ending {
-            Ending::Broken(reason) => Some(reason.clone()),
+            Ending::Broken(reason) => Some(reason.to_string()),
             Ending::Whole | Ending::Error { .. } => None,
         });
         Self {
--- a/crates/lentil_load/tests/load.rs
+++ b/crates/lentil_load/tests/load.rs
@@ -3,7 +3,7 @@
 use std::{net, time};
 
 use lentil_config::Market;
-use lentil_load::{Answer, Ending, Load, LoadError, Report, Settings, messages, plot};
+use lentil_load::{Answer, Break, Ending, Load, LoadError, Report, Settings, messages, plot};
 use lentil_trace::Record;
 use lentil_types::{Class, Instant, Outcome, PieceHash, PieceSeed, PromptPieces, Tokens};
 use lentilglade::Demo;
@@ -106,7 +106,7 @@
         answer(Ending::Whole),
         answer(error(Outcome::NotRun)),
         answer(error(Outcome::Unknown)),
-        answer(Ending::Broken("cut".to_owned())),
+        answer(Ending::Broken(Break::NoEnd)),
     ];
     let report = Report::new(&answers, time::Duration::from_secs(1));
     let class = &report.classes[0];
