One piece of code reads a process's processor time

Cause: the latency and the capacity benchmark each read it from the same place.

Change: both call cpu::used with the process. No behaviour changes.

--- a/crates/lentilglade/src/bench/client.rs
+++ b/crates/lentilglade/src/bench/client.rs
@@ -7,8 +7,8 @@
 use trillium_client::Client;
 use trillium_smol::ClientConfig;
 
-use super::{cpu, figures::Figures};
-use crate::DemoError;
+use super::figures::Figures;
+use crate::{DemoError, cpu};
 
 /// Bytes read at once.
 const READ_BYTES: usize = 16 * 1024;
@@ -122,7 +122,7 @@
     connections: usize,
     limit: time::Duration,
 ) -> Result<Figures, BenchError> {
-    let (begin, cpu) = (time::Instant::now(), cpu::used());
+    let (begin, cpu) = (time::Instant::now(), cpu::used("self"));
     let mut figures = Figures::new();
     let each = requests.div_ceil(connections);
     let callers = (0..connections).map(|caller| {
@@ -133,7 +133,7 @@
         figures.add(&caller.await?);
     }
     figures.took = begin.elapsed();
-    figures.cpu = cpu::used().saturating_sub(cpu);
+    figures.cpu = cpu::used("self").saturating_sub(cpu);
     Ok(figures)
 }
 
--- a/crates/lentilglade/src/bench/mod.rs
+++ b/crates/lentilglade/src/bench/mod.rs
@@ -5,7 +5,6 @@
 //! two add.
 
 mod client;
-mod cpu;
 mod figures;
 
 use std::{fmt::Write as _, time};
--- a/crates/lentilglade/src/capacity/peers.rs
+++ b/crates/lentilglade/src/capacity/peers.rs
@@ -14,6 +14,7 @@
 use lentil_wire::Identity;
 
 use super::{process as proc, proxy::Proxy};
+use crate::cpu;
 
 const KEY: &str = "the key of a benchmark on loopback";
 const TEXT: &str = "region = \"nw-georgia\"\n[[place]]\nname = \"hall-intake\"\n";
@@ -245,7 +246,7 @@
         let dump: serde_json::Value = serde_json::from_str(&text)?;
         let bytes = |way: &str| dump["control"][way]["bytes"].as_u64().unwrap_or(0);
         Ok(Reading {
-            cpu: proc::cpu(&self.child.id().to_string()),
+            cpu: cpu::used(&self.child.id().to_string()),
             peers: bytes("sent") + bytes("received"),
             asked: self.asked.bytes(),
             platform: self.platform.bytes(),
--- a/crates/lentilglade/src/capacity/process.rs
+++ b/crates/lentilglade/src/capacity/process.rs
@@ -1,6 +1,6 @@
-//! Memory and processor time of a process.
+//! Memory of a process, and the time of a run.
 
-use std::{fs, mem, path, time};
+use std::{fs, mem, time};
 
 /// Memory that a process holds, in bytes; 0 where the system does not tell.
 pub(super) fn memory(process: &str) -> u64 {
@@ -10,21 +10,6 @@
     kilobytes.unwrap_or(0) * 1024
 }
 
-/// Processor time that a process has used, over all of its threads.
-pub(super) fn cpu(process: &str) -> time::Duration {
-    let Ok(threads) = fs::read_dir(format!("/proc/{process}/task")) else {
-        return time::Duration::ZERO;
-    };
-    let of_thread = |path: path::PathBuf| -> Option<u64> {
-        let text = fs::read_to_string(path.join("schedstat")).ok()?;
-        text.split(' ').next()?.parse().ok()
-    };
-    let nanos = threads
-        .flatten()
-        .filter_map(|thread| of_thread(thread.path()));
-    time::Duration::from_nanos(nanos.sum())
-}
-
 /// The bytes of memory that each copy of what `make` makes takes. The copies are
 /// never freed, so that a later measurement cannot take their place.
 pub(super) fn memory_of<T>(copies: usize, mut make: impl FnMut() -> T) -> f64 {
--- a/crates/lentilglade/src/cpu.rs
+++ b/crates/lentilglade/src/cpu.rs
@@ -1,11 +1,11 @@
-//! Processor time of this process.
+//! Processor time of a process.
 
 use std::{fs, path, time};
 
-/// Processor time that this process has used, over all of its threads. Zero
-/// where the system does not tell.
-pub(super) fn used() -> time::Duration {
-    let Ok(threads) = fs::read_dir("/proc/self/task") else {
+/// Processor time that a process, `self` or one named by its number, has used
+/// over all of its threads. Zero where the system does not tell.
+pub(crate) fn used(process: &str) -> time::Duration {
+    let Ok(threads) = fs::read_dir(format!("/proc/{process}/task")) else {
         return time::Duration::ZERO;
     };
     let of_thread = |path: path::PathBuf| -> Option<u64> {
--- a/crates/lentilglade/src/lib.rs
+++ b/crates/lentilglade/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod bench;
 pub mod capacity;
+mod cpu;
 mod demo;
 mod session;
 
