Frozen runners are left, and callers are told before they leave

Cause: once a runner was heard after a request was sent, the check for its silence never ended, so a runner that froze a moment later kept the request until its deadline. Streams had a second check, which asked whether anything was heard in the last span, and an agent tells an unchanged runner only once a second: a stream at a well runner that paused for about that long could be moved (a_stream_that_pauses_at_a_runner_that_is_well_stays_there failed as soon as the check became exact). Both use one now, which asks the agent before it gives a runner up. A caller without an answer is told so 40 ms before the deadline it named, so that its runner is left then and not after it.

Tests: a_request_leaves_a_runner_that_freezes_after_it_answered_another_one and a_caller_is_told_shortly_before_it_would_leave failed before.

--- a/crates/lentil_forward/src/front/attempt.rs
+++ b/crates/lentil_forward/src/front/attempt.rs
@@ -404,6 +404,7 @@
             }
             return answer.events(events).await;
         }
+        self.plan.answering.set(true);
         let headers = upstream::answer_headers(&self.front.names, &head.headers);
         answer
             .begin(head.status, &head.reason, &headers, events)
@@ -421,12 +422,8 @@
             if !can_repeat {
                 std::future::pending::<()>().await;
             }
-            loop {
-                smol::Timer::after(stall).await;
-                if !front.is_alive(life, stall) {
-                    return Err(Failure::Silent);
-                }
-            }
+            front.fallen_silent(life, front.now(), stall).await;
+            Err(Failure::Silent)
         };
         let next = async {
             reader
@@ -452,8 +449,10 @@
     }
 }
 
-/// Ends when nothing was heard from the runner for too long after a request was
-/// sent to it. Where the request may not be repeated, it only tells so.
+/// Ends when the runner gave no sign for too long after a request was sent to
+/// it, or when nothing at all was heard of it for as long later on: an instance
+/// may freeze after its runner answered other requests. Where the request may
+/// not be repeated, it only tells so.
 async fn silence<T>(
     front: &Front,
     plan: &Plan,
@@ -467,12 +466,9 @@
         .objective
         .mul_f64(front.settings.silence)
         .clamp(least, most);
-    loop {
-        smol::Timer::after(patience).await;
-        let heard = front.heard(life);
-        if heard.is_none_or(|heard| heard <= sent) {
-            break;
-        }
+    smol::Timer::after(patience).await;
+    if front.heard(life).is_some_and(|heard| heard > sent) {
+        front.fallen_silent(life, sent, patience).await;
     }
     if can_repeat {
         return Err(Failure::Silent);
--- a/crates/lentil_forward/src/front/caller.rs
+++ b/crates/lentil_forward/src/front/caller.rs
@@ -52,6 +52,7 @@
         drop(held);
         if !is_here {
             front.metrics.count(Counter::CallersGone);
+            note_left(&front, &request);
             return;
         }
         if !answer.keeps_open() {
@@ -63,6 +64,20 @@
     }
 }
 
+/// Logs that a caller left before its answer was whole.
+fn note_left(front: &Front, request: &Request) {
+    if !front.lines.take(front.now()) {
+        return;
+    }
+    let headers = &request.head.headers;
+    log::info!(
+        request = headers.text(front.names.request_id).unwrap_or("-"),
+        age_ms = front.now().since(request.received).as_millis(),
+        deadline_ms = headers.text(front.names.deadline).unwrap_or("-");
+        "caller left before its answer"
+    );
+}
+
 /// Ends when the caller closes its connection.
 async fn left(connection: &mut h1::Connection) -> bool {
     while connection.buffered() < MAX_AHEAD {
--- a/crates/lentil_forward/src/front/mod.rs
+++ b/crates/lentil_forward/src/front/mod.rs
@@ -23,11 +23,7 @@
 use lentil_types::{Instant, PlaceName, RunnerName};
 use rand::SeedableRng as _;
 
-use crate::{
-    datagram::Datagram,
-    documents, names,
-    peers::{Outbox, Recipient},
-};
+use crate::{documents, names, peers::Outbox};
 
 pub use listener::{Respond, listen, serve_ready};
 pub use settings::Settings;
@@ -206,18 +202,14 @@
         let asked: Vec<_> = self.view(plan, None, |view, need| {
             let list = placement::shortlist(view, need, exclude, asks).into_iter();
             let old = list.filter(|runner| runner.told(began).is_none_or(|age| age > ask_age));
-            old.map(|runner| (runner.entry.life.clone(), runner.entry.address.ip()))
-                .collect()
+            old.map(|runner| runner.entry.life.clone()).collect()
         });
-        for (life, ip) in &asked {
-            self.outbox
-                .put(Recipient::Agent(*ip), Datagram::Ask(life.clone()));
-        }
+        asked.iter().for_each(|life| self.ask_agent(life));
         let all = async {
             loop {
                 let told = self.told.listen();
                 let now = self.now();
-                let is_new = |(life, _): &(runners::Life, _)| {
+                let is_new = |life: &runners::Life| {
                     let state = self.state();
                     let age = state
                         .runners()
--- a/crates/lentil_forward/src/front/plan.rs
+++ b/crates/lentil_forward/src/front/plan.rs
@@ -38,6 +38,8 @@
     pub(super) give_up: Instant,
     pub(super) fingerprint: Fingerprint,
     pub(super) ledger: cell::RefCell<ledger::Ledger>,
+    /// Whether the caller is being given an answer.
+    pub(super) answering: cell::Cell<bool>,
 }
 
 /// Longest time that a caller may wait for, in milliseconds; guards against
@@ -76,6 +78,7 @@
             deadline,
             fingerprint: fingerprint(request, names),
             ledger: cell::RefCell::default(),
+            answering: cell::Cell::new(false),
             routing,
             route,
             team,
@@ -88,6 +91,16 @@
         self.give_up.since(now)
     }
 
+    /// Time until a caller that has no answer yet is told so: `margin` before it
+    /// would leave by itself.
+    pub(super) fn left_unanswered(&self, now: Instant, margin: time::Duration) -> time::Duration {
+        let left = self.left(now);
+        match self.deadline {
+            Some(deadline) => left.min(deadline.since(now).saturating_sub(margin)),
+            None => left,
+        }
+    }
+
     /// Tokens of the whole prompt.
     pub(super) fn tokens(&self) -> Tokens {
         self.parts.iter().map(|(_, tokens)| *tokens).sum()
--- a/crates/lentil_forward/src/front/request.rs
+++ b/crates/lentil_forward/src/front/request.rs
@@ -77,7 +77,11 @@
     let end = {
         let run = run(front, &plan, request, &mut progress, answer);
         let late = async {
-            smol::Timer::after(plan.left(front.now())).await;
+            let margin = front.settings.answer_margin;
+            smol::Timer::after(plan.left_unanswered(front.now(), margin)).await;
+            if plan.answering.get() {
+                smol::Timer::after(plan.left(front.now())).await;
+            }
             End::Own(Reason::TimedOut, front.settings.retry_after)
         };
         futures_lite::future::or(run, late).await
@@ -180,7 +184,7 @@
             attempt::End::CallerLost => return End::CallerLost,
             attempt::End::Whole(whole) => {
                 if !is_worth_retry(plan, &whole) {
-                    return give(answer, &whole).await;
+                    return give(plan, answer, &whole).await;
                 }
                 reason = Reason::RunnerFailed;
                 fallback = Some(whole);
@@ -203,12 +207,13 @@
         }
     }
     match fallback {
-        Some(whole) if !answer.has_begun() => give(answer, &whole).await,
+        Some(whole) if !answer.has_begun() => give(plan, answer, &whole).await,
         _ => End::Own(reason, retry),
     }
 }
 
-async fn give(answer: &mut Answer, whole: &Whole) -> End {
+async fn give(plan: &Plan, answer: &mut Answer, whole: &Whole) -> End {
+    plan.answering.set(true);
     match answer.whole(whole).await {
         Ok(()) => End::Answered,
         Err(_) => End::CallerLost,
--- a/crates/lentil_forward/src/front/settings.rs
+++ b/crates/lentil_forward/src/front/settings.rs
@@ -44,11 +44,18 @@
     pub silence: f64,
     /// Bounds of that time.
     pub silence_range: (time::Duration, time::Duration),
+    /// Wait for the answer of an agent that is asked because nothing is heard of
+    /// its runner: a few milliseconds, and what a busy instance adds.
+    pub sign_wait: time::Duration,
     /// A stream whose next event is missing for this many of the route's longest
     /// pauses goes on elsewhere, where that is allowed.
     pub stall: f64,
     /// Largest answer that is held until it is whole, in bytes.
     pub answer_bytes: usize,
+    /// A caller without an answer is told so this long before it would leave: the
+    /// way to it, and what a busy instance adds. Its runner is left at the same
+    /// moment and not after the caller.
+    pub answer_margin: time::Duration,
     /// Advice to a refused caller when no runner may take requests.
     pub retry_after: time::Duration,
     /// Idle connections of callers are closed, and no new ones taken, this long
@@ -88,8 +95,10 @@
                 time::Duration::from_millis(250),
                 time::Duration::from_millis(1_000),
             ),
+            sign_wait: time::Duration::from_millis(100),
             stall: 4.0,
             answer_bytes: 4 << 20,
+            answer_margin: time::Duration::from_millis(40),
             retry_after: time::Duration::from_millis(500),
             idle_close: time::Duration::from_millis(2_400),
             grace: time::Duration::from_secs(8),
--- a/crates/lentil_forward/src/front/updates.rs
+++ b/crates/lentil_forward/src/front/updates.rs
@@ -1,8 +1,11 @@
 //! What a router learns: documents, datagrams, deaths.
 
+use std::time;
+
 use lentil_platform::{Change, Changes, Document, Listing};
 use lentil_policy::forward::runners;
 use lentil_process::metrics::{Counter, Gauge};
+use lentil_types::Instant;
 
 use super::Front;
 use crate::{
@@ -133,17 +136,49 @@
     }
 
     /// When a runner was heard last.
-    pub(crate) fn heard(&self, life: &runners::Life) -> Option<lentil_types::Instant> {
+    pub(crate) fn heard(&self, life: &runners::Life) -> Option<Instant> {
         self.state().runners().get(life).map(|runner| runner.heard)
     }
 
-    /// Whether anything was heard of a runner, from itself or its agent, during
-    /// the last `span`.
-    pub(crate) fn is_alive(&self, life: &runners::Life, span: std::time::Duration) -> bool {
+    /// Ends when neither a runner nor its agent was heard for `span`, counted
+    /// from `since` at the earliest. Agents tell little while nothing changes, so
+    /// a runner's agent is asked before the runner is given up.
+    pub(crate) async fn fallen_silent(
+        &self,
+        life: &runners::Life,
+        since: Instant,
+        span: time::Duration,
+    ) {
+        loop {
+            let quiet = self.quiet(life, since);
+            if quiet < span {
+                smol::Timer::after(span - quiet).await;
+                continue;
+            }
+            self.ask_agent(life);
+            smol::Timer::after(self.settings.sign_wait).await;
+            if self.quiet(life, since) >= span {
+                return;
+            }
+        }
+    }
+
+    /// How long nothing was heard of a runner or its agent, since `since` at the
+    /// earliest.
+    fn quiet(&self, life: &runners::Life, since: Instant) -> time::Duration {
         let now = self.now();
         let state = self.state();
         let last = state.runners().get(life).map(runners::Runner::last_sign);
-        last.is_some_and(|last| now.since(last) < span)
+        now.since(last.map_or(since, |last| last.max(since)))
+    }
+
+    /// Asks a runner's agent how the runner is.
+    pub(crate) fn ask_agent(&self, life: &runners::Life) {
+        let state = self.state();
+        if let Some(runner) = state.runners().get(life) {
+            let agent = Recipient::Agent(runner.entry.address.ip());
+            self.outbox.put(agent, Datagram::Ask(life.clone()));
+        }
     }
 
     /// Logs changes of membership.
