Parts are looked for at their homes, and old news of runners count less

Cause: in a fleet of 28 routers and 51 runners an agent's budget of bytes lets each router hear of a runner every 2.5 to 5 s. So no router knew what runners held (27 of 1,869 long prompts went to a runner known to hold their part, 1,503 read it), all of them sent to the runner that was idle seconds ago (busiest over mean 3.01), a part that was being read was read again as soon as its reader had 120 ms to do, and homes of parts included runners that take no long prompts.

Change: a part has two homes among the runners that take long prompts. A runner that reads a part looks for it first at a home, or in the store where its contents are not followed; in vain that costs a millisecond. A runner that holds or reads a part may have as much more to do as reading it elsewhere would take. Requests of other routers, as told, fade into the mean as the news age. Homes are asked before every long prompt, up to three times until the chosen runner has told; those that do not answer are left out.

Ruled out: asks that go unanswered (92 in 100 are answered, most within 4 ms).

--- a/crates/lentil_forward/src/front/mod.rs
+++ b/crates/lentil_forward/src/front/mod.rs
@@ -189,9 +189,34 @@
         })
     }
 
+    /// Chooses a runner for a long prompt. The agents of the runners that look best
+    /// are asked how they are, until the chosen one's has told: what agents tell
+    /// all routers by themselves is some time old.
+    async fn choose_asked(
+        &self,
+        plan: &plan::Plan,
+        exclude: &[RunnerName],
+    ) -> Result<placement::Choice, placement::Refusal> {
+        let mut exclude = exclude.to_vec();
+        for _ in 0..self.settings.ask_rounds {
+            let mute = self.ask(plan, &exclude).await;
+            exclude.extend(mute);
+            let choice = match self.choose(plan, &exclude, None) {
+                Err(placement::Refusal::NoRunner) => break,
+                Err(refusal) => return Err(refusal),
+                Ok(choice) => choice,
+            };
+            let age = choice.told.unwrap_or(time::Duration::MAX);
+            if age <= self.settings.ask_age {
+                return Ok(choice);
+            }
+        }
+        self.choose(plan, &exclude, None)
+    }
+
     /// Asks the agents of the runners that look best how they are, unless they
-    /// told recently: what they tell all routers by themselves is some time old.
-    async fn ask(&self, plan: &plan::Plan, exclude: &[RunnerName]) {
+    /// told recently. Returns the runners whose agents do not answer in time.
+    async fn ask(&self, plan: &plan::Plan, exclude: &[RunnerName]) -> Vec<RunnerName> {
         let Settings {
             asks,
             ask_age,
@@ -199,7 +224,7 @@
             ..
         } = self.settings;
         let began = self.now();
-        let asked: Vec<_> = self.view(plan, None, |view, need| {
+        let mut asked: Vec<_> = self.view(plan, None, |view, need| {
             let list = placement::shortlist(view, need, exclude, asks).into_iter();
             let old = list.filter(|runner| runner.told(began).is_none_or(|age| age > ask_age));
             old.map(|runner| runner.entry.life.clone()).collect()
@@ -208,16 +233,8 @@
         let all = async {
             loop {
                 let told = self.told.listen();
-                let now = self.now();
-                let is_new = |life: &runners::Life| {
-                    let state = self.state();
-                    let age = state
-                        .runners()
-                        .get(life)
-                        .and_then(|runner| runner.told(now));
-                    age.is_some_and(|age| age <= now.since(began))
-                };
-                if asked.iter().all(is_new) {
+                asked.retain(|life| !self.has_told(life, began));
+                if asked.is_empty() {
                     return;
                 }
                 told.await;
@@ -227,6 +244,18 @@
             smol::Timer::after(ask_wait).await;
         };
         futures_lite::future::or(all, late).await;
+        asked.into_iter().map(|life| life.name).collect()
+    }
+
+    /// Whether a runner's agent has told something since then.
+    fn has_told(&self, life: &runners::Life, since: Instant) -> bool {
+        let now = self.now();
+        let state = self.state();
+        let age = state
+            .runners()
+            .get(life)
+            .and_then(|runner| runner.told(now));
+        age.is_some_and(|age| age <= now.since(since))
     }
 
     /// Looks at the runners for a request.
@@ -251,6 +280,7 @@
             place: &self.place,
             left: plan.left(now),
             store: store.as_ref(),
+            store_address: plan.routing.store(&self.place).map(|store| store.address),
             reserve: state.demand(&plan.service).reserve(),
             only,
         };
--- a/crates/lentil_forward/src/front/pick.rs
+++ b/crates/lentil_forward/src/front/pick.rs
@@ -33,10 +33,8 @@
         if is_first && place.is_some() {
             smol::Timer::after(front.jitter(front.settings.line_jitter)).await;
         }
-        if is_first && is_long && only.is_none() {
-            front.ask(plan, exclude).await;
-        }
         let end = match is_first {
+            true if is_long && only.is_none() => front.choose_asked(plan, exclude).await,
             true => front.choose(plan, exclude, only),
             false => Err(placement::Refusal::Busy {
                 wait: time::Duration::ZERO,
--- a/crates/lentil_forward/src/front/settings.rs
+++ b/crates/lentil_forward/src/front/settings.rs
@@ -30,8 +30,11 @@
     /// Part of the time that a request has in which it may wait here for a runner
     /// that can take a long prompt. The rest is left for the answer.
     pub line: f64,
-    /// Agents that are asked how their runners are before a long prompt is sent.
+    /// Agents that are asked how their runners are before a long prompt is sent,
+    /// besides those of its part's homes.
     pub asks: usize,
+    /// Most times that agents are asked for one choice.
+    pub ask_rounds: usize,
     /// An agent that told something more recently is not asked.
     pub ask_age: time::Duration,
     /// Longest wait for their answers. They are a millisecond or two away.
@@ -87,6 +90,7 @@
             max_hold: time::Duration::from_millis(500),
             line: 0.5,
             asks: 3,
+            ask_rounds: 3,
             ask_age: time::Duration::from_millis(60),
             ask_wait: time::Duration::from_millis(12),
             line_jitter: time::Duration::from_millis(8),
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -2,11 +2,12 @@
 //!
 //! Load it answers: long prompts share large parts, and reading a part costs far
 //! more than waiting a little for a runner that holds it. A runner that does not
-//! hold a part fetches it from one that does. A part that nobody holds is read at
-//! its home, which every router finds by rendezvous hashing, so that it is read
-//! once. Short requests go where the wait is shortest.
+//! hold a part fetches it from one that does. A part that nobody is known to hold
+//! is read at one of its homes, which every router finds by rendezvous hashing, so
+//! that it is read once and looked for there. Short requests go where the wait is shortest.
 
 mod estimate;
+mod news;
 mod sources;
 
 use std::{net, time};
@@ -32,14 +33,25 @@
     /// Added for a runner that must fetch a part: the copy takes memory there
     /// that other parts lose.
     pub fetch: f64,
-    /// Added for a runner that is not the home of a part that nobody holds:
-    /// another router may send it to the home at the same time.
+    /// Added for a runner that is no home of a part that nobody holds: other
+    /// routers will not look for it there.
     pub away: f64,
+    /// Added for the second home of such a part: the first one is asked before it.
+    pub second: f64,
+    /// Added to a long prompt's cost at a runner of which nothing was told for
+    /// `told_age`: it may have work that this router does not know of.
+    pub unknown: f64,
+    /// Age up to which what was told of prompts counts as known: about what a
+    /// long prompt takes to compute.
+    pub told_age: time::Duration,
     /// Added for a runner that would read a part which another one reads now.
     pub twice: f64,
     /// Added for each thousand tokens of memory that a runner does not have: it
     /// would put requests back that run, and compute them again.
     pub per_memory: f64,
+    /// What an agent told counts for half after this time, and the mean of all
+    /// runners for the rest: about as long as a request stays at a runner.
+    pub news_half_life: time::Duration,
     /// Most time that a runner may still need for its long prompts when it is
     /// given another one. It never stands idle, and a short request waits for
     /// little more than one long prompt.
@@ -79,8 +91,12 @@
             per_queued: 40.0,
             fetch: 30.0,
             away: 150.0,
+            second: 20.0,
+            unknown: 60.0,
+            told_age: time::Duration::from_millis(400),
             twice: 250.0,
             per_memory: 40.0,
+            news_half_life: time::Duration::from_millis(500),
             ahead: 120.0,
             mixed: 15.0,
             silence: 150.0,
@@ -117,6 +133,8 @@
     pub left: time::Duration,
     /// The store of cache entries, where it answers.
     pub store: Option<&'a Store<'a>>,
+    /// Where the store of cache entries is, also where nothing is known of it.
+    pub store_address: Option<net::SocketAddr>,
     /// Part of the service's runners that gets no long prompts, so that short
     /// requests find one that answers at once. Every router reserves the same
     /// ones: what a router hears of long prompts is too old to keep clear of them.
@@ -143,9 +161,11 @@
     pub address: net::SocketAddr,
     /// Weights that it serves, where the request names a model.
     pub version: Option<WeightsVersion>,
-    /// A runner or store that holds the shared part, which the runner does not.
+    /// A runner or store that holds the shared part, which the runner does not;
+    /// where `reads` is set, one that may hold it.
     pub source: Option<net::SocketAddr>,
-    /// Whether the runner must read the shared part because nobody holds it.
+    /// Whether the runner must read the shared part because nobody is known to
+    /// hold it.
     pub reads: bool,
     /// What the request costs it.
     pub work: Work,
@@ -222,10 +242,11 @@
     })
 }
 
-/// The `count` runners that look best, to ask their agents before a choice.
+/// The homes of the shared part, and the `count` other runners that look best, to
+/// ask their agents before a choice.
 pub fn shortlist<'a>(
     view: View<'a>,
-    need: &Need<'_>,
+    need: &'a Need<'_>,
     exclude: &[RunnerName],
     count: usize,
 ) -> Vec<&'a Runner> {
@@ -236,11 +257,18 @@
         .map(|runner| (estimate.candidate(runner).cost, *runner));
     let mut costs: Vec<_> = costs.collect();
     costs.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-    costs
-        .into_iter()
-        .take(count)
-        .map(|(_, runner)| runner)
-        .collect()
+    let mut list: Vec<_> = estimate.homes().collect();
+    let is_listed = |list: &[&Runner], runner: &Runner| {
+        list.iter()
+            .any(|listed| listed.entry.life == runner.entry.life)
+    };
+    let most = list.len() + count;
+    for (_, runner) in costs {
+        if list.len() < most && !is_listed(&list, runner) {
+            list.push(runner);
+        }
+    }
+    list
 }
 
 /// Runners that may take the request at all.
--- a/crates/lentil_policy/src/forward/placement/estimate.rs
+++ b/crates/lentil_policy/src/forward/placement/estimate.rs
@@ -5,7 +5,9 @@
 use lentil_types::{Instant, Tokens, WeightsVersion};
 
 use super::{
-    Need, Refusal, Settings, View, shared_part,
+    Need, Refusal, Settings, View,
+    news::News,
+    shared_part,
     sources::{Sources, sources},
 };
 use crate::forward::{
@@ -58,7 +60,6 @@
 pub(super) struct Estimate<'a> {
     now: Instant,
     settings: &'a Settings,
-    runners: &'a Runners,
     engine: Option<&'a routing::Engine>,
     need: &'a Need<'a>,
     /// Tokens of the whole prompt.
@@ -67,6 +68,7 @@
     sources: Vec<Sources<'a>>,
     /// Runners that get no long prompts.
     reserved: Vec<&'a Life>,
+    news: News,
 }
 
 impl<'e> Estimate<'e> {
@@ -78,31 +80,29 @@
             engine,
         } = view;
         let part = shared_part(settings, need.parts);
+        let reserved = reserved(runners, need);
         Self {
             now,
             settings,
-            runners,
             engine,
             need,
             tokens: need.parts.iter().map(|(_, tokens)| *tokens).sum(),
             part,
-            sources: part.map_or_else(Vec::new, |(id, _)| sources(id, fit, need)),
-            reserved: reserved(runners, need),
+            sources: part.map_or_else(Vec::new, |(id, _)| sources(id, fit, need, &reserved)),
+            reserved,
+            news: News::new(now, settings, fit),
         }
     }
 
     pub(super) fn candidate<'a>(&self, runner: &'a Runner) -> Candidate<'a> {
         let Self { settings, need, .. } = self;
         let prompt = self.prompt(runner);
-        let status = self.runners.status(self.now, runner);
-        let load = runner.occupancy(status);
-        let slots = runner.entry.slots.max(1);
-        let queued = load.saturating_sub(slots.saturating_sub(1));
-        let ahead =
-            runner.backlog(self.now, settings.prefill_rate).0 as f64 / settings.prefill_rate;
-        let wait = ahead
-            + f64::from(load) * settings.per_request
-            + f64::from(queued) * settings.per_queued;
+        let load = self.news.occupancy(self.now, runner);
+        let slots = f64::from(runner.entry.slots.max(1));
+        let queued = (load - (slots - 1.0)).max(0.0);
+        let rate = settings.prefill_rate;
+        let ahead = runner.backlog(self.now, rate).0 as f64 / rate;
+        let wait = ahead + load * settings.per_request + queued * settings.per_queued;
         let over = runner.overcommitment(self.tokens).0 as f64 / 1e3 * settings.per_memory;
         let compute = prompt.missing.0 as f64 / settings.prefill_rate;
         let expected = (wait + compute + prompt.fetch) * runner.slowness.max(1.0);
@@ -152,18 +152,32 @@
         {
             return self.fetched(own, shared, store.info.address, store.info.link_rate);
         }
-        let is_home = sources.home.entry.life == runner.entry.life;
+        let home = sources.home(runner);
         Prompt {
             reads: true,
-            bias: match (sources.is_read, is_home) {
+            source: self.guess(sources, home),
+            bias: match (sources.is_read, home) {
                 (true, _) => self.settings.twice,
-                (false, true) => 0.0,
-                (false, false) => self.settings.away,
+                (false, Some(0)) => 0.0,
+                (false, Some(_)) => self.settings.second,
+                (false, None) => self.settings.away,
             },
             ..whole
         }
     }
 
+    /// Where a runner looks for a part of which nothing is known, before it reads
+    /// it: what agents tell comes late, most of all in a large fleet, and to ask
+    /// in vain costs a runner a millisecond.
+    fn guess(&self, sources: &Sources<'_>, home: Option<usize>) -> Option<net::SocketAddr> {
+        let other = |at: usize| sources.homes.get(at).map(|home| home.entry.address);
+        match (home, self.need.store_address) {
+            (Some(0), Some(store)) if self.need.store.is_none() => Some(store),
+            (Some(0), _) => other(1),
+            _ => other(0),
+        }
+    }
+
     /// A prompt of which `shared` tokens are fetched over a link.
     fn fetched(&self, own: Tokens, shared: Tokens, from: net::SocketAddr, rate: f64) -> Prompt {
         let bytes = self
@@ -194,7 +208,7 @@
         let least = aheads.min_by(f64::total_cmp).unwrap_or(0.0);
         let may_take = |candidate: &Candidate<'_>| {
             let is_allowed = open(candidate) || !is_open;
-            is_allowed && self.ahead(candidate.runner) <= self.settings.ahead
+            is_allowed && self.ahead(candidate.runner) <= self.limit(candidate)
         };
         let fit: Vec<_> = all.into_iter().filter(may_take).collect();
         if fit.is_empty() {
@@ -206,6 +220,25 @@
         Ok(fit)
     }
 
+    /// Most time in milliseconds that a runner may still need for its prompts when
+    /// it is given the request. One that holds or reads the shared part may need
+    /// as much more as reading it elsewhere would take.
+    fn limit(&self, candidate: &Candidate<'_>) -> f64 {
+        let keeps = !candidate.reads && candidate.source.is_none();
+        let saved = self
+            .part
+            .filter(|_| keeps)
+            .map_or(0, |(_, tokens)| tokens.0);
+        self.settings.ahead + saved as f64 / self.settings.prefill_rate
+    }
+
+    /// Homes of the shared part, the first one first.
+    pub(super) fn homes(&self) -> impl Iterator<Item = &'e Runner> {
+        self.sources
+            .iter()
+            .flat_map(|sources| sources.homes.iter().copied())
+    }
+
     /// Whether a runner gets no long prompts.
     fn is_reserved(&self, runner: &Runner) -> bool {
         self.reserved.iter().any(|life| **life == runner.entry.life)
@@ -229,6 +262,10 @@
         if is_short && !self.reserved.is_empty() && !self.is_reserved(runner) {
             bias += settings.mixed;
         }
+        let told = runner.told(self.now);
+        if self.part.is_some() && told.is_none_or(|age| age > settings.told_age) {
+            bias += settings.unknown;
+        }
         let is_old = need.model.is_some_and(|model| {
             let newest = need.newest.filter(|(_, age)| *age >= settings.old_grace);
             newest.is_some_and(|(newest, _)| runner.version(model) < Some(newest))
--- a/crates/lentil_policy/src/forward/placement/sources.rs
+++ b/crates/lentil_policy/src/forward/placement/sources.rs
@@ -3,25 +3,31 @@
 use lentil_types::WeightsVersion;
 
 use super::Need;
-use crate::forward::runners::{self, PartId, PartKey, Runner, SaltHash};
+use crate::forward::runners::{self, Life, PartId, PartKey, Runner, SaltHash};
 
 /// Where a part is kept under one version of the weights.
 pub(super) struct Sources<'a> {
     pub(super) version: WeightsVersion,
     pub(super) key: PartKey,
-    /// The runner that reads it when nobody holds it.
-    pub(super) home: &'a Runner,
+    /// The runners that read it when nobody is known to hold it, the first one
+    /// before the second.
+    pub(super) homes: Vec<&'a Runner>,
     /// The least busy runner that holds it.
     pub(super) holder: Option<&'a Runner>,
     /// Whether a runner reads it now.
     pub(super) is_read: bool,
 }
 
-/// Where a part is kept, for each version that these runners serve.
+/// Homes of a part. One alone would often be busy with another part.
+const HOMES: usize = 2;
+
+/// Where a part is kept, for each version that these runners serve. Runners that
+/// get no long prompts are no homes.
 pub(super) fn sources<'a>(
     part: PartId,
     runners: &[&'a Runner],
     need: &Need<'_>,
+    reserved: &[&Life],
 ) -> Vec<Sources<'a>> {
     let Some(model) = need.model else {
         return Vec::new();
@@ -31,21 +37,14 @@
         let Some(version) = runner.version(model) else {
             continue;
         };
-        let found = all.iter_mut().find(|sources| sources.version == version);
-        let Some(sources) = found else {
-            let salt = runners::salt(version, need.isolated);
-            let key = PartKey::new(part, SaltHash::of(&salt));
-            all.push(Sources {
-                version,
-                key,
-                home: runner,
-                holder: runner.parts.holds(key).then_some(*runner),
-                is_read: runner.is_reading(key),
-            });
-            continue;
-        };
-        if home_score(part, runner) > home_score(part, sources.home) {
-            sources.home = runner;
+        let at = all.iter().position(|sources| sources.version == version);
+        let at = at.unwrap_or_else(|| {
+            all.push(Sources::new(part, version, need));
+            all.len() - 1
+        });
+        let sources = &mut all[at];
+        if !reserved.iter().any(|life| **life == runner.entry.life) {
+            sources.offer_home(part, runner);
         }
         sources.is_read |= runner.is_reading(sources.key);
         let is_better = |old: &Runner| runner.flight < old.flight;
@@ -56,6 +55,35 @@
     all
 }
 
+impl<'a> Sources<'a> {
+    fn new(part: PartId, version: WeightsVersion, need: &Need<'_>) -> Self {
+        let salt = runners::salt(version, need.isolated);
+        Self {
+            version,
+            key: PartKey::new(part, SaltHash::of(&salt)),
+            homes: Vec::with_capacity(HOMES + 1),
+            holder: None,
+            is_read: false,
+        }
+    }
+
+    fn offer_home(&mut self, part: PartId, runner: &'a Runner) {
+        let score = home_score(part, runner);
+        let at = self
+            .homes
+            .partition_point(|home| home_score(part, home) > score);
+        self.homes.insert(at, runner);
+        self.homes.truncate(HOMES);
+    }
+
+    /// Which of the homes a runner is.
+    pub(super) fn home(&self, runner: &Runner) -> Option<usize> {
+        self.homes
+            .iter()
+            .position(|home| home.entry.life == runner.entry.life)
+    }
+}
+
 fn home_score(part: PartId, runner: &Runner) -> u64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(runner.entry.life.name.as_bytes(), part.0)
 }
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -276,14 +276,9 @@
         }
     }
 
-    /// Requests there: those that its agent counted, corrected by what this
-    /// router sent and got back since.
-    pub fn occupancy(&self, status: Option<&Status>) -> u32 {
-        let Some(status) = status else {
-            return self.flight;
-        };
-        let told = status.running + status.waiting;
-        let others = told.saturating_sub(self.told_flight);
-        others + self.flight
+    /// Requests of other routers there, as its agent told last.
+    pub fn others(&self) -> Option<u32> {
+        let (_, status) = self.status.as_ref()?;
+        Some((status.running + status.waiting).saturating_sub(self.told_flight))
     }
 }
--- a/crates/lentil_policy/tests/forward_search.rs
+++ b/crates/lentil_policy/tests/forward_search.rs
@@ -272,6 +272,7 @@
             place: &"here".parse().unwrap(),
             left: time::Duration::from_secs(5),
             store: None,
+            store_address: None,
             reserve: 0.2,
             only: None,
         };
