--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -143,6 +143,7 @@
         self.front.metrics.count(Counter::StoreCalls);
         let at = self.mirrors.borrow()[kind as usize].at;
         let Some(at) = at else {
+            self.front.metrics.count(Counter::StoreLists);
             let listing = self.store.list(name).await?;
             self.apply_list(kind, &listing);
             return Ok(());
@@ -152,6 +153,7 @@
             Kind::Runners => self.settings.runners_wait,
             Kind::Routing | Kind::Weights => self.settings.wait,
         };
+        self.front.metrics.count(Counter::StoreWatches);
         let changes = self.store.watch(name, at, wait).await?;
         self.apply_changes(kind, &changes);
         if kind == Kind::Runners && !changes.changes.is_empty() {
--- a/crates/lentil_forward/src/front/request.rs
+++ b/crates/lentil_forward/src/front/request.rs
@@ -55,6 +55,24 @@
     TimedOut,
 }
 
+impl Reason {
+    /// What counts answers for this reason.
+    fn counter(self) -> Counter {
+        match self {
+            Self::NoConfiguration => Counter::OwnNoConfiguration,
+            Self::NoRoute => Counter::OwnNoRoute,
+            Self::UnknownKey => Counter::OwnUnknownKey,
+            Self::Poison => Counter::OwnPoison,
+            Self::NoRunner => Counter::OwnNoRunner,
+            Self::TooLate => Counter::OwnTooLate,
+            Self::Refused => Counter::OwnRefused,
+            Self::Unreachable => Counter::OwnUnreachable,
+            Self::RunnerFailed => Counter::OwnRunnerFailed,
+            Self::TimedOut => Counter::OwnTimedOut,
+        }
+    }
+}
+
 /// How a request ended.
 enum End {
     /// The caller has an answer of a runner.
@@ -125,6 +143,7 @@
     reason: Reason,
 ) {
     front.metrics.count(Counter::RequestsRefused);
+    front.metrics.count(reason.counter());
     if front.lines.take(front.now()) {
         let id = request.head.headers.text(front.names.request_id);
         let version = front
@@ -265,6 +284,7 @@
         }
         End::Own(reason, retry) => (reason, retry),
     };
+    front.metrics.count(reason.counter());
     let verdict = plan.ledger.borrow().verdict();
     if answer.has_begun() {
         answer.abort();
--- a/crates/lentil_forward/src/front/updates.rs
+++ b/crates/lentil_forward/src/front/updates.rs
@@ -177,6 +177,7 @@
         let state = self.state();
         if let Some(runner) = state.runners().get(life) {
             let agent = Recipient::Agent(runner.entry.address.ip());
+            self.metrics.count(Counter::AgentsAsked);
             self.outbox.put(agent, Datagram::Ask(life.clone()));
         }
     }
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -67,6 +67,10 @@
     Strangers,
     /// Calls to the platform's object API.
     StoreCalls,
+    /// Of these, lists of a whole kind.
+    StoreLists,
+    /// Of these, watches for changes.
+    StoreWatches,
     /// Calls to the object API without an answer.
     StoreLost,
     /// Configurations put in force.
@@ -85,6 +89,28 @@
     ConnectionsOpened,
     /// Orders given to a runner.
     Orders,
+    /// Agents asked how their runners are.
+    AgentsAsked,
+    /// Answers of a router's own because it knows no configuration.
+    OwnNoConfiguration,
+    /// Answers of a router's own because no route matches.
+    OwnNoRoute,
+    /// Answers of a router's own because the key belongs to no team.
+    OwnUnknownKey,
+    /// Answers of a router's own because the request killed runners.
+    OwnPoison,
+    /// Answers of a router's own because no runner may take requests.
+    OwnNoRunner,
+    /// Answers of a router's own because every runner would answer too late.
+    OwnTooLate,
+    /// Answers of a router's own because the runner refused the request.
+    OwnRefused,
+    /// Answers of a router's own because no runner could be reached.
+    OwnUnreachable,
+    /// Answers of a router's own because the runner failed.
+    OwnRunnerFailed,
+    /// Answers of a router's own because the time was over.
+    OwnTimedOut,
     /// Log lines left out to bound their volume.
     LinesDropped,
 }
@@ -225,6 +251,8 @@
         for counter in Counter::iter() {
             let _ = writeln!(text, "lentilglade_{counter}_total {}", self.get(counter));
         }
+        let used = processor_time().as_millis();
+        let _ = writeln!(text, "lentilglade_processor_milliseconds_total {used}");
         for timing in Timing::iter() {
             self.histograms.write(timing, &mut text);
         }
@@ -238,6 +266,13 @@
     }
 }
 
+/// Processor time of this process since it began.
+fn processor_time() -> time::Duration {
+    let used = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
+    // The clock begins at zero and never goes back.
+    time::Duration::try_from(used).unwrap_or_default()
+}
+
 fn unspecified(target: net::SocketAddr) -> net::SocketAddr {
     match target {
         net::SocketAddr::V4(_) => (net::Ipv4Addr::UNSPECIFIED, 0).into(),
--- a/crates/lentil_process/tests/metrics.rs
+++ b/crates/lentil_process/tests/metrics.rs
@@ -73,3 +73,20 @@
     let max: f64 = max.unwrap().parse().unwrap();
     assert!((395.0..=405.0).contains(&max), "{max}");
 }
+
+#[test]
+fn the_text_has_the_processor_time_that_was_used() {
+    let metrics = Metrics::local();
+    let used = || -> u64 {
+        let text = metrics.text();
+        let mut lines = text.lines();
+        let name = "lentilglade_processor_milliseconds_total ";
+        let value = lines.find_map(|line| line.strip_prefix(name));
+        value.unwrap().parse().unwrap()
+    };
+    let before = used();
+    let begun = std::time::Instant::now();
+    while used() < before + 20 {
+        assert!(begun.elapsed().as_secs() < 20, "no time is counted");
+    }
+}
