--- a/crates/lentil_forward/src/front/mod.rs
+++ b/crates/lentil_forward/src/front/mod.rs
@@ -214,6 +214,12 @@
         self.choose(plan, &exclude, None)
     }
 
+    /// Whether agents may be asked for a request for which they were asked then.
+    fn may_ask(&self, asked: Option<Instant>) -> bool {
+        let now = self.now();
+        asked.is_none_or(|at| now.since(at) >= self.settings.ask_pause)
+    }
+
     /// Asks the agents of the runners that look best how they are, unless they
     /// told recently. Returns the runners whose agents do not answer in time.
     async fn ask(&self, plan: &plan::Plan, exclude: &[RunnerName]) -> Vec<RunnerName> {
--- a/crates/lentil_forward/src/front/pick.rs
+++ b/crates/lentil_forward/src/front/pick.rs
@@ -26,6 +26,7 @@
     let whole = plan.give_up.since(plan.received);
     let line_until = plan.received + whole.mul_f64(front.settings.line);
     let mut place: Option<Place> = None;
+    let mut asked = None;
     let is_long = plan.model.is_some() && plan.tokens() >= runners::LONG_PROMPT;
     loop {
         let changed = front.changed.listen();
@@ -34,7 +35,10 @@
             smol::Timer::after(front.jitter(front.settings.line_jitter)).await;
         }
         let end = match is_first {
-            true if is_long && only.is_none() => front.choose_asked(plan, exclude).await,
+            true if is_long && only.is_none() && front.may_ask(asked) => {
+                asked = Some(front.now());
+                front.choose_asked(plan, exclude).await
+            }
             true => front.choose(plan, exclude, only),
             false => Err(placement::Refusal::Busy {
                 wait: time::Duration::ZERO,
--- a/crates/lentil_forward/src/front/settings.rs
+++ b/crates/lentil_forward/src/front/settings.rs
@@ -35,6 +35,9 @@
     pub asks: usize,
     /// Most times that agents are asked for one choice.
     pub ask_rounds: usize,
+    /// Least time between two looks for a runner for which agents are asked, of one
+    /// request. The size to design for allows a process 3 KB a second.
+    pub ask_pause: time::Duration,
     /// An agent that told something more recently is not asked.
     pub ask_age: time::Duration,
     /// Longest wait for their answers. They are a millisecond or two away.
@@ -91,6 +94,7 @@
             line: 0.5,
             asks: 3,
             ask_rounds: 3,
+            ask_pause: time::Duration::from_millis(100),
             ask_age: time::Duration::from_millis(60),
             ask_wait: time::Duration::from_millis(12),
             line_jitter: time::Duration::from_millis(8),
