A long prompt is sent also where no agent answers

Cause: runners whose agents do not answer are left out of a choice, which left none where no agent of a service answers; the request was only sent when it was looked for again without asking. Now the choice falls back to all runners.

--- a/crates/lentil_forward/src/front/mod.rs
+++ b/crates/lentil_forward/src/front/mod.rs
@@ -197,12 +197,13 @@
         plan: &plan::Plan,
         exclude: &[RunnerName],
     ) -> Result<placement::Choice, placement::Refusal> {
-        let mut exclude = exclude.to_vec();
+        let mut out = exclude.to_vec();
         for _ in 0..self.settings.ask_rounds {
-            let mute = self.ask(plan, &exclude).await;
-            exclude.extend(mute);
-            let choice = match self.choose(plan, &exclude, None) {
-                Err(placement::Refusal::NoRunner) => break,
+            let mute = self.ask(plan, &out).await;
+            out.extend(mute);
+            let choice = match self.choose(plan, &out, None) {
+                // Better one whose agent does not answer than none.
+                Err(placement::Refusal::NoRunner) => return self.choose(plan, exclude, None),
                 Err(refusal) => return Err(refusal),
                 Ok(choice) => choice,
             };
@@ -211,7 +212,7 @@
                 return Ok(choice);
             }
         }
-        self.choose(plan, &exclude, None)
+        self.choose(plan, &out, None)
     }
 
     /// Whether agents may be asked for a request for which they were asked then.
