One table of named weights, one way to give a router's own answer

Routers and agents each kept the newest weights of a model with the same rule, that only newer ones count; turn_away and finish each told a caller when to come back and logged one that had left. Where a part is not read it is not worked out how large its save would be. Behaviour is the same.

--- a/crates/lentil_forward/src/front/mod.rs
+++ b/crates/lentil_forward/src/front/mod.rs
@@ -207,8 +207,7 @@
                 Err(refusal) => return Err(refusal),
                 Ok(choice) => choice,
             };
-            let age = choice.told.unwrap_or(time::Duration::MAX);
-            if age <= self.settings.ask_age {
+            if choice.told.is_some_and(|age| age <= self.settings.ask_age) {
                 return Ok(choice);
             }
         }
@@ -302,13 +301,13 @@
 
     /// Where the chosen runner saves the shared part that it reads, if it may.
     fn save_to(&self, plan: &plan::Plan, choice: &placement::Choice) -> Option<net::SocketAddr> {
+        if !choice.reads {
+            return None;
+        }
         let now = self.now();
         let (_, tokens) = placement::shared_part(&self.settings.placement, &plan.parts)?;
         let service = plan.routing.services.get(&*plan.service)?;
         let bytes = saves::part_bytes(service.engine.as_ref()?, tokens);
-        if !choice.reads {
-            return None;
-        }
         let mut state = self.state();
         let newest = plan
             .model
--- a/crates/lentil_forward/src/front/request.rs
+++ b/crates/lentil_forward/src/front/request.rs
@@ -157,12 +157,13 @@
             "request turned away"
         );
     }
-    let retry = (status == 503).then(|| {
-        (
-            front.names.retry_after,
-            spread(front, front.settings.retry_after),
-        )
-    });
+    answer_own(front, answer, status, front.settings.retry_after).await;
+}
+
+/// Gives a caller an answer of the router's own. Only a request that has not run
+/// is told when to come back.
+async fn answer_own(front: &Front, answer: &mut Answer, status: u16, retry: time::Duration) {
+    let retry = (status == 503).then(|| (front.names.retry_after, spread(front, retry)));
     if let Err(error) = answer.own(status, retry).await {
         log::debug!(error:%; "a caller left before its answer");
     }
@@ -301,10 +302,7 @@
         ledger::Verdict::Unknown => Counter::OutcomeUnknown,
     });
     note_own(front, plan, progress, reason, retry, Some(status));
-    let retry = (status == 503).then(|| (front.names.retry_after, spread(front, retry)));
-    if let Err(error) = answer.own(status, retry).await {
-        log::debug!(error:%; "a caller left before its answer");
-    }
+    answer_own(front, answer, status, retry).await;
 }
 
 fn note_answered(front: &Front, plan: &Plan, progress: &Progress) {
--- a/crates/lentil_forward/src/front/state.rs
+++ b/crates/lentil_forward/src/front/state.rs
@@ -3,7 +3,7 @@
 use std::{net, rc, time};
 
 use lentil_policy::{
-    forward::{line, placement, retries, routing, runners, saves},
+    forward::{line, named, placement, retries, routing, runners, saves},
     poison,
 };
 use lentil_types::{
@@ -17,8 +17,7 @@
 pub struct State {
     routing: Option<rc::Rc<routing::Routing>>,
     runners: runners::Runners,
-    /// Newest weights of each model, and since when they are known here.
-    named: Table<ModelName, (WeightsVersion, Instant)>,
+    named: named::NamedWeights,
     budgets: Table<ServiceName, retries::RetryBudget>,
     retries: retries::Settings,
     /// Routers that share the retry budget, this one included.
@@ -50,7 +49,7 @@
         Self {
             routing: None,
             runners: runners::Runners::new(settings.runners),
-            named: Table::new(),
+            named: named::NamedWeights::default(),
             budgets: Table::new(),
             retries: settings.retries,
             routers: 1,
@@ -91,14 +90,9 @@
         &mut self.runners
     }
 
-    /// Weights of a model were named. `false`: newer ones are known.
+    /// Weights of a model were named. `false`: as new ones are known.
     pub fn on_named(&mut self, now: Instant, model: &ModelName, version: WeightsVersion) -> bool {
-        let known = self.named.get(model).map(|(version, _)| *version);
-        if known.is_some_and(|known| known >= version) {
-            return false;
-        }
-        self.named.insert(model.clone(), (version, now));
-        true
+        self.named.on_named(now, model, version)
     }
 
     /// Newest weights of a model, and since how long they are known.
@@ -107,8 +101,8 @@
         now: Instant,
         model: &ModelName,
     ) -> Option<(WeightsVersion, time::Duration)> {
-        let (version, at) = self.named.get(model)?;
-        Some((*version, now.since(*at)))
+        let (version, at) = self.named.newest(model)?;
+        Some((version, now.since(at)))
     }
 
     /// All named weights.
--- a/crates/lentil_policy/src/forward/change.rs
+++ b/crates/lentil_policy/src/forward/change.rs
@@ -6,9 +6,9 @@
 
 use std::time;
 
-use lentil_types::{Instant, ModelName, Table, Tokens, WeightsVersion};
+use lentil_types::{Instant, ModelName, Tokens, WeightsVersion};
 
-use crate::forward::{backlog, turns};
+use crate::forward::{backlog, named, turns};
 
 /// What becomes of the requests that still run when an order is carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -104,8 +104,7 @@
     settings: Settings,
     turns: turns::Turns,
     place: turns::Place,
-    /// Newest weights, and since when they are named.
-    named: Table<ModelName, (WeightsVersion, Instant)>,
+    named: named::NamedWeights,
     report: Option<(Instant, Report)>,
     phase: Phase,
     /// When the first order of the change under way was given.
@@ -119,7 +118,7 @@
             turns: turns::Turns::new(settings.turns),
             settings,
             place: turns::Place::default(),
-            named: Table::new(),
+            named: named::NamedWeights::default(),
             report: None,
             phase: Phase::Serving,
             began: None,
@@ -134,16 +133,11 @@
         version: WeightsVersion,
         age: time::Duration,
     ) -> bool {
-        let known = self.named.get(model).map(|(version, _)| *version);
-        if known.is_some_and(|known| known >= version) {
-            return false;
-        }
         let at = Instant(
             now.0
                 .saturating_sub(u64::try_from(age.as_micros()).unwrap_or(0)),
         );
-        self.named.insert(model.clone(), (version, at));
-        true
+        self.named.on_named(at, model, version)
     }
 
     /// The runner's place in the order of a rollout.
@@ -237,8 +231,8 @@
     /// A model whose weights are older than the named ones.
     fn lagging(&self, report: &Report) -> Option<(ModelName, WeightsVersion, Instant)> {
         let mut old = report.weights.iter().filter_map(|(model, own)| {
-            let (newest, at) = self.named.get(model)?;
-            (own < newest).then(|| (model.clone(), *newest, *at))
+            let (newest, at) = self.named.newest(model)?;
+            (*own < newest).then(|| (model.clone(), newest, at))
         });
         old.next()
     }
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -4,6 +4,7 @@
 //! - [`ledger`]: what the attempts at a request may have done, and which final
 //!   answer that allows.
 //! - [`mod@line`]: requests that wait at a router for a runner.
+//! - [`named`]: the weights that models are to be served with.
 //! - [`retries`]: this router's share of the fleet's retry budget.
 //! - [`runners`]: which runners exist, how they are and what they hold.
 //! - [`placement`]: which runner gets a request.
@@ -17,6 +18,7 @@
 pub mod change;
 pub mod ledger;
 pub mod line;
+pub mod named;
 pub mod placement;
 pub mod retries;
 pub mod routing;
