--- a/crates/lentil_forward/src/h1/connection.rs
+++ b/crates/lentil_forward/src/h1/connection.rs
@@ -56,19 +56,6 @@
         self.stream.clone()
     }
 
-    /// Makes the close of the socket reset the connection. Bytes that the peer has not
-    /// received yet are discarded instead of being delivered later.
-    ///
-    /// # Errors
-    /// An I/O error when the option cannot be set.
-    pub fn reset_on_close(&self) -> io::Result<()> {
-        let linger = Some(time::Duration::ZERO);
-        Ok(rustix::net::sockopt::set_socket_linger(
-            &self.stream,
-            linger,
-        )?)
-    }
-
     /// Reads more bytes into the buffer. Returns 0 when the peer closed its sending
     /// side.
     ///
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -112,7 +112,6 @@
                 in_flight,
                 sent_at: router.now(),
                 written: rc::Rc::new(cell::Cell::new(false)),
-                is_complete: false,
             };
             attempt.exchange(request, progress, answer).await
         }
@@ -186,20 +185,6 @@
     sent_at: Instant,
     /// Whether the request was written completely.
     written: rc::Rc<cell::Cell<bool>>,
-    /// Whether the answer was read to its end.
-    is_complete: bool,
-}
-
-impl Drop for Attempt<'_> {
-    /// Resets the connection of an abandoned attempt: a frozen instance must not
-    /// receive the request when it wakes up.
-    fn drop(&mut self) {
-        if !self.is_complete
-            && let Err(error) = self.connection.reset_on_close()
-        {
-            log::debug!(error:%; "cannot reset the connection of an abandoned attempt");
-        }
-    }
 }
 
 impl Attempt<'_> {
@@ -482,8 +467,7 @@
     /// Returns the connection to the pool if it can be reused: the request was
     /// written, the answer read completely, and no bytes follow it.
     fn return_connection(&mut self, head: &h1::ResponseHead, reader: &h1::BodyReader) {
-        self.is_complete = reader.is_done();
-        let is_clean = self.is_complete && self.connection.buffered() == 0;
+        let is_clean = reader.is_done() && self.connection.buffered() == 0;
         if !head.keep_alive || !is_clean || !self.written.get() {
             return;
         }
