Pace rollouts of new weights by what loads show

Cause: each agent computed its own start from a rank, and all runners of a service started within 2.5 s.

Change: - `rollout_pacer`: the three routers with the lowest addresses grant turns. They see the same statuses and grant in the same order, the most outdated first, so that no agreement is needed. The number at once is a window: it starts at an eighth of the runners, doubles while loads stay as short as the shortest recent one, grows by one a round after that and shrinks with the ratio when loads slow down. At most a third changes at once unless the deadline needs more; a runner whose change does not end is replaced in the count; one that does not react is granted again, ever later. - agents tell those routers how long drain and load took; a version overtaken during a load waits for a turn of its own. An agent that gets no turn starts at 0.7 to 0.85 of the deadline, by rank. - `target_weights` keeps the history: weights are outdated since the first newer version.

The two tests of the former groups are replaced by tests of the starts without turns.

--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -9,7 +9,7 @@
 use super::{OrderReply, Runner, Settings};
 use crate::{
     cache,
-    datagram::{Datagram, StatusReport, Subscribe},
+    datagram::{Datagram, Loaded, StatusReport, Subscribe, Turn},
     datagram_socket::DatagramSocket,
 };
 
@@ -42,6 +42,8 @@
     incarnation: Option<runners::Incarnation>,
     /// Keyed by the address at which the router serves documents.
     subscribers: Table<net::SocketAddr, Subscriber>,
+    /// Routers that pace the rollout, and when each last granted a turn.
+    pacers: Table<net::SocketAddr, Instant>,
     schedule: status_schedule::StatusSchedule,
     /// When routers were last sent each other's addresses.
     routers_sent: Option<Instant>,
@@ -91,6 +93,7 @@
             fence: None,
             incarnation: None,
             subscribers: Table::new(),
+            pacers: Table::new(),
             schedule: status_schedule::StatusSchedule::new(settings.status_schedule),
             routers_sent: None,
             cache: cache::SegmentIndex::default(),
@@ -123,7 +126,8 @@
                 (from, Datagram::StatusRequest(incarnation)) => {
                     self.on_status_request(from, &incarnation).await;
                 }
-                (from, Datagram::StatusReport(_) | Datagram::Crash(_)) => {
+                (from, Datagram::Turn(turn)) => self.on_turn(from, turn),
+                (from, Datagram::StatusReport(_) | Datagram::Crash(_) | Datagram::Loaded(_)) => {
                     log::debug!(from:%; "ignored a datagram that is not meant for an agent");
                 }
             }
@@ -140,6 +144,7 @@
                 self.give_order(order).await;
             }
             self.send_status().await;
+            self.send_load().await;
             let interval = self.poll_interval();
             let timer = async {
                 smol::Timer::after(interval).await;
@@ -257,6 +262,47 @@
         }
     }
 
+    fn on_turn(&self, from: net::SocketAddr, turn: Turn) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        if state.incarnation.as_ref() != Some(&turn.incarnation) {
+            return;
+        }
+        let ttl = self.settings.subscription_ttl;
+        state.pacers.retain(|_, heard| now.since(*heard) <= ttl);
+        state.pacers.insert(from, now);
+        let target = turn.target;
+        let age = time::Duration::ZERO;
+        state
+            .updater
+            .on_target(now, &target.model, target.version, age);
+        state.updater.on_turn(now);
+        drop(state);
+        log::info!(model:% = target.model, weights = target.version.0, router:% = from; "a router granted the turn to change weights");
+        self.subscription_changed.notify(usize::MAX);
+    }
+
+    /// Tells the routers that pace the rollout how long the last change took.
+    async fn send_load(&self) {
+        let (loaded, pacers) = {
+            let mut state = self.state.borrow_mut();
+            let Some(load) = state.updater.take_completed() else {
+                return;
+            };
+            let Some(incarnation) = state.incarnation.clone() else {
+                return;
+            };
+            let pacers: Vec<_> = state.pacers.keys().copied().collect();
+            (Loaded { incarnation, load }, pacers)
+        };
+        log::info!(
+            runner:% = loaded.incarnation.name, drain_ms = loaded.load.drain_time.as_millis(),
+            load_ms = loaded.load.load_time.as_millis();
+            "changed weights"
+        );
+        self.socket.send(&pacers, Datagram::Loaded(loaded)).await;
+    }
+
     async fn read_report(&self) {
         let report = self.runner.report().await;
         let now = self.clock.now();
--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -1,9 +1,9 @@
 //! Datagrams of routers and agents, and their encoding.
 
-use std::net;
+use std::{net, time};
 
 use lentil_policy::forward::{
-    backlog,
+    backlog, rollout_pacer,
     runners::{self, SegmentUpdate},
 };
 use lentil_types::{Fingerprint, ModelName, RunnerName, Tokens, WeightsVersion};
@@ -58,6 +58,24 @@
     pub incarnation: runners::Incarnation,
 }
 
+/// A router grants a runner its turn to change to new weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Turn {
+    /// The runner.
+    pub incarnation: runners::Incarnation,
+    /// The weights that it changes to.
+    pub target: documents::WeightsTarget,
+}
+
+/// An agent reports that its runner has changed its weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loaded {
+    /// The runner.
+    pub incarnation: runners::Incarnation,
+    /// How long it took.
+    pub load: rollout_pacer::Load,
+}
+
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -75,6 +93,10 @@
     /// From a router to an agent: asks for one status report now.
     #[strum(serialize = "ask")]
     StatusRequest(runners::Incarnation),
+    /// From a router to an agent.
+    Turn(Turn),
+    /// From an agent to the routers that granted it turns.
+    Loaded(Loaded),
 }
 
 /// A datagram that cannot be decoded or encoded.
@@ -106,6 +128,8 @@
                 runner: incarnation.name.to_string(),
                 born: incarnation.boot_id,
             }),
+            Self::Turn(turn) => generated::Body::Turn(turn.into()),
+            Self::Loaded(loaded) => generated::Body::Loaded(loaded.into()),
             Self::LongPrompt(prompt) => generated::Body::Sent(generated::Sent {
                 request: prompt.request.0,
                 missing: prompt.uncached.0,
@@ -129,6 +153,8 @@
             generated::Body::Status(status) => Self::StatusReport(status.try_into()?),
             generated::Body::Crash(crash) => Self::Crash(crash.try_into()?),
             generated::Body::Ask(ask) => Self::StatusRequest(incarnation(&ask.runner, ask.born)?),
+            generated::Body::Turn(turn) => Self::Turn(turn.try_into()?),
+            generated::Body::Loaded(loaded) => Self::Loaded(loaded.try_into()?),
             generated::Body::Sent(sent) => Self::LongPrompt(backlog::LongPrompt {
                 request: backlog::RequestHash(sent.request),
                 uncached: Tokens(sent.missing),
@@ -279,6 +305,60 @@
     }
 }
 
+impl From<Turn> for generated::Turn {
+    fn from(from: Turn) -> Self {
+        Self {
+            runner: from.incarnation.name.to_string(),
+            born: from.incarnation.boot_id,
+            model: from.target.model.to_string(),
+            version: from.target.version.0,
+        }
+    }
+}
+
+impl TryFrom<generated::Turn> for Turn {
+    type Error = DatagramError;
+
+    fn try_from(from: generated::Turn) -> Result<Self, DatagramError> {
+        Ok(Self {
+            incarnation: incarnation(&from.runner, from.born)?,
+            target: documents::WeightsTarget {
+                model: model_name(&from.model)?,
+                version: WeightsVersion(from.version),
+            },
+        })
+    }
+}
+
+impl From<Loaded> for generated::Loaded {
+    fn from(from: Loaded) -> Self {
+        Self {
+            runner: from.incarnation.name.to_string(),
+            born: from.incarnation.boot_id,
+            drain_ms: whole_millis(from.load.drain_time),
+            load_ms: whole_millis(from.load.load_time),
+        }
+    }
+}
+
+impl TryFrom<generated::Loaded> for Loaded {
+    type Error = DatagramError;
+
+    fn try_from(from: generated::Loaded) -> Result<Self, DatagramError> {
+        Ok(Self {
+            incarnation: incarnation(&from.runner, from.born)?,
+            load: rollout_pacer::Load {
+                drain_time: time::Duration::from_millis(from.drain_ms.into()),
+                load_time: time::Duration::from_millis(from.load_ms.into()),
+            },
+        })
+    }
+}
+
+fn whole_millis(duration: time::Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn keys(numbers: Vec<u64>) -> Vec<runners::SegmentKey> {
     numbers.into_iter().map(runners::SegmentKey).collect()
 }
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -141,7 +141,11 @@
                 self.router.on_status_report(report);
             }
             Datagram::Crash(crash) => self.router.on_crash(&crash),
-            Datagram::Subscribe(_) | Datagram::LongPrompt(_) | Datagram::StatusRequest(_) => {
+            Datagram::Loaded(loaded) => self.router.on_loaded(&loaded),
+            Datagram::Subscribe(_)
+            | Datagram::LongPrompt(_)
+            | Datagram::StatusRequest(_)
+            | Datagram::Turn(_) => {
                 log::debug!("ignored a datagram that is not meant for a router");
             }
         }
@@ -215,8 +219,8 @@
             return Vec::new();
         };
         let targets = state.targets().map(|(model, (version, since))| {
-            let age = u32::try_from(now.since(*since).as_millis()).unwrap_or(u32::MAX);
-            let (model, version) = (model.clone(), *version);
+            let age = u32::try_from(now.since(since).as_millis()).unwrap_or(u32::MAX);
+            let model = model.clone();
             (WeightsTarget { model, version }, age)
         });
         let targets: Vec<_> = targets.collect();
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -11,6 +11,7 @@
 mod plan;
 mod pool;
 mod request;
+mod rollout;
 mod settings;
 mod state;
 mod updates;
@@ -167,6 +168,7 @@
         self.metrics
             .gauge(metrics::Gauge::InFlight, self.callers.get() as u64);
         drop(state);
+        self.grant_turns();
         self.log_dropped_lines();
     }
 
@@ -291,7 +293,7 @@
         let requirements = placement::Requirements {
             service: &plan.service,
             model,
-            newest: model.and_then(|model| state.newest(now, model)),
+            targets: model.map_or(&[], |model| state.target_history(model)),
             segments: &plan.segments,
             isolated: plan.isolated_team(),
             body_bytes: plan.body_bytes,
--- a/crates/lentil_forward/src/router/settings.rs
+++ b/crates/lentil_forward/src/router/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use lentil_policy::forward::{placement, retries, runners, save_budget};
+use lentil_policy::forward::{placement, retries, rollout_pacer, runners, save_budget};
 use lentil_process::logs;
 
 use super::pool;
@@ -16,6 +16,8 @@
     pub runners: runners::Settings,
     /// Saves of segments to the cache store.
     pub saves: save_budget::Settings,
+    /// Pace of the change to new weights.
+    pub pacing: rollout_pacer::Settings,
     /// Retry budget of the fleet.
     pub retries: retries::Settings,
     /// Pool of connections to runners.
@@ -87,6 +89,7 @@
             placement: placement::Settings::default(),
             runners: runners::Settings::default(),
             saves: save_budget::Settings::default(),
+            pacing: rollout_pacer::Settings::default(),
             retries: retries::Settings::default(),
             pool: pool::Settings::default(),
             log_quota: logs::QuotaSettings::default(),
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -3,7 +3,10 @@
 use std::{net, rc, time};
 
 use lentil_policy::{
-    forward::{placement, retries, routing, runners, save_budget, target_weights, wait_queue},
+    forward::{
+        placement, retries, rollout_pacer, routing, runners, save_budget, target_weights,
+        wait_queue,
+    },
     poison,
 };
 use lentil_types::{
@@ -29,6 +32,8 @@
     pub wait_queue: wait_queue::WaitQueue,
     demand: Table<ServiceName, wait_queue::Demand>,
     save_budget: save_budget::SaveBudget,
+    pacers: Table<ServiceName, rollout_pacer::RolloutPacer>,
+    pacing: rollout_pacer::Settings,
     crashes: Table<Fingerprint, Vec<runners::Incarnation>>,
     /// Requests whose connection broke, until it is known whether the runner died.
     broken: Vec<(Instant, runners::Incarnation, Fingerprint)>,
@@ -58,6 +63,8 @@
             wait_queue: wait_queue::WaitQueue::default(),
             demand: Table::new(),
             save_budget: save_budget::SaveBudget::new(settings.saves),
+            pacers: Table::new(),
+            pacing: settings.pacing,
             crashes: Table::new(),
             broken: Vec::new(),
             suspects: poison::Suspects::default(),
@@ -105,8 +112,13 @@
         Some((version, now.since(at)))
     }
 
+    /// Target versions of a model in ascending order, and since when they are known.
+    pub fn target_history(&self, model: &ModelName) -> &[(WeightsVersion, Instant)] {
+        self.targets.history(model)
+    }
+
     /// Target weights of all models.
-    pub fn targets(&self) -> impl Iterator<Item = (&ModelName, &(WeightsVersion, Instant))> {
+    pub fn targets(&self) -> impl Iterator<Item = (&ModelName, (WeightsVersion, Instant))> {
         self.targets.iter()
     }
 
@@ -169,6 +181,13 @@
         may_save.then_some(address)
     }
 
+    /// Paces the change of a service's runners to new weights.
+    pub fn pacer(&mut self, service: &ServiceName) -> &mut rollout_pacer::RolloutPacer {
+        let settings = self.pacing;
+        let new_pacer = || rollout_pacer::RolloutPacer::new(settings);
+        self.pacers.get_or_insert_with(service.clone(), new_pacer)
+    }
+
     /// Adds a request to the retry budget.
     pub fn on_request(&mut self, now: Instant, service: &ServiceName) {
         self.retry_budget(service).on_request(now);
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -93,6 +93,7 @@
         if self.state().on_target(now, &target.model, target.version) {
             log::info!(model:% = target.model, weights = target.version.0, revision = document.version.0; "new target weights");
             self.target_changed.notify(usize::MAX);
+            self.grant_turns();
         }
     }
 
@@ -260,6 +261,9 @@
             let version = weights.first().map(|(_, version)| version.0);
             log::info!(runner:% = incarnation.name, changing, weights:? = version; "runner weights changed");
         }
+        if has_new_weights {
+            self.grant_turns();
+        }
         if has_room || has_new_weights {
             self.availability_changed.notify(usize::MAX);
         }
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -12,12 +12,14 @@
 //! - [`weights_update`]: how an agent changes its runner's weights.
 //! - [`save_budget`]: the limit on saves to the cache store.
 //! - [`status_schedule`]: when an agent reports its runner's status to the routers.
-//! - [`rollout_schedule`]: when a runner changes to new weights.
+//! - [`rollout_pacer`]: how many runners change to new weights at once, and which.
+//! - [`rollout_schedule`]: when a runner changes that no router reaches.
 
 pub mod attempt_log;
 pub mod backlog;
 pub mod placement;
 pub mod retries;
+pub mod rollout_pacer;
 pub mod rollout_schedule;
 pub mod routing;
 pub mod runners;
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -21,6 +21,7 @@
 use crate::forward::{
     routing,
     runners::{Incarnation, RequestCost, Runner, Runners, SegmentId, SegmentKey},
+    target_weights,
 };
 
 /// Settings of the placement; `f64` costs and times are in milliseconds.
@@ -70,10 +71,9 @@
     pub remote_penalty: f64,
     /// Cost of outdated weights once they lower the quality of answers.
     pub weights_penalty: f64,
-    /// Time after a change of the target weights during which older ones cost
-    /// nothing.
+    /// Time since weights are outdated during which they cost nothing.
     pub old_grace: time::Duration,
-    /// Time after a change of the target weights from which older ones are not used.
+    /// Time since weights are outdated from which they are not used.
     pub old_limit: time::Duration,
     /// Smallest shared prefix that is assigned homes, in tokens.
     pub min_segment: Tokens,
@@ -121,8 +121,8 @@
     pub service: &'a ServiceName,
     /// Model; `None` where the request names no model.
     pub model: Option<&'a ModelName>,
-    /// Target weights of the model, and their age as the target.
-    pub newest: Option<(WeightsVersion, time::Duration)>,
+    /// Target versions of the model, in ascending order, and since when.
+    pub targets: &'a [(WeightsVersion, Instant)],
     /// Segments of the prompt in order; the last one is not shared.
     pub segments: &'a [(SegmentId, Tokens)],
     /// Team, if its cache entries are isolated.
@@ -321,11 +321,10 @@
     let Some(model) = requirements.model else {
         return true;
     };
-    let is_recent = match (runner.version(model), requirements.newest) {
-        (None, _) => false,
-        (Some(own), Some((newest, age))) => own >= newest || age < settings.old_limit,
-        (Some(_), None) => true,
-    };
+    let is_recent = runner.version(model).is_some_and(|own| {
+        let since = target_weights::outdated_since(requirements.targets, own);
+        since.is_none_or(|since| now.since(since) < settings.old_limit)
+    });
     is_recent && !is_changing
 }
 
--- a/crates/lentil_policy/src/forward/placement/estimate.rs
+++ b/crates/lentil_policy/src/forward/placement/estimate.rs
@@ -14,7 +14,7 @@
 use crate::forward::{
     routing,
     runners::{self, RequestCost, Runner, SegmentId},
-    save_budget,
+    save_budget, target_weights,
 };
 
 /// An eligible runner with its expected cost.
@@ -291,10 +291,9 @@
             penalty += settings.stale_penalty;
         }
         let has_old_weights = requirements.model.is_some_and(|model| {
-            let newest = requirements
-                .newest
-                .filter(|(_, age)| *age >= settings.old_grace);
-            newest.is_some_and(|(newest, _)| runner.version(model) < Some(newest))
+            let own = runner.version(model).unwrap_or_default();
+            let since = target_weights::outdated_since(requirements.targets, own);
+            since.is_some_and(|since| self.now.since(since) >= settings.old_grace)
         });
         if has_old_weights {
             penalty += settings.weights_penalty;
--- a/crates/lentil_policy/src/forward/rollout_schedule.rs
+++ b/crates/lentil_policy/src/forward/rollout_schedule.rs
@@ -1,34 +1,31 @@
-//! Decides when a runner changes to new weights.
+//! Decides when a runner changes to new weights if no router grants it a turn.
 //!
-//! A new version invalidates every cache and takes each runner out of service for a
-//! moment. Runners change in groups, so that the rest keeps serving; each agent
-//! computes its runner's time without coordination.
+//! Routers normally grant the turns (see [`super::rollout_pacer`]). An agent that no
+//! router reaches starts by itself in time for the deadline of the version. These
+//! times are spread over the runners, so that the rest keeps serving.
 
 use std::time;
 
 use lentil_types::WeightsVersion;
 
-/// Settings of a rollout.
+/// Settings of the times at which runners start by themselves.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Number of groups that the runners of a service change in, one after the other.
-    pub groups: u32,
-    /// Expected time for one runner to change, until one was observed.
-    pub load_time: time::Duration,
-    /// Weight of the newest observation in the expected time.
-    pub smoothing: f64,
-    /// Longest delay; keeps a rollout within the deadline of a version whatever the
-    /// observed times are.
-    pub max_wait: time::Duration,
+    /// Time after a change of the target weights from which older ones must not be
+    /// used.
+    pub deadline: time::Duration,
+    /// When the first runner starts, as a fraction of the deadline.
+    pub first_start: f64,
+    /// When the last runner starts. The rest of the time is for its drain and load.
+    pub last_start: f64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            groups: 6,
-            load_time: time::Duration::from_millis(350),
-            smoothing: 0.3,
-            max_wait: time::Duration::from_millis(2_500),
+            deadline: time::Duration::from_secs(6),
+            first_start: 0.7,
+            last_start: 0.85,
         }
     }
 }
@@ -42,33 +39,13 @@
     pub count: u32,
 }
 
-/// Computes when this runner changes.
-#[derive(Clone, Debug)]
-pub struct RolloutSchedule {
-    settings: Settings,
-    load_time: time::Duration,
-}
-
-impl RolloutSchedule {
-    /// A schedule without observed changes.
-    pub fn new(settings: Settings) -> Self {
-        Self {
-            load_time: settings.load_time,
-            settings,
-        }
-    }
-
-    /// A change of this runner took `duration`.
-    pub fn on_loaded(&mut self, duration: time::Duration) {
-        let weight = self.settings.smoothing;
-        self.load_time = self.load_time.mul_f64(1.0 - weight) + duration.mul_f64(weight);
-    }
-
-    /// Time from a new target version until this runner changes to it.
-    pub fn delay(&self, position: RolloutPosition) -> time::Duration {
-        let group_size = position.count.div_ceil(self.settings.groups.max(1)).max(1);
-        let group = position.rank / group_size;
-        (self.load_time * group).min(self.settings.max_wait)
+impl Settings {
+    /// Time since a runner's weights are outdated after which it starts by itself.
+    pub fn latest_start(&self, position: RolloutPosition) -> time::Duration {
+        let last_rank = position.count.saturating_sub(1).max(1);
+        let progress = f64::from(position.rank.min(last_rank)) / f64::from(last_rank);
+        let start = self.first_start + (self.last_start - self.first_start) * progress;
+        self.deadline.mul_f64(start)
     }
 }
 
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -84,6 +84,8 @@
     pub(super) replaced: bool,
     /// Last status, and when it was received.
     pub(super) status: Option<(Instant, Status)>,
+    /// Since when its statuses have reported a change of weights.
+    pub(super) changing_since: Option<Instant>,
     pub(super) health: Health,
     /// Shared segments that it is expected to hold.
     pub segments: segments::Segments,
@@ -116,6 +118,7 @@
             lapsed: None,
             replaced: false,
             status: None,
+            changing_since: None,
             health: Health::default(),
             segments: segments::Segments::default(),
             in_flight: 0,
@@ -141,9 +144,19 @@
         }
         self.segments.on_update(now, &status.segments);
         self.reported_in_flight = self.in_flight;
+        self.changing_since = match status.is_changing {
+            true => self.changing_since.or(Some(now)),
+            false => None,
+        };
         self.status = Some((now, status));
     }
 
+    /// Since when its statuses have reported a change of weights; `None` if the last
+    /// one did not.
+    pub fn changing_since(&self) -> Option<Instant> {
+        self.changing_since
+    }
+
     /// Whether another runner has its address.
     pub fn is_replaced(&self) -> bool {
         self.replaced
@@ -271,6 +284,11 @@
             .map(|(received_at, _)| now.since(*received_at))
     }
 
+    /// Whether its agent has reported a status.
+    pub fn has_status(&self) -> bool {
+        self.status.is_some()
+    }
+
     /// When its last byte or status was received.
     pub fn last_heard(&self) -> Instant {
         let last_status = self
--- a/crates/lentil_policy/src/forward/weights_update.rs
+++ b/crates/lentil_policy/src/forward/weights_update.rs
@@ -8,7 +8,7 @@
 
 use lentil_types::{Instant, ModelName, Tokens, WeightsVersion};
 
-use crate::forward::{backlog, rollout_schedule, target_weights};
+use crate::forward::{backlog, rollout_pacer, rollout_schedule, target_weights};
 
 /// What happens to requests that still run when an order is carried out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -25,8 +25,10 @@
 /// Settings of a [`WeightsUpdater`].
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// When each runner of a service changes.
+    /// When the runner changes without a turn granted by a router.
     pub rollout: rollout_schedule::Settings,
+    /// How long a granted turn can be used.
+    pub turn_ttl: time::Duration,
     /// Time from reporting the change to the routers until the order. Requests on
     /// their way to the runner arrive by then.
     pub announce_delay: time::Duration,
@@ -44,6 +46,7 @@
     fn default() -> Self {
         Self {
             rollout: rollout_schedule::Settings::default(),
+            turn_ttl: time::Duration::from_secs(1),
             announce_delay: time::Duration::from_millis(15),
             drain_timeout: time::Duration::from_millis(450),
             mode: InFlightMode::Continue,
@@ -99,30 +102,41 @@
     Ordered(Instant, Order),
 }
 
+/// When the current change started.
+#[derive(Clone, Copy, Debug)]
+struct Started {
+    drained_at: Instant,
+    ordered_at: Instant,
+}
+
 /// Brings one runner to the target weights.
 #[derive(Clone, Debug)]
 pub struct WeightsUpdater {
     settings: Settings,
-    rollout: rollout_schedule::RolloutSchedule,
     position: rollout_schedule::RolloutPosition,
     targets: target_weights::TargetWeights,
     report: Option<(Instant, Report)>,
     phase: Phase,
-    /// When the first order of the current change was given.
-    first_ordered: Option<Instant>,
+    /// When a router last granted a turn.
+    turn: Option<Instant>,
+    /// The start of the current change, once the first order was given.
+    started: Option<Started>,
+    /// The last completed change, until it is taken.
+    completed: Option<rollout_pacer::Load>,
 }
 
 impl WeightsUpdater {
     /// Without target weights and reports.
     pub fn new(settings: Settings) -> Self {
         Self {
-            rollout: rollout_schedule::RolloutSchedule::new(settings.rollout),
             settings,
             position: rollout_schedule::RolloutPosition::default(),
             targets: target_weights::TargetWeights::default(),
             report: None,
             phase: Phase::Serving,
-            first_ordered: None,
+            turn: None,
+            started: None,
+            completed: None,
         }
     }
 
@@ -147,6 +161,16 @@
         self.position = position;
     }
 
+    /// A router granted the runner its turn to change.
+    pub fn on_turn(&mut self, now: Instant) {
+        self.turn = Some(now);
+    }
+
+    /// The last completed change, once.
+    pub fn take_completed(&mut self) -> Option<rollout_pacer::Load> {
+        self.completed.take()
+    }
+
     /// Takes a report. A restart abandons the current change.
     pub fn on_report(&mut self, now: Instant, report: Report) {
         let has_restarted = self
@@ -156,7 +180,7 @@
         self.report = Some((now, report));
         if has_restarted {
             self.phase = Phase::Serving;
-            self.first_ordered = None;
+            self.started = None;
         }
     }
 
@@ -180,10 +204,16 @@
             self.finish(now);
             return None;
         };
+        if self.has_loaded(report) {
+            // A newer target waits for a turn of its own.
+            self.finish(now);
+            return None;
+        }
         match &self.phase {
             Phase::Serving if report.is_updating => None,
             Phase::Serving => {
-                if now.since(target_since) >= self.rollout.delay(self.position) {
+                let latest_start = self.settings.rollout.latest_start(self.position);
+                if self.has_turn(now) || now.since(target_since) >= latest_start {
                     self.phase = Phase::Draining(now);
                 }
                 None
@@ -211,6 +241,21 @@
         }
     }
 
+    fn has_turn(&self, now: Instant) -> bool {
+        self.turn
+            .is_some_and(|granted_at| now.since(granted_at) <= self.settings.turn_ttl)
+    }
+
+    /// Whether the ordered weights are in place, although newer ones are the target.
+    fn has_loaded(&self, report: &Report) -> bool {
+        let Phase::Ordered(_, order) = &self.phase else {
+            return false;
+        };
+        let mut weights = report.weights.iter();
+        let own = weights.find(|(model, _)| *model == order.model);
+        !report.is_updating && own.is_some_and(|(_, version)| *version >= order.version)
+    }
+
     fn order(&mut self, now: Instant, model: ModelName, version: WeightsVersion) -> Order {
         let sequence = self.report().map_or(0, |report| report.sequence);
         let order = Order {
@@ -219,23 +264,36 @@
             sequence,
             mode: self.settings.mode,
         };
-        self.first_ordered.get_or_insert(now);
+        // The time of a load whose order had to be repeated says nothing.
+        self.started = match self.phase {
+            Phase::Draining(drained_at) => Some(Started {
+                drained_at,
+                ordered_at: now,
+            }),
+            _ => None,
+        };
         self.phase = Phase::Ordered(now, order.clone());
         order
     }
 
     fn finish(&mut self, now: Instant) {
-        if let Some(first_ordered) = self.first_ordered.take() {
-            self.rollout.on_loaded(now.since(first_ordered));
+        if let Some(started) = self.started.take() {
+            self.completed = Some(rollout_pacer::Load {
+                drain_time: started.ordered_at.since(started.drained_at),
+                load_time: now.since(started.ordered_at),
+            });
         }
         self.phase = Phase::Serving;
+        self.turn = None;
     }
 
-    /// A model with weights older than its target, the target, and since when.
+    /// A model with weights older than its target, the target, and since when they are
+    /// outdated.
     fn lagging(&self, report: &Report) -> Option<(ModelName, WeightsVersion, Instant)> {
         let mut lagging = report.weights.iter().filter_map(|(model, own)| {
-            let (newest, since) = self.targets.newest(model)?;
-            (*own < newest).then(|| (model.clone(), newest, since))
+            let (newest, _) = self.targets.newest(model)?;
+            let since = self.targets.outdated_since(model, *own)?;
+            Some((model.clone(), newest, since))
         });
         lagging.next()
     }
--- a/crates/lentil_policy/tests/forward_change.rs
+++ b/crates/lentil_policy/tests/forward_change.rs
@@ -4,7 +4,7 @@
 
 use lentil_policy::forward::{
     backlog::{Backlog, LongPrompt, RequestHash, Run},
-    rollout_schedule::{self, RolloutPosition, RolloutSchedule},
+    rollout_schedule::{self, RolloutPosition},
     weights_update::{Order, Report, Settings, WeightsUpdater},
 };
 use lentil_types::{Instant, ModelName, Tokens, WeightsVersion};
@@ -27,6 +27,14 @@
     Instant::from_millis(ms)
 }
 
+/// An updater with a turn to change from version 1 to 2.
+fn with_turn(ms: u64) -> WeightsUpdater {
+    let mut updater = WeightsUpdater::new(Settings::default());
+    updater.on_target(at(ms), &model(), WeightsVersion(2), TARGET_AGE);
+    updater.on_turn(at(ms));
+    updater
+}
+
 /// Reports and ticks every 10 ms until an order is given.
 fn next_order(updater: &mut WeightsUpdater, from: u64, report: &Report) -> (u64, Order) {
     for ms in (from..from + 10_000).step_by(10) {
@@ -40,9 +48,8 @@
 
 #[test]
 fn the_change_is_reported_to_routers_before_the_order() {
-    let mut updater = WeightsUpdater::new(Settings::default());
+    let mut updater = with_turn(0);
     updater.on_report(at(0), report(1));
-    updater.on_target(at(0), &model(), WeightsVersion(2), TARGET_AGE);
     assert_eq!(updater.tick(at(0)), None);
     assert!(updater.is_changing(), "reported to the routers first");
     let (when, order) = next_order(&mut updater, 10, &report(1));
@@ -53,8 +60,7 @@
 #[test]
 fn running_requests_get_a_limited_time_to_finish() {
     let settings = Settings::default();
-    let mut updater = WeightsUpdater::new(settings);
-    updater.on_target(at(0), &model(), WeightsVersion(2), TARGET_AGE);
+    let mut updater = with_turn(0);
     let busy = Report {
         running: 2,
         ..report(1)
@@ -97,8 +103,7 @@
 #[test]
 fn an_order_without_effect_is_repeated_after_the_retry_interval() {
     let settings = Settings::default();
-    let mut updater = WeightsUpdater::new(settings);
-    updater.on_target(at(0), &model(), WeightsVersion(2), TARGET_AGE);
+    let mut updater = with_turn(0);
     let (first, _) = next_order(&mut updater, 0, &report(1));
     let (second, _) = next_order(&mut updater, first + 10, &report(1));
     assert!(at(second).since(at(first)) >= settings.retry_interval);
@@ -119,9 +124,8 @@
 
 #[test]
 fn an_old_report_causes_no_order() {
-    let mut updater = WeightsUpdater::new(Settings::default());
+    let mut updater = with_turn(0);
     updater.on_report(at(0), report(1));
-    updater.on_target(at(0), &model(), WeightsVersion(2), TARGET_AGE);
     for ms in (600..5_000).step_by(50) {
         assert_eq!(
             updater.tick(at(ms)),
@@ -149,28 +153,89 @@
 }
 
 #[test]
-fn one_group_of_runners_changes_at_once() {
+fn runners_without_turns_start_one_after_the_other_before_the_deadline() {
     let settings = rollout_schedule::Settings::default();
-    let schedule = RolloutSchedule::new(settings);
     let count = 18;
-    let delays = (0..count).map(|rank| schedule.delay(RolloutPosition { rank, count }));
-    let mut delays: Vec<_> = delays.collect();
-    delays.dedup();
-    assert_eq!(delays.len(), settings.groups as usize);
-    assert_eq!(delays[0], time::Duration::ZERO);
-    assert!(delays.iter().all(|delay| *delay <= settings.max_wait));
+    let starts = (0..count).map(|rank| settings.latest_start(RolloutPosition { rank, count }));
+    let starts: Vec<_> = starts.collect();
+    assert!(starts.is_sorted_by(|a, b| a < b), "never two at once");
+    assert!(
+        starts[0] > time::Duration::ZERO,
+        "routers grant turns first"
+    );
+    assert!(
+        starts[17] < settings.deadline,
+        "the last one has time to load"
+    );
 }
 
 #[test]
-fn slow_loads_lengthen_the_delay_up_to_a_limit() {
-    let settings = rollout_schedule::Settings::default();
-    let mut schedule = RolloutSchedule::new(settings);
-    let last = RolloutPosition { rank: 8, count: 9 };
-    let before = schedule.delay(last);
-    schedule.on_loaded(time::Duration::from_secs(2));
-    assert!(schedule.delay(last) > before);
-    (0..50).for_each(|_| schedule.on_loaded(time::Duration::from_secs(20)));
-    assert_eq!(schedule.delay(last), settings.max_wait);
+fn a_runner_starts_by_itself_when_no_router_grants_a_turn() {
+    let settings = Settings::default();
+    let mut updater = WeightsUpdater::new(settings);
+    let position = RolloutPosition { rank: 8, count: 9 };
+    updater.on_position(position);
+    updater.on_target(at(0), &model(), WeightsVersion(2), TARGET_AGE);
+    let (when, _) = next_order(&mut updater, 0, &report(1));
+    let latest = settings.rollout.latest_start(position);
+    assert!(at(when).since(at(0)) >= latest);
+    assert!(at(when).since(at(0)) < settings.rollout.deadline);
+}
+
+/// Versions came faster than the rollout, and each one postponed the start of runners
+/// that were behind by more than one.
+#[test]
+fn a_newer_version_does_not_postpone_the_start_of_an_outdated_runner() {
+    let settings = Settings::default();
+    let mut updater = WeightsUpdater::new(settings);
+    updater.on_target(at(0), &model(), WeightsVersion(2), TARGET_AGE);
+    updater.on_target(at(2_000), &model(), WeightsVersion(3), TARGET_AGE);
+    let (when, order) = next_order(&mut updater, 2_000, &report(1));
+    assert_eq!(order.version, WeightsVersion(3));
+    let first = settings.rollout.latest_start(RolloutPosition::default());
+    assert!(at(when).since(at(0)) < first + settings.drain_timeout);
+}
+
+#[test]
+fn a_turn_is_used_at_once_and_only_once() {
+    let mut updater = with_turn(0);
+    let (when, _) = next_order(&mut updater, 0, &report(1));
+    assert!(when < 100);
+    updater.on_report(at(when + 300), report(2));
+    assert_eq!(updater.tick(at(when + 300)), None);
+    let load = updater.take_completed().expect("a completed load");
+    assert_eq!(load.load_time, time::Duration::from_millis(300));
+    updater.on_target(at(when + 310), &model(), WeightsVersion(3), TARGET_AGE);
+    updater.on_report(at(when + 320), report(2));
+    assert_eq!(updater.tick(at(when + 320)), None);
+    assert!(
+        !updater.is_changing(),
+        "the next version needs its own turn"
+    );
+}
+
+#[test]
+fn a_version_that_is_replaced_during_a_load_waits_for_its_own_turn() {
+    let mut updater = with_turn(0);
+    let (when, _) = next_order(&mut updater, 0, &report(1));
+    updater.on_target(at(when + 10), &model(), WeightsVersion(3), TARGET_AGE);
+    let loaded = Report {
+        sequence: 1,
+        ..report(2)
+    };
+    updater.on_report(at(when + 300), loaded);
+    assert_eq!(updater.tick(at(when + 300)), None);
+    assert!(!updater.is_changing());
+}
+
+#[test]
+fn an_unused_turn_expires() {
+    let mut updater = with_turn(0);
+    let settings = Settings::default();
+    let late = u64::try_from(settings.turn_ttl.as_millis()).unwrap() + 10;
+    updater.on_report(at(late), report(1));
+    assert_eq!(updater.tick(at(late)), None);
+    assert!(!updater.is_changing());
 }
 
 #[test]
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -28,7 +28,7 @@
     model: ModelName,
     place: PlaceName,
     engine: Engine,
-    newest: Option<(WeightsVersion, time::Duration)>,
+    targets: Vec<(WeightsVersion, Instant)>,
     isolated: Option<TeamName>,
     time_left: time::Duration,
     reserve: f64,
@@ -54,7 +54,7 @@
                 link_rate: 1e11,
                 models: Vec::new(),
             },
-            newest: None,
+            targets: Vec::new(),
             isolated: None,
             time_left: time::Duration::from_secs(6),
             reserve: 0.0,
@@ -74,7 +74,7 @@
         let requirements = Requirements {
             service: &self.service,
             model: Some(&self.model),
-            newest: self.newest,
+            targets: &self.targets,
             segments: &segments,
             isolated: self.isolated.as_ref(),
             body_bytes: 100,
@@ -277,14 +277,15 @@
         },
     );
     let newest = WeightsVersion(2);
-    router.newest = Some((newest, time::Duration::from_millis(100)));
+    router.targets = vec![(newest, Instant::ZERO)];
+    router.now = Instant::from_millis(100);
     assert_eq!(
         router.choose(&SHORT, &[]).unwrap().version,
         Some(WeightsVersion(1))
     );
-    router.newest = Some((newest, router.settings.old_grace));
+    router.now = Instant::ZERO + router.settings.old_grace;
     assert_eq!(router.choose(&SHORT, &[]).unwrap().version, Some(newest));
-    router.newest = Some((newest, router.settings.old_limit));
+    router.now = Instant::ZERO + router.settings.old_limit;
     let exclude = [incarnation(0).name];
     assert_eq!(router.choose(&SHORT, &exclude), Err(Refusal::NoRunner));
 }
--- a/crates/lentil_policy/tests/forward_search.rs
+++ b/crates/lentil_policy/tests/forward_search.rs
@@ -119,7 +119,7 @@
     now: Instant,
     runners: Runners,
     states: Vec<Option<ActualState>>,
-    newest: (u32, Instant),
+    targets: Vec<(WeightsVersion, Instant)>,
     revision: u64,
     is_store_down: bool,
 }
@@ -134,12 +134,16 @@
             now: Instant::from_millis(1),
             runners: Runners::new(Settings::default()),
             states: vec![None; FLEET],
-            newest: (1, Instant::ZERO),
+            targets: vec![(WeightsVersion(1), Instant::ZERO)],
             revision: 0,
             is_store_down: false,
         }
     }
 
+    fn newest(&self) -> WeightsVersion {
+        self.targets[self.targets.len() - 1].0
+    }
+
     fn incarnation(&self, index: usize) -> Incarnation {
         Incarnation {
             name: name(index),
@@ -184,7 +188,7 @@
                 self.states[index] = Some(ActualState {
                     boot_id,
                     is_leaving: false,
-                    version: self.newest.0,
+                    version: self.newest().0,
                     is_known: false,
                 });
                 self.register(index);
@@ -207,10 +211,11 @@
                 self.register(index);
             }
             (5, _) => {
-                self.newest = (self.newest.0 + 1, self.now);
+                let version = WeightsVersion(self.newest().0 + 1);
+                self.targets.push((version, self.now));
             }
             (6, Some(state)) => {
-                let version = self.newest.0;
+                let version = self.newest().0;
                 self.states[index].as_mut().unwrap().version = version;
                 let status = Status {
                     weights: vec![(model(), WeightsVersion(version))],
@@ -267,8 +272,6 @@
     fn check(&mut self, seed: u64) {
         let service = service();
         let model = model();
-        let newest = self.newest;
-        let age = self.now.since(newest.1);
         let settings = placement::Settings::default();
         let exclude = [name(self.rng.random_range(0..FLEET))];
         let segments = [
@@ -278,7 +281,7 @@
         let requirements = Requirements {
             service: &service,
             model: Some(&model),
-            newest: Some((WeightsVersion(newest.0), age)),
+            targets: &self.targets,
             segments: &segments,
             isolated: None,
             body_bytes: 100,
@@ -321,9 +324,10 @@
             runner.version(&model),
             "seed {seed}: another version"
         );
-        let is_newest = choice.version >= Some(WeightsVersion(newest.0));
+        let mut targets = self.targets.iter();
+        let newer = targets.find(|(version, _)| Some(*version) > choice.version);
         assert!(
-            is_newest || age < settings.old_limit,
+            newer.is_none_or(|(_, since)| self.now.since(*since) < settings.old_limit),
             "seed {seed}: weights too old"
         );
         let status = self.runners.status(self.now, runner);
@@ -434,6 +438,8 @@
         loads: 0,
     };
     let mut updater = WeightsUpdater::new(weights_update::Settings::default());
+    // Half of the runners get no turns and start by themselves.
+    let has_turns = chance(&mut rng, 0.5);
     updater.on_position(RolloutPosition {
         rank: rng.random_range(0..18),
         count: 18,
@@ -477,6 +483,9 @@
             newest
         };
         updater.on_target(now, &model(), target, time::Duration::ZERO);
+        if has_turns && chance(&mut rng, 0.2) {
+            updater.on_turn(now);
+        }
         runner.report.running = rng.random_range(0..3);
         updater.on_report(now, runner.report.clone());
         let Some(order) = updater.tick(now) else {
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -92,6 +92,8 @@
     Orders,
     /// Status queries to agents.
     AgentsAsked,
+    /// Turns to change weights granted to runners.
+    TurnsGranted,
     /// Router's own errors: no configuration.
     OwnNoConfiguration,
     /// Router's own errors: no route matches.
