--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -13,6 +13,16 @@
     datagram_socket::DatagramSocket,
 };
 
+/// Most addresses of routers in one status report; it must fit one packet.
+pub const MAX_ROUTERS: usize = 24;
+
+/// Up to `count` of `items` from index `first` on; both ends are joined.
+pub fn rotating_part<T: Copy>(items: &[T], first: usize, count: usize) -> Vec<T> {
+    let start = first.checked_rem(items.len()).unwrap_or(0);
+    let rotated = items[start..].iter().chain(&items[..start]);
+    rotated.take(count).copied().collect()
+}
+
 /// A router that subscribed to the runner's status.
 #[derive(Clone, Copy, Debug)]
 struct Subscriber {
@@ -47,10 +57,14 @@
     schedule: status_schedule::StatusSchedule,
     /// When routers were last sent each other's addresses.
     routers_sent: Option<Instant>,
+    /// Index of the first address to send next, counted without end.
+    next_router: usize,
     cache: cache::SegmentIndex,
     backlog: backlog::Backlog,
-    /// Whether the last read of the report succeeded.
-    is_reporting: bool,
+    /// When the report was last read.
+    reported_at: Instant,
+    /// Whether routers were told that the runner does not answer.
+    is_silent: bool,
 }
 
 impl State {
@@ -58,7 +72,7 @@
     /// from another boot than routers expect.
     fn status(&self) -> Option<runners::Status> {
         let report = self.updater.report()?;
-        if report.boot_id != self.incarnation.as_ref()?.boot_id || !self.is_reporting {
+        if report.boot_id != self.incarnation.as_ref()?.boot_id || self.is_silent {
             return None;
         }
         Some(runners::Status {
@@ -96,9 +110,12 @@
             pacers: Table::new(),
             schedule: status_schedule::StatusSchedule::new(settings.status_schedule),
             routers_sent: None,
+            // Agents start at different addresses, so that together they send all.
+            next_router: rand::random_range(0..usize::from(u16::MAX)),
             cache: cache::SegmentIndex::default(),
             backlog: backlog::Backlog::default(),
-            is_reporting: true,
+            reported_at: Instant::ZERO,
+            is_silent: false,
         };
         Ok(rc::Rc::new(Self {
             settings,
@@ -127,7 +144,13 @@
                     self.on_status_request(from, &incarnation).await;
                 }
                 (from, Datagram::Turn(turn)) => self.on_turn(from, turn),
-                (from, Datagram::StatusReport(_) | Datagram::Crash(_) | Datagram::Loaded(_)) => {
+                (
+                    from,
+                    Datagram::StatusReport(_)
+                    | Datagram::Crash(_)
+                    | Datagram::Loaded(_)
+                    | Datagram::Silent(_),
+                ) => {
                     log::debug!(from:%; "ignored a datagram that is not meant for an agent");
                 }
             }
@@ -164,6 +187,38 @@
         }
     }
 
+    /// Tells the routers when the runner does not answer: they would learn it only
+    /// from requests, each for itself. Never returns.
+    pub async fn watch_runner(&self) {
+        loop {
+            smol::Timer::after(self.settings.report_interval).await;
+            let Some((incarnation, addresses)) = self.silence() else {
+                continue;
+            };
+            self.socket
+                .send(&addresses, Datagram::Silent(incarnation))
+                .await;
+            smol::Timer::after(self.settings.silence_interval).await;
+        }
+    }
+
+    /// The runner and the routers to tell if it does not answer.
+    fn silence(&self) -> Option<(runners::Incarnation, Vec<net::SocketAddr>)> {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let silent_for = now.since(state.reported_at);
+        if silent_for <= self.settings.report_ttl {
+            return None;
+        }
+        let incarnation = state.incarnation.clone()?;
+        if !std::mem::replace(&mut state.is_silent, true) {
+            log::warn!(runner:% = incarnation.name, silent_ms = silent_for.as_millis(); "the runner does not answer");
+        }
+        let subscribers = state.subscribers.values();
+        let addresses = subscribers.map(|subscriber| subscriber.address).collect();
+        Some((incarnation, addresses))
+    }
+
     /// Follows the runner's prefix cache; never returns.
     pub async fn follow_cache(&self) {
         loop {
@@ -309,19 +364,15 @@
         let mut state = self.state.borrow_mut();
         match report {
             Ok(report) => {
-                if !std::mem::replace(&mut state.is_reporting, true) {
+                state.reported_at = now;
+                if std::mem::replace(&mut state.is_silent, false) {
                     log::info!("the runner answers again");
+                    state.schedule.on_recovered();
                 }
-                state
-                    .backlog
-                    .on_report(now, &report.runs, report.waiting > 0);
+                state.backlog.on_report(now, &report.runs, report.waiting);
                 state.updater.on_report(now, report);
             }
-            Err(error) => {
-                if std::mem::replace(&mut state.is_reporting, false) {
-                    log::warn!(error:%; "the runner does not answer");
-                }
-            }
+            Err(error) => log::debug!(error:%; "cannot read the runner's report"),
         }
     }
 
@@ -386,7 +437,10 @@
             return Vec::new();
         }
         state.routers_sent = Some(now);
-        state.subscribers.keys().copied().collect()
+        let routers: Vec<_> = state.subscribers.keys().copied().collect();
+        let first = state.next_router;
+        state.next_router = state.next_router.wrapping_add(MAX_ROUTERS);
+        rotating_part(&routers, first, MAX_ROUTERS)
     }
 
     /// The due status report and its recipients.
--- a/crates/lentil_forward/src/agent/mod.rs
+++ b/crates/lentil_forward/src/agent/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::cache;
 
-pub use event_loop::Agent;
+pub use event_loop::{Agent, MAX_ROUTERS, rotating_part};
 
 /// Result of a call to a [`Runner`].
 pub type RunnerFuture<'a, T> =
@@ -69,6 +69,10 @@
     pub busy_interval: time::Duration,
     /// The same while the runner's weights change.
     pub changing_interval: time::Duration,
+    /// Age of the last report from which the runner counts as silent.
+    pub report_ttl: time::Duration,
+    /// Interval at which routers are told that it is.
+    pub silence_interval: time::Duration,
     /// When statuses are sent to routers.
     pub status_schedule: status_schedule::Settings,
     /// Longest wait for cache events. Shorter calls cost the runner more than they
@@ -92,6 +96,8 @@
             report_interval: time::Duration::from_millis(100),
             busy_interval: time::Duration::from_millis(40),
             changing_interval: time::Duration::from_millis(20),
+            report_ttl: time::Duration::from_millis(400),
+            silence_interval: time::Duration::from_secs(1),
             status_schedule: status_schedule::Settings::default(),
             cache_wait: time::Duration::from_millis(900),
             min_segment: Tokens(1_024),
--- a/crates/lentil_forward/src/cache_store.rs
+++ b/crates/lentil_forward/src/cache_store.rs
@@ -3,7 +3,7 @@
 
 use std::{net, rc, time};
 
-use lentil_policy::forward::runners::SegmentKey;
+use lentil_policy::forward::runners;
 
 use crate::{cache, router::Router};
 
@@ -28,16 +28,11 @@
     }
 }
 
-/// Segments in a cache store.
-#[derive(Clone, Debug)]
-pub struct Contents {
-    /// Address of the store.
-    pub address: net::SocketAddr,
-    /// Keys of the segments, sorted.
-    pub keys: Vec<SegmentKey>,
-}
+/// Stores that a router follows at most. Further ones are used without knowing what
+/// they hold.
+pub const MAX_STORES: usize = 16;
 
-/// Keeps a router's view of the cache store up to date.
+/// Keeps a router's view of the cache stores up to date.
 pub struct CacheStore {
     router: rc::Rc<Router>,
     reader: Box<dyn cache::Reader>,
@@ -54,33 +49,33 @@
         }
     }
 
-    /// Follows the store of the router's data centre, or else the first configured;
-    /// never returns.
-    pub async fn follow(&self) {
+    /// Follows the configured store with this index; never returns.
+    pub async fn follow(&self, index: usize) {
         loop {
-            if let Some(address) = self.address() {
-                self.follow_one(address).await;
+            if let Some(address) = self.address(index) {
+                self.follow_one(index, address).await;
             }
             smol::Timer::after(self.settings.retry_delay).await;
         }
     }
 
-    /// The store to follow. `None`: none exists, or enough other routers follow it.
-    fn address(&self) -> Option<net::SocketAddr> {
+    /// The store to follow. `None`: it does not exist, or enough other routers follow
+    /// it.
+    fn address(&self, index: usize) -> Option<net::SocketAddr> {
         let state = self.router.state();
         let is_follower = state.rank() < self.settings.max_followers;
-        let store = state.routing()?.store(&self.router.place)?;
+        let store = state.routing()?.stores.get(index)?;
         is_follower.then_some(store.address)
     }
 
     /// Follows a store until a call fails or it is no longer the one to follow.
-    async fn follow_one(&self, address: net::SocketAddr) {
-        let mut index = cache::SegmentIndex::default();
-        let min_tokens = self.router.settings.placement.min_segment;
-        while self.address() == Some(address) {
+    async fn follow_one(&self, index: usize, address: net::SocketAddr) {
+        let mut segments = cache::SegmentIndex::default();
+        let min_tokens = runners::LONG_PROMPT;
+        while self.address(index) == Some(address) {
             let batch = self
                 .reader
-                .events(address, index.next(), self.settings.wait);
+                .events(address, segments.next(), self.settings.wait);
             let batch = match batch.await {
                 Ok(batch) => batch,
                 Err(error) => {
@@ -88,13 +83,12 @@
                     break;
                 }
             };
-            if index.apply(&batch, min_tokens) || !self.router.state().has_contents(address) {
-                let keys = index.sorted();
-                self.router
-                    .state()
-                    .set_contents(Some(Contents { address, keys }));
+            let has_changed = segments.apply(&batch, min_tokens);
+            let mut state = self.router.state();
+            if has_changed || !state.has_contents(address) {
+                state.set_contents(address, Some(segments.sorted()));
             }
         }
-        self.router.state().set_contents(None);
+        self.router.state().set_contents(address, None);
     }
 }
--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -97,6 +97,9 @@
     Turn(Turn),
     /// From an agent to the routers that granted it turns.
     Loaded(Loaded),
+    /// From an agent to its subscribers: the runner does not answer, until the next
+    /// status report.
+    Silent(runners::Incarnation),
 }
 
 /// A datagram that cannot be decoded or encoded.
@@ -130,6 +133,10 @@
             }),
             Self::Turn(turn) => generated::Body::Turn(turn.into()),
             Self::Loaded(loaded) => generated::Body::Loaded(loaded.into()),
+            Self::Silent(incarnation) => generated::Body::Silent(generated::Silent {
+                runner: incarnation.name.to_string(),
+                born: incarnation.boot_id,
+            }),
             Self::LongPrompt(prompt) => generated::Body::Sent(generated::Sent {
                 request: prompt.request.0,
                 missing: prompt.uncached.0,
@@ -155,6 +162,9 @@
             generated::Body::Ask(ask) => Self::StatusRequest(incarnation(&ask.runner, ask.born)?),
             generated::Body::Turn(turn) => Self::Turn(turn.try_into()?),
             generated::Body::Loaded(loaded) => Self::Loaded(loaded.try_into()?),
+            generated::Body::Silent(silent) => {
+                Self::Silent(incarnation(&silent.runner, silent.born)?)
+            }
             generated::Body::Sent(sent) => Self::LongPrompt(backlog::LongPrompt {
                 request: backlog::RequestHash(sent.request),
                 uncached: Tokens(sent.missing),
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -142,6 +142,7 @@
             }
             Datagram::Crash(crash) => self.router.on_crash(&crash),
             Datagram::Loaded(loaded) => self.router.on_loaded(&loaded),
+            Datagram::Silent(incarnation) => self.router.on_silent(&incarnation),
             Datagram::Subscribe(_)
             | Datagram::LongPrompt(_)
             | Datagram::StatusRequest(_)
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -42,8 +42,12 @@
     pub(super) uncached: Tokens,
     /// Whether the last runner had to prefill a segment that nothing had cached.
     pub(super) prefills: bool,
+    /// Rank of the last runner among the homes of the segment.
+    pub(super) home_rank: Option<usize>,
     /// Runner or store that it could fetch the segment from.
     pub(super) source: Option<net::SocketAddr>,
+    /// Store that the last runner was asked to save the prompt to.
+    pub(super) save_to: Option<net::SocketAddr>,
     /// Id of the last event sent to the caller.
     pub(super) last_event: Option<CompactString>,
 }
@@ -90,6 +94,7 @@
     progress.status_age = choice.status_age;
     progress.uncached = choice.request_cost.uncached;
     progress.prefills = choice.prefills;
+    progress.home_rank = choice.home_rank;
     progress.source = choice.source;
     router.metrics.count(Counter::Attempts);
     let in_flight = InFlight::new(router.clone(), choice);
@@ -222,8 +227,9 @@
     async fn send_request(
         &mut self,
         request: &Request,
-        progress: &Progress,
+        progress: &mut Progress,
     ) -> Result<h1::ResponseHead, Failure> {
+        progress.save_to = self.router.save_to(self.plan, self.choice);
         let now = self.router.now();
         let time_left = match self.plan.deadline {
             Some(deadline) => deadline.since(now),
@@ -237,7 +243,7 @@
             upstream::AttemptFields {
                 time_left,
                 last_event: progress.last_event.as_ref(),
-                save_to: self.router.save_to(self.plan, self.choice),
+                save_to: progress.save_to,
             },
         );
         let stream = self.connection.stream();
@@ -479,9 +485,9 @@
     }
 }
 
-/// Fails when the runner sends nothing within the timeout after the request, or
-/// when it and its agent are silent for as long later on: an instance may freeze
-/// after its runner answered other requests. For a request that must not be
+/// Fails when the runner and its agent are silent for the timeout. A runner alone that
+/// sends nothing for so long may just be busy, and to move its requests would add to
+/// the load; its agent tells whether it answers. For a request that must not be
 /// repeated this only lowers the runner's health and never returns.
 async fn answer_timeout<T>(
     router: &Router,
@@ -496,15 +502,9 @@
         .objective
         .mul_f64(router.settings.silence_factor)
         .clamp(min, max);
-    smol::Timer::after(timeout).await;
-    if router
-        .last_byte(incarnation)
-        .is_some_and(|last| last > sent_at)
-    {
-        router
-            .wait_until_silent(incarnation, sent_at, timeout)
-            .await;
-    }
+    router
+        .wait_until_silent(incarnation, sent_at, timeout)
+        .await;
     if can_repeat {
         return Err(Failure::Silent);
     }
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -19,7 +19,7 @@
 
 use std::{cell, net, rc, time};
 
-use lentil_policy::forward::{placement, runners, save_budget};
+use lentil_policy::forward::{placement, runners};
 use lentil_process::{Clock, metrics};
 use lentil_types::{Instant, PlaceName, RunnerName};
 use rand::SeedableRng as _;
@@ -200,6 +200,7 @@
         plan: &plan::Plan,
         exclude: &[RunnerName],
     ) -> Result<placement::Choice, placement::Refusal> {
+        let started = self.now();
         let mut excluded = exclude.to_vec();
         for _ in 0..self.settings.ask_rounds {
             let unanswered = self.refresh_statuses(plan, &excluded).await;
@@ -217,7 +218,29 @@
                 return Ok(choice);
             }
         }
-        self.choose(plan, &excluded, None)
+        let max_age = self.now().since(started) + self.settings.ask_age;
+        match self.choose_known(plan, &excluded, max_age) {
+            // No agent answers.
+            Err(placement::Refusal::NoRunner) => self.choose(plan, &excluded, None),
+            end => end,
+        }
+    }
+
+    /// Chooses among the runners with a status that is not older than `max_age`.
+    fn choose_known(
+        &self,
+        plan: &plan::Plan,
+        exclude: &[RunnerName],
+        max_age: time::Duration,
+    ) -> Result<placement::Choice, placement::Refusal> {
+        self.with_context(plan, None, |context, requirements| {
+            let requirements = placement::Requirements {
+                max_status_age: Some(max_age),
+                ..requirements.clone()
+            };
+            let rng = &mut *self.rng.borrow_mut();
+            placement::choose(context, &requirements, exclude, rng)
+        })
     }
 
     /// Whether agents may be asked again for a request.
@@ -289,7 +312,7 @@
         let state = self.state();
         let service = plan.routing.services.get(&*plan.service);
         let model = plan.model.as_ref();
-        let store = state.store(&plan.routing);
+        let stores = state.stores(&plan.routing);
         let requirements = placement::Requirements {
             service: &plan.service,
             model,
@@ -299,9 +322,8 @@
             body_bytes: plan.body_bytes,
             place: &self.place,
             time_left: plan.time_left(now),
-            store: store.as_ref(),
-            store_address: plan.routing.store(&self.place).map(|store| store.address),
-            reserve: state.demand(&plan.service).reserve(),
+            stores: &stores,
+            max_status_age: None,
             only_runner,
         };
         let context = placement::Context {
@@ -318,17 +340,17 @@
         if !choice.prefills {
             return None;
         }
+        let store = choice.store?;
         let now = self.now();
-        let (_, tokens) = placement::shared_prefix(&self.settings.placement, &plan.segments)?;
-        let service = plan.routing.services.get(&*plan.service)?;
-        let bytes = save_budget::segment_bytes(service.engine.as_ref()?, tokens);
         let mut state = self.state();
         let newest = plan
             .model
             .as_ref()
             .and_then(|model| state.newest(now, model));
         let age = newest.map(|(_, age)| age);
-        state.try_save(now, &plan.routing, bytes, age)
+        state
+            .try_save(now, &plan.routing, choice.save_bytes, age)
+            .then_some(store)
     }
 
     /// A random duration of less than `max`.
--- a/crates/lentil_forward/src/router/pick.rs
+++ b/crates/lentil_forward/src/router/pick.rs
@@ -36,9 +36,13 @@
             smol::Timer::after(router.jitter(router.settings.queue_jitter)).await;
         }
         let end = match is_first {
-            true if is_long && only_runner.is_none() && router.may_ask(last_asked) => {
-                last_asked = Some(router.now());
-                router.choose_refreshed(plan, exclude).await
+            true if is_long && only_runner.is_none() => {
+                if router.may_ask(last_asked) {
+                    last_asked = Some(router.now());
+                    router.choose_refreshed(plan, exclude).await
+                } else {
+                    choose_between_asks(router, plan, exclude)
+                }
             }
             true => router.choose(plan, exclude, only_runner),
             false => Err(placement::Refusal::Busy {
@@ -65,6 +69,22 @@
     }
 }
 
+/// Chooses a runner for a long prompt that waits, without asking agents: among those
+/// that have reported a status since the last time.
+fn choose_between_asks(
+    router: &Router,
+    plan: &Plan,
+    exclude: &[RunnerName],
+) -> Result<placement::Choice, placement::Refusal> {
+    let choice = router.choose_known(plan, exclude, router.settings.ask_interval);
+    choice.map_err(|refusal| match refusal {
+        placement::Refusal::NoRunner => placement::Refusal::Busy {
+            wait: time::Duration::ZERO,
+        },
+        refusal => refusal,
+    })
+}
+
 /// Expected time until all requests ahead in the wait queue have a runner. The
 /// queues of other routers are assumed to be equally long.
 fn queued_wait(router: &Router, plan: &Plan, queued: Option<&QueueTicket>) -> time::Duration {
@@ -78,7 +98,7 @@
     };
     let demand = state.demand(&plan.service);
     let usable = state.runners().usable(now, &plan.service).len() as f64;
-    let available = (usable * (1.0 - demand.reserve())).max(1.0);
+    let available = usable.max(1.0);
     let per_prompt = demand.mean_long() / router.settings.placement.prefill_rate / 1e3;
     let wait = (ahead * state.routers()) as f64 * per_prompt / available;
     time::Duration::try_from_secs_f64(wait).unwrap_or(time::Duration::MAX)
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -329,8 +329,8 @@
         runner = runner_name(progress), told_ms:% = or_dash(progress.status_age.map(|age| age.as_millis())),
         team:% = or_dash(plan.team.as_ref().map(|team| &team.name)), rank = plan.priority,
         weights:% = or_dash(progress.weights), part:% = or_dash(segment.map(|(id, _)| id.0)),
-        missing = progress.uncached.0, reads = progress.prefills, source:% = or_dash(progress.source),
-        attempts = plan.attempt_log.borrow().sent(), waited_ms:% = or_dash(waited), first_ms:% = or_dash(first_byte),
+        missing = progress.uncached.0, reads = progress.prefills, home:% = or_dash(progress.home_rank), source:% = or_dash(progress.source),
+        saves = progress.save_to.is_some(), attempts = plan.attempt_log.borrow().sent(), waited_ms:% = or_dash(waited), first_ms:% = or_dash(first_byte),
         expected_ms = progress.expected_ms, total_ms = took.as_millis();
         "request answered"
     );
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -4,8 +4,9 @@
 
 use lentil_policy::{
     forward::{
-        placement, retries, rollout_pacer, routing, runners, save_budget, target_weights,
-        wait_queue,
+        placement, retries, rollout_pacer, routing,
+        runners::{self, SegmentKey},
+        save_budget, target_weights, wait_queue,
     },
     poison,
 };
@@ -14,7 +15,6 @@
 };
 
 use super::Settings;
-use crate::cache_store::Contents;
 
 /// Shared state of a router.
 pub struct State {
@@ -27,7 +27,8 @@
     routers: usize,
     /// Routers with lower addresses than this one.
     rank: usize,
-    contents: Option<Contents>,
+    /// Sorted keys of the segments in each followed cache store.
+    contents: Table<net::SocketAddr, Vec<SegmentKey>>,
     /// Requests waiting for a runner.
     pub wait_queue: wait_queue::WaitQueue,
     demand: Table<ServiceName, wait_queue::Demand>,
@@ -59,7 +60,7 @@
             retries: settings.retries,
             routers: 1,
             rank: 0,
-            contents: None,
+            contents: Table::new(),
             wait_queue: wait_queue::WaitQueue::default(),
             demand: Table::new(),
             save_budget: save_budget::SaveBudget::new(settings.saves),
@@ -133,52 +134,44 @@
         self.rank
     }
 
-    /// Sets the contents of the cache store; `None` if it does not answer.
-    pub fn set_contents(&mut self, contents: Option<Contents>) {
-        self.contents = contents;
+    /// Sets the contents of a cache store; `None` if it does not answer.
+    pub fn set_contents(&mut self, store: net::SocketAddr, keys: Option<Vec<SegmentKey>>) {
+        match keys {
+            Some(keys) => {
+                self.contents.insert(store, keys);
+            }
+            None => {
+                self.contents.remove(&store);
+            }
+        }
     }
 
     /// Whether the contents of the cache store at `address` are known.
     pub fn has_contents(&self, address: net::SocketAddr) -> bool {
-        self.contents
-            .as_ref()
-            .is_some_and(|contents| contents.address == address)
+        self.contents.contains(&address)
     }
 
-    /// The cache store, if it answers and is configured.
-    pub fn store<'a>(
-        &'a self,
-        routing: &'a routing::Routing,
-    ) -> Option<placement::StoreContents<'a>> {
-        let contents = self.contents.as_ref()?;
-        let info = routing
-            .stores
-            .iter()
-            .find(|store| store.address == contents.address)?;
-        Some(placement::StoreContents {
+    /// The configured cache stores and what is known of them.
+    pub fn stores<'a>(&'a self, routing: &'a routing::Routing) -> Vec<placement::Store<'a>> {
+        let stores = routing.stores.iter().map(|info| placement::Store {
             info,
-            keys: &contents.keys,
-        })
+            keys: self.contents.get(&info.address).map(Vec::as_slice),
+        });
+        stores.collect()
     }
 
-    /// Cache store to save a segment to, if the budget allows it. `age`: how long its
-    /// weights have been the target.
+    /// Whether the budget allows a save of `bytes`. `age`: how long the weights have
+    /// been the target.
     pub fn try_save(
         &mut self,
         now: Instant,
         routing: &routing::Routing,
         bytes: f64,
         age: Option<time::Duration>,
-    ) -> Option<net::SocketAddr> {
-        let address = self.contents.as_ref()?.address;
-        let info = routing
-            .stores
-            .iter()
-            .find(|store| store.address == address)?;
-        let may_save = self
-            .save_budget
-            .try_take(now, info, bytes, age, self.routers);
-        may_save.then_some(address)
+    ) -> bool {
+        let link_rate = routing.stores.iter().map(|store| store.link_rate).sum();
+        self.save_budget
+            .try_take(now, link_rate, bytes, age, self.routers)
     }
 
     /// Paces the change of a service's runners to new weights.
@@ -195,10 +188,13 @@
 
     /// Adds the uncached tokens of a sent request to the demand.
     pub fn on_sent(&mut self, now: Instant, service: &ServiceName, uncached: Tokens) {
+        if uncached < runners::LONG_PROMPT {
+            return;
+        }
         let demand = self
             .demand
             .get_or_insert_with(service.clone(), wait_queue::Demand::default);
-        demand.on_sent(now, uncached.0, uncached >= runners::LONG_PROMPT);
+        demand.on_sent(now, uncached);
     }
 
     /// Recent demand for prompt tokens of a service.
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -151,14 +151,6 @@
             .on_health_signal(now, incarnation, signal);
     }
 
-    /// When the last byte from a runner arrived.
-    pub(crate) fn last_byte(&self, incarnation: &runners::Incarnation) -> Option<Instant> {
-        self.state()
-            .runners()
-            .get(incarnation)
-            .map(|runner| runner.last_byte)
-    }
-
     /// Returns when a runner and its agent were silent for `limit`, counted from
     /// `since` at the earliest. Agents report rarely while nothing changes, so the
     /// agent is asked first.
@@ -235,6 +227,15 @@
         log::info!(fingerprint:% = crash.fingerprint, runner:% = crash.incarnation.name, born = crash.incarnation.boot_id, crashes = count; "request was running when a runner died");
     }
 
+    /// An agent reports that its runner does not answer.
+    pub(crate) fn on_silent(&self, incarnation: &runners::Incarnation) {
+        let now = self.now();
+        let is_new = self.state().runners_mut().on_silent(now, incarnation);
+        if is_new {
+            log::info!(runner:% = incarnation.name, born = incarnation.boot_id; "a runner does not answer its agent");
+        }
+    }
+
     /// Applies an agent's status report.
     pub(crate) fn on_status_report(&self, report: datagram::StatusReport) {
         let now = self.now();
--- a/crates/lentil_policy/src/forward/backlog.rs
+++ b/crates/lentil_policy/src/forward/backlog.rs
@@ -46,7 +46,7 @@
     pub events: u64,
 }
 
-/// Time after which a prompt that no report has shown is dropped: it was refused, or
+/// Time after which a prompt that reports do not show is dropped: it was refused, or
 /// its caller disconnected.
 const UNSEEN_TTL: time::Duration = time::Duration::from_secs(2);
 
@@ -54,7 +54,8 @@
 struct Row {
     prompt: LongPrompt,
     sent_at: Instant,
-    seen: bool,
+    /// When a report last showed it.
+    seen_at: Option<Instant>,
     remaining: Tokens,
     in_memory: Tokens,
 }
@@ -71,23 +72,33 @@
         let row = Row {
             prompt,
             sent_at: now,
-            seen: false,
+            seen_at: None,
             remaining: prompt.uncached,
             in_memory: Tokens(0),
         };
         self.rows.insert(prompt.request, row);
     }
 
-    /// Takes a report of the running requests. `has_waiting`: whether other requests
-    /// wait at the runner.
-    pub fn on_report(&mut self, now: Instant, runs: &[Run], has_waiting: bool) {
+    /// Takes a report of the running requests, and how many others wait at the runner.
+    /// A prompt that ran and is not shown any more was preempted if requests wait: it
+    /// is computed again.
+    pub fn on_report(&mut self, now: Instant, runs: &[Run], waiting: u32) {
+        let mut unexplained = waiting;
         self.rows.retain(|request, row| {
             let Some(run) = runs.iter().find(|run| run.request == *request) else {
-                let may_wait = has_waiting && !row.seen;
-                let is_recent = now.since(row.sent_at) < UNSEEN_TTL;
-                return is_recent && (may_wait || now.since(row.sent_at) < REPORT_LAG);
+                let last_known = row.seen_at.unwrap_or(row.sent_at);
+                let may_wait = unexplained > 0 && now.since(last_known) < UNSEEN_TTL;
+                if may_wait {
+                    unexplained -= 1;
+                    if row.seen_at.is_some() {
+                        row.prompt.uncached = row.prompt.total;
+                        row.remaining = row.prompt.total;
+                        row.in_memory = Tokens(0);
+                    }
+                }
+                return may_wait || now.since(row.sent_at) < REPORT_LAG;
             };
-            row.seen = true;
+            row.seen_at = Some(now);
             let remaining = row.prompt.total.saturating_sub(run.in_memory);
             row.remaining = remaining.min(row.prompt.uncached);
             row.in_memory = run.in_memory;
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -9,7 +9,6 @@
 
 mod estimate;
 mod load_estimate;
-mod reserve;
 mod sources;
 
 use std::{net, time};
@@ -33,22 +32,22 @@
     pub per_request: f64,
     /// Expected wait for each request beyond a runner's slots.
     pub per_queued: f64,
-    /// Cost of fetching a segment: the copy evicts others from the runner's memory.
-    /// About a third of the time to prefill such a segment.
-    pub fetch_penalty: f64,
-    /// Cost of a runner that is no home of a segment which no runner holds: other
-    /// routers will not look for it there.
-    pub nonhome_penalty: f64,
-    /// Cost of the second home of such a segment; the first one is preferred.
-    pub secondary_penalty: f64,
+    /// Cost of fetching a segment, as a fraction of the time to prefill it: the copy
+    /// evicts others from the runner's memory.
+    pub fetch_cost: f64,
+    /// Cost of a runner that is no home of a segment which no runner holds, as a
+    /// fraction of the time to prefill it: other routers will not look for it there.
+    pub nonhome_cost: f64,
+    /// Likewise the cost of the second home; the first one is preferred.
+    pub secondary_cost: f64,
+    /// Likewise the cost of prefilling a segment that another runner is prefilling now.
+    pub duplicate_cost: f64,
     /// Cost of a long prompt at a runner without a status newer than `stale_age`: it
     /// may have work that this router does not know of.
     pub stale_penalty: f64,
     /// Age up to which a status counts as current for long prompts: about the time to
     /// prefill one.
     pub stale_age: time::Duration,
-    /// Cost of prefilling a segment that another runner is prefilling now.
-    pub duplicate_penalty: f64,
     /// Cost per thousand tokens of memory that a runner lacks: it would preempt
     /// running requests and compute them again.
     pub per_memory: f64,
@@ -59,9 +58,8 @@
     /// another one: it never idles, and a short request waits for little more than
     /// one long prompt.
     pub max_backlog: f64,
-    /// Cost of a short request at a runner that also gets long prompts: what is known
-    /// of those is out of date.
-    pub mixed_penalty: f64,
+    /// Fraction of a runner's slots that may be taken when it gets a long prompt.
+    pub long_share: f64,
     /// Normal silence of a runner with requests of this router. Silence beyond it
     /// counts as wait: a frozen instance accepts requests and does nothing with them.
     pub silence_allowance: f64,
@@ -75,7 +73,8 @@
     pub old_grace: time::Duration,
     /// Time since weights are outdated from which they are not used.
     pub old_limit: time::Duration,
-    /// Smallest shared prefix that is assigned homes, in tokens.
+    /// Smallest shared prefix that is assigned homes, in tokens. A lookup elsewhere
+    /// costs a runner about a millisecond.
     pub min_segment: Tokens,
     /// Largest random cost; keeps routers with the same knowledge from choosing the
     /// same runner.
@@ -91,23 +90,23 @@
             prefill_rate: 50.0,
             per_request: 4.0,
             per_queued: 40.0,
-            fetch_penalty: 100.0,
-            nonhome_penalty: 150.0,
-            secondary_penalty: 20.0,
+            fetch_cost: 0.375,
+            nonhome_cost: 0.56,
+            secondary_cost: 0.075,
+            duplicate_cost: 0.94,
             stale_penalty: 60.0,
             stale_age: time::Duration::from_millis(400),
-            duplicate_penalty: 250.0,
             per_memory: 40.0,
             load_half_life: time::Duration::from_millis(500),
             max_backlog: 120.0,
-            mixed_penalty: 15.0,
+            long_share: 0.5,
             silence_allowance: 150.0,
             per_kilobyte: 1.0,
             remote_penalty: 1.0,
             weights_penalty: 400.0,
             old_grace: time::Duration::from_millis(1_200),
             old_limit: time::Duration::from_millis(4_500),
-            min_segment: Tokens(1_024),
+            min_segment: Tokens(256),
             max_jitter: 4.0,
             wait_fraction: 0.9,
         }
@@ -133,25 +132,42 @@
     pub place: &'a PlaceName,
     /// Time until the request's deadline.
     pub time_left: time::Duration,
-    /// Contents of the cache store; `None` while it does not answer.
-    pub store: Option<&'a StoreContents<'a>>,
-    /// Address of the cache store, also while it does not answer.
-    pub store_address: Option<net::SocketAddr>,
-    /// Fraction of the service's runners that gets no long prompts, so that short
-    /// requests find one without a wait. Every router reserves the same runners:
-    /// reports of long prompts arrive too late to avoid them.
-    pub reserve: f64,
+    /// The cache stores; each segment belongs to one of them.
+    pub stores: &'a [Store<'a>],
+    /// Largest age of a runner's status; `None` for any. Old statuses of runners that
+    /// were idle then would attract every long prompt under overload.
+    pub max_status_age: Option<time::Duration>,
     /// The only permitted runner; `None` for any.
     pub only_runner: Option<&'a RunnerName>,
 }
 
-/// What the cache store holds.
+/// A cache store and what this router knows of it.
 #[derive(Clone, Copy, Debug)]
-pub struct StoreContents<'a> {
+pub struct Store<'a> {
     /// Address and link of the store.
     pub info: &'a routing::CacheStore,
-    /// Segments in the store, sorted.
-    pub keys: &'a [SegmentKey],
+    /// Segments in the store, sorted; `None` if this router does not follow it.
+    pub keys: Option<&'a [SegmentKey]>,
+}
+
+/// Index of the store that a segment belongs to. Rendezvous hashing: every router
+/// computes the same one, and the stores share capacity and bandwidth evenly.
+fn store_index(key: SegmentKey, stores: &[Store<'_>]) -> Option<usize> {
+    let scores = stores
+        .iter()
+        .map(|store| store_score(key, store.info.address));
+    let best = scores.enumerate().max_by_key(|(_, score)| *score);
+    best.map(|(index, _)| index)
+}
+
+fn store_score(key: SegmentKey, address: net::SocketAddr) -> u64 {
+    let mut hash = xxhash_rust::xxh3::Xxh3::with_seed(key.0);
+    match address.ip() {
+        net::IpAddr::V4(ip) => hash.update(&ip.octets()),
+        net::IpAddr::V6(ip) => hash.update(&ip.octets()),
+    }
+    hash.update(&address.port().to_le_bytes());
+    hash.digest()
 }
 
 /// A chosen runner.
@@ -169,6 +185,12 @@
     /// Whether the runner must prefill the shared prefix because none is known to
     /// hold it.
     pub prefills: bool,
+    /// Cache store that the shared prefix belongs to.
+    pub store: Option<net::SocketAddr>,
+    /// Bytes that cross the store's link when the runner saves the whole prompt there.
+    pub save_bytes: f64,
+    /// Rank of the runner among the homes of the shared prefix; `None` if it is none.
+    pub home_rank: Option<usize>,
     /// Cost of the request at the runner.
     pub request_cost: RequestCost,
     /// Expected time to the first byte, in milliseconds.
@@ -224,7 +246,10 @@
     let candidates = estimator.admissible(candidates.collect())?;
     let best = candidates
         .into_iter()
-        .map(|candidate| (candidate.cost + jitter(context.settings, rng), candidate))
+        .map(|candidate| {
+            let jitter = jitter(context.settings, requirements, candidate.runner, rng);
+            (candidate.cost + jitter, candidate)
+        })
         .min_by(|(a, _), (b, _)| a.total_cmp(b))
         .map(|(_, candidate)| candidate)
         .ok_or(Refusal::NoRunner)?;
@@ -242,6 +267,9 @@
         version: best.version,
         source: best.source,
         prefills: best.prefills,
+        store: best.store.map(|store| store.info.address),
+        save_bytes: best.save_bytes,
+        home_rank: best.home_rank,
         request_cost: best.request_cost,
         expected_ms: best.expected_ms,
         status_age: best.runner.status_age(context.now),
@@ -263,14 +291,13 @@
         .map(|runner| (estimator.candidate(runner).cost, *runner));
     let mut costs: Vec<_> = costs.collect();
     costs.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-    let homes: Vec<_> = estimator.homes().collect();
-    let is_home = |runner: &Runner| {
-        let mut incarnations = homes.iter().map(|home| &home.registration.incarnation);
-        incarnations.any(|incarnation| *incarnation == runner.registration.incarnation)
-    };
-    let others = costs.into_iter().map(|(_, runner)| runner);
-    let others: Vec<_> = others.filter(|r| !is_home(r)).take(count).collect();
-    homes.into_iter().chain(others).collect()
+    let ranked = costs.into_iter().map(|(_, runner)| runner);
+    let (homes, others): (Vec<_>, Vec<_>) =
+        ranked.partition(|runner| estimator.home_rank(runner).is_some());
+    homes
+        .into_iter()
+        .chain(others.into_iter().take(count))
+        .collect()
 }
 
 /// Runners that may take the request.
@@ -293,6 +320,11 @@
                 .only_runner
                 .is_none_or(|only| runner.registration.incarnation.name == *only)
         })
+        .filter(|runner| {
+            let max_age = requirements.max_status_age;
+            let age = runner.status_age(now);
+            max_age.is_none_or(|max| age.is_some_and(|age| age <= max))
+        })
         .filter(|runner| serves(now, settings, runners, requirements, runner))
         .collect()
 }
@@ -328,7 +360,20 @@
     is_recent && !is_changing
 }
 
-fn jitter(settings: &Settings, rng: &mut dyn rand::Rng) -> f64 {
+/// A random cost. Half of it is a hash of the shared prefix and the runner, so that
+/// requests with a prefix too short for homes still tend to meet where it is cached.
+fn jitter(
+    settings: &Settings,
+    requirements: &Requirements<'_>,
+    runner: &Runner,
+    rng: &mut dyn rand::Rng,
+) -> f64 {
     let fraction = f64::from(rng.next_u32()) / f64::from(u32::MAX);
+    let shared = requirements.segments.split_last();
+    let affinity = shared.and_then(|(_, shared)| shared.last()).map(|(id, _)| {
+        let score = sources::home_score(*id, runner);
+        1.0 - score as f64 / u64::MAX as f64
+    });
+    let fraction = affinity.map_or(fraction, |affinity| f64::midpoint(fraction, affinity));
     fraction * settings.max_jitter
 }
--- a/crates/lentil_policy/src/forward/placement/estimate.rs
+++ b/crates/lentil_policy/src/forward/placement/estimate.rs
@@ -2,18 +2,18 @@
 
 use std::{net, time};
 
-use lentil_types::{Instant, Tokens, WeightsVersion};
+use lentil_types::{Instant, PlaceName, Tokens, WeightsVersion};
 
 use super::{
-    Context, Refusal, Requirements, Settings,
+    Context, Refusal, Requirements, Settings, Store,
     load_estimate::LoadEstimate,
-    reserve::Reserve,
     shared_prefix,
-    sources::{Sources, sources},
+    sources::{Homes, Sources, sources},
+    store_index,
 };
 use crate::forward::{
     routing,
-    runners::{self, RequestCost, Runner, SegmentId},
+    runners::{self, RequestCost, Runner, SegmentId, SegmentKey},
     save_budget, target_weights,
 };
 
@@ -24,6 +24,9 @@
     pub(super) version: Option<WeightsVersion>,
     pub(super) source: Option<net::SocketAddr>,
     pub(super) prefills: bool,
+    pub(super) home_rank: Option<usize>,
+    pub(super) store: Option<&'a Store<'a>>,
+    pub(super) save_bytes: f64,
     /// Time that the runner needs for its prompt backlog, in milliseconds.
     backlog_ms: f64,
     /// Expected time to the first byte, in milliseconds.
@@ -58,7 +61,7 @@
     /// The shared prefix and its tokens.
     segment: Option<(SegmentId, Tokens)>,
     sources: Vec<Sources<'a>>,
-    reserve: Reserve,
+    homes: Option<Homes<'a>>,
     load: LoadEstimate,
 }
 
@@ -75,7 +78,6 @@
             engine,
         } = context;
         let segment = shared_prefix(settings, requirements.segments);
-        let reserve = Reserve::new(runners, requirements);
         Self {
             now,
             settings,
@@ -87,21 +89,26 @@
                 .map(|(_, tokens)| *tokens)
                 .sum(),
             segment,
-            sources: segment.map_or_else(Vec::new, |(id, _)| {
-                sources(id, eligible, requirements, &reserve)
-            }),
-            reserve,
+            sources: segment.map_or_else(Vec::new, |(id, _)| sources(id, eligible, requirements)),
+            homes: segment.map(|(id, _)| Homes::new(id, runners, requirements)),
             load: LoadEstimate::new(now, settings, eligible),
         }
     }
 
-    pub(super) fn candidate<'a>(&self, runner: &'a Runner) -> Candidate<'a> {
+    pub(super) fn candidate<'a>(&self, runner: &'a Runner) -> Candidate<'a>
+    where
+        'e: 'a,
+    {
         let Self {
             settings,
             requirements,
             ..
         } = self;
+        let version = requirements.model.and_then(|model| runner.version(model));
         let plan = self.prompt_plan(runner);
+        let mut sources = self.sources.iter();
+        let sources = sources.find(|sources| Some(sources.version) == version);
+        let store = sources.and_then(|sources| self.store(sources.key));
         let load = self.load.occupancy(self.now, runner);
         let slots = f64::from(runner.registration.slots.max(1));
         let queued = (load - (slots - 1.0)).max(0.0);
@@ -119,9 +126,14 @@
                 memory: self.tokens,
                 sent_at: self.now,
             },
-            version: requirements.model.and_then(|model| runner.version(model)),
+            version,
             source: plan.source,
             prefills: plan.prefills,
+            home_rank: self.home_rank(runner),
+            store: store.filter(|_| self.is_long()),
+            save_bytes: store.map_or(0.0, |store| {
+                self.transfer_bytes(self.tokens, &store.info.place, runner)
+            }),
             backlog_ms: backlog_ms * slowness,
             expected_ms,
             cost: expected_ms + memory_cost + plan.penalty + self.penalty(runner),
@@ -146,6 +158,7 @@
             return whole;
         };
         let unshared = self.tokens.saturating_sub(shared);
+        let prefill_ms = shared.0 as f64 / self.settings.prefill_rate;
         // A segment in prefill is cached by the time that the request is scheduled.
         if runner.segments.holds(sources.key) || runner.is_prefilling(sources.key) {
             return PromptPlan {
@@ -155,71 +168,110 @@
         }
         if let Some(holder) = sources.holder {
             let rate = self.engine.map_or(0.0, |engine| engine.link_rate);
-            return self.fetch_plan(unshared, shared, holder.registration.address, rate);
+            let bytes = self.transfer_bytes(shared, &holder.registration.place, runner);
+            return self.fetch_plan(shared, bytes / rate, holder.registration.address);
         }
-        if let Some(store) = self.requirements.store
-            && store.keys.binary_search(&sources.key).is_ok()
-        {
-            return self.fetch_plan(unshared, shared, store.info.address, store.info.link_rate);
+        let store = self.store(sources.key);
+        let is_held = |keys: &[SegmentKey]| keys.binary_search(&sources.key).is_ok();
+        if let Some(store) = store.filter(|store| store.keys.is_some_and(is_held)) {
+            let bytes = self.transfer_bytes(shared, &store.info.place, runner);
+            let rate = store.info.link_rate;
+            return self.fetch_plan(shared, bytes / rate, store.info.address);
         }
-        let home_rank = sources.home_rank(runner);
+        let home_rank = self.home_rank(runner);
         PromptPlan {
             prefills: true,
             source: self.likely_source(sources, home_rank),
-            penalty: match (sources.is_prefilling, home_rank) {
-                (true, _) => self.settings.duplicate_penalty,
-                (false, Some(0)) => 0.0,
-                (false, Some(_)) => self.settings.secondary_penalty,
-                (false, None) => self.settings.nonhome_penalty,
-            },
+            penalty: prefill_ms
+                * match (sources.is_prefilling, home_rank) {
+                    (true, _) => self.settings.duplicate_cost,
+                    (false, Some(0)) => 0.0,
+                    (false, Some(_)) => self.settings.secondary_cost,
+                    (false, None) => self.settings.nonhome_cost,
+                },
             ..whole
         }
     }
 
     /// Where a runner looks for a segment that no runner is known to hold before it
-    /// prefills it: status arrives late, above all in a large fleet, and a failed
-    /// lookup costs a runner a millisecond.
+    /// prefills it; a failed lookup costs a runner a millisecond. The store may have
+    /// it, unless it is known not to. Otherwise a home whose status is old, as usual
+    /// in a large fleet, may have prefilled it since.
     fn likely_source(
         &self,
         sources: &Sources<'_>,
         home_rank: Option<usize>,
     ) -> Option<net::SocketAddr> {
-        let other = |rank: usize| {
-            sources
-                .homes
-                .get(rank)
-                .map(|home| home.registration.address)
+        let is_old = |home: &Runner| {
+            let age = home.status_age(self.now);
+            age.is_none_or(|age| age > self.settings.stale_age)
         };
-        match (home_rank, self.requirements.store_address) {
-            (Some(0), Some(store)) if self.requirements.store.is_none() => Some(store),
-            (Some(0), _) => other(1),
-            _ => other(0),
-        }
+        // Short segments are not saved.
+        let store = self
+            .store(sources.key)
+            .filter(|store| store.keys.is_none() && self.is_long());
+        let has_version = |home: &Runner| {
+            let model = self.requirements.model;
+            model.is_some_and(|model| home.version(model) == Some(sources.version))
+        };
+        let mut others = self.homes().enumerate();
+        let home = others.find(|(rank, home)| Some(*rank) != home_rank && has_version(home));
+        let home = home.map(|(_, home)| home);
+        let old_home = home.filter(|home| is_old(home) || store.is_none());
+        let home_address = old_home.map(|home| home.registration.address);
+        home_address.or(store.map(|store| store.info.address))
     }
 
-    /// A prompt of which `shared` tokens are fetched over a link of `rate` bytes per
-    /// second.
-    fn fetch_plan(
-        &self,
-        unshared: Tokens,
-        shared: Tokens,
-        source: net::SocketAddr,
-        rate: f64,
-    ) -> PromptPlan {
+    /// Whether the shared prefix is as long as a long prompt.
+    fn is_long(&self) -> bool {
+        self.segment
+            .is_some_and(|(_, tokens)| tokens >= runners::LONG_PROMPT)
+    }
+
+    /// Rank of a runner among the homes of the shared prefix.
+    pub(super) fn home_rank(&self, runner: &Runner) -> Option<usize> {
+        self.homes.as_ref()?.rank(runner)
+    }
+
+    /// The store that a segment belongs to.
+    fn store(&self, key: SegmentKey) -> Option<&'e Store<'e>> {
+        let stores = self.requirements.stores;
+        stores.get(store_index(key, stores)?)
+    }
+
+    /// Bytes that a transfer of KV cache between a runner and `place` takes of a link.
+    /// Transfers between data centres take twice as long.
+    fn transfer_bytes(&self, tokens: Tokens, place: &PlaceName, runner: &Runner) -> f64 {
         let bytes = self
             .engine
-            .map_or(0.0, |engine| save_budget::segment_bytes(engine, shared));
+            .map_or(0.0, |engine| save_budget::segment_bytes(engine, tokens));
+        if runner.registration.place == *place {
+            bytes
+        } else {
+            bytes * 2.0
+        }
+    }
+
+    /// A prompt whose shared prefix of `shared` tokens is fetched within `seconds`.
+    fn fetch_plan(&self, shared: Tokens, seconds: f64, source: net::SocketAddr) -> PromptPlan {
+        let unshared = self.tokens.saturating_sub(shared);
+        let prefill_ms = shared.0 as f64 / self.settings.prefill_rate;
+        let penalty = prefill_ms * self.settings.fetch_cost;
         PromptPlan {
             uncached: unshared,
-            fetch_ms: bytes / rate.max(1.0) * 1e3,
+            fetch_ms: if seconds.is_finite() {
+                seconds * 1e3
+            } else {
+                0.0
+            },
             source: Some(source),
             prefills: false,
-            penalty: self.settings.fetch_penalty,
+            penalty,
         }
     }
 
     /// Runners that may get the request. A long prompt waits until one has a small
-    /// backlog, and leaves reserved runners to short requests.
+    /// backlog, and leaves memory and slots to short requests.
     pub(super) fn admissible<'a>(
         &self,
         all: Vec<Candidate<'a>>,
@@ -232,13 +284,12 @@
         {
             return Ok(all);
         }
-        let is_unreserved = |candidate: &Candidate<'_>| !self.reserve.contains(candidate.runner);
-        let has_unreserved = all.iter().any(is_unreserved);
         let backlogs = all.iter().map(|candidate| candidate.backlog_ms);
         let least = backlogs.min_by(f64::total_cmp).unwrap_or(0.0);
         let may_take = |candidate: &Candidate<'_>| {
-            let is_allowed = is_unreserved(candidate) || !has_unreserved;
-            is_allowed && candidate.backlog_ms <= self.backlog_limit(candidate)
+            candidate.backlog_ms <= self.backlog_limit(candidate)
+                && self.has_memory(candidate.runner)
+                && self.has_slots(candidate.runner)
         };
         let admissible: Vec<_> = all.into_iter().filter(may_take).collect();
         if admissible.is_empty() {
@@ -250,6 +301,20 @@
         Ok(admissible)
     }
 
+    /// Whether the prompt fits into a runner's free memory, or will when the runner is
+    /// idle. Without that the runner preempts requests and computes them again.
+    fn has_memory(&self, runner: &Runner) -> bool {
+        runner.overcommitment(self.tokens) == Tokens(0) || runner.is_idle()
+    }
+
+    /// Whether enough of a runner's slots are free for short requests that follow. An
+    /// urgent request that finds none preempts a long prompt, which is computed again.
+    fn has_slots(&self, runner: &Runner) -> bool {
+        let slots = f64::from(runner.registration.slots.max(1));
+        let load = self.load.occupancy(self.now, runner);
+        load < slots * self.settings.long_share || runner.is_idle()
+    }
+
     /// Longest backlog, in milliseconds, of a runner that may get the request. One
     /// that holds or is prefilling the shared prefix may have as much more as
     /// prefilling it elsewhere would take.
@@ -263,10 +328,8 @@
     }
 
     /// Homes of the shared prefix, primary home first.
-    pub(super) fn homes(&self) -> impl Iterator<Item = &'e Runner> {
-        self.sources
-            .iter()
-            .flat_map(|sources| sources.homes.iter().copied())
+    fn homes(&self) -> impl Iterator<Item = &'e Runner> {
+        self.homes.iter().flat_map(Homes::iter)
     }
 
     /// Penalties of a runner besides its expected time, in milliseconds.
@@ -282,12 +345,8 @@
             penalty += settings.remote_penalty
                 + requirements.body_bytes as f64 / 1e3 * settings.per_kilobyte;
         }
-        let is_short = requirements.model.is_some() && self.segment.is_none();
-        if is_short && !self.reserve.is_empty() && !self.reserve.contains(runner) {
-            penalty += settings.mixed_penalty;
-        }
         let age = runner.status_age(self.now);
-        if self.segment.is_some() && age.is_none_or(|age| age > settings.stale_age) {
+        if self.is_long() && age.is_none_or(|age| age > settings.stale_age) {
             penalty += settings.stale_penalty;
         }
         let has_old_weights = requirements.model.is_some_and(|model| {
--- a/crates/lentil_policy/src/forward/placement/sources.rs
+++ b/crates/lentil_policy/src/forward/placement/sources.rs
@@ -2,31 +2,71 @@
 
 use lentil_types::WeightsVersion;
 
-use super::{Requirements, reserve::Reserve};
-use crate::forward::runners::{self, Runner, SaltHash, SegmentId, SegmentKey};
+use super::Requirements;
+use crate::forward::runners::{self, Runner, Runners, SaltHash, SegmentId, SegmentKey};
+
+/// Homes of a segment. A single one would often be busy with another segment.
+const HOME_COUNT: usize = 2;
+
+/// Runners that prefill a segment when none is known to hold it, primary home first.
+/// Computed from all runners that stay in the service, whatever their weights and
+/// whether they are usable now: routers must agree on them, and each change costs a
+/// prefill.
+pub(super) struct Homes<'a>(Vec<&'a Runner>);
+
+impl<'a> Homes<'a> {
+    pub(super) fn new(
+        segment: SegmentId,
+        runners: &'a Runners,
+        requirements: &Requirements<'_>,
+    ) -> Self {
+        let mut homes = Self(Vec::with_capacity(HOME_COUNT + 1));
+        let members = runners
+            .iter()
+            .filter(|runner| runner.is_member(requirements.service));
+        for runner in members {
+            homes.insert(segment, runner);
+        }
+        homes
+    }
+
+    fn insert(&mut self, segment: SegmentId, runner: &'a Runner) {
+        let score = home_score(segment, runner);
+        let index = self
+            .0
+            .partition_point(|home| home_score(segment, home) > score);
+        self.0.insert(index, runner);
+        self.0.truncate(HOME_COUNT);
+    }
+
+    /// Rank of a runner among the homes, 0 for the primary one.
+    pub(super) fn rank(&self, runner: &Runner) -> Option<usize> {
+        self.0
+            .iter()
+            .position(|home| home.registration.incarnation == runner.registration.incarnation)
+    }
+
+    /// The homes, primary one first.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &'a Runner> {
+        self.0.iter().copied()
+    }
+}
 
 /// Where a segment is found under one version of the weights.
 pub(super) struct Sources<'a> {
     pub(super) version: WeightsVersion,
     pub(super) key: SegmentKey,
-    /// Runners that prefill it when none is known to hold it, primary home first.
-    pub(super) homes: Vec<&'a Runner>,
     /// Runner that holds it with the fewest requests of this router.
     pub(super) holder: Option<&'a Runner>,
     /// Whether a runner is prefilling it.
     pub(super) is_prefilling: bool,
 }
 
-/// Homes of a segment. A single one would often be busy with another segment.
-const HOME_COUNT: usize = 2;
-
-/// Sources of a segment for each version that `runners` serve. Reserved runners are
-/// not homes.
+/// Sources of a segment for each version that `runners` serve.
 pub(super) fn sources<'a>(
     segment: SegmentId,
     runners: &[&'a Runner],
     requirements: &Requirements<'_>,
-    reserve: &Reserve,
 ) -> Vec<Sources<'a>> {
     let Some(model) = requirements.model else {
         return Vec::new();
@@ -42,9 +82,6 @@
             all.len() - 1
         });
         let sources = &mut all[index];
-        if !reserve.contains(runner) {
-            sources.insert_home(segment, runner);
-        }
         sources.is_prefilling |= runner.is_prefilling(sources.key);
         let is_better = |holder: &Runner| runner.in_flight < holder.in_flight;
         if runner.segments.holds(sources.key) && sources.holder.is_none_or(is_better) {
@@ -54,35 +91,19 @@
     all
 }
 
-impl<'a> Sources<'a> {
+impl Sources<'_> {
     fn new(segment: SegmentId, version: WeightsVersion, requirements: &Requirements<'_>) -> Self {
         let salt = runners::salt(version, requirements.isolated);
         Self {
             version,
             key: SegmentKey::new(segment, SaltHash::of(&salt)),
-            homes: Vec::with_capacity(HOME_COUNT + 1),
             holder: None,
             is_prefilling: false,
         }
     }
-
-    fn insert_home(&mut self, segment: SegmentId, runner: &'a Runner) {
-        let score = home_score(segment, runner);
-        let index = self
-            .homes
-            .partition_point(|home| home_score(segment, home) > score);
-        self.homes.insert(index, runner);
-        self.homes.truncate(HOME_COUNT);
-    }
-
-    /// Rank of a runner among the homes, 0 for the primary one.
-    pub(super) fn home_rank(&self, runner: &Runner) -> Option<usize> {
-        self.homes
-            .iter()
-            .position(|home| home.registration.incarnation == runner.registration.incarnation)
-    }
 }
 
-fn home_score(segment: SegmentId, runner: &Runner) -> u64 {
+/// Score of a runner for a segment; its homes have the highest ones.
+pub(super) fn home_score(segment: SegmentId, runner: &Runner) -> u64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(runner.registration.incarnation.name.as_bytes(), segment.0)
 }
--- a/crates/lentil_policy/src/forward/routing.rs
+++ b/crates/lentil_policy/src/forward/routing.rs
@@ -244,12 +244,6 @@
         &route.targets[route.targets.len() - 1].service
     }
 
-    /// The store in `place`, or else the first.
-    pub fn store(&self, place: &PlaceName) -> Option<&CacheStore> {
-        let local = self.stores.iter().find(|store| store.place == *place);
-        local.or(self.stores.first())
-    }
-
     /// Teams, in the order of the configuration.
     pub fn teams(&self) -> &[Team] {
         &self.teams
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -21,6 +21,9 @@
     pub return_grace: time::Duration,
     /// How long a status counts as current. Agents send several in that time.
     pub status_ttl: time::Duration,
+    /// How long an agent's report that its runner is silent counts. Agents repeat it
+    /// several times in that time.
+    pub silence_ttl: time::Duration,
     /// When failures eject a runner.
     pub health: HealthSettings,
 }
@@ -30,6 +33,7 @@
         Self {
             return_grace: time::Duration::from_secs(2),
             status_ttl: time::Duration::from_millis(2_500),
+            silence_ttl: time::Duration::from_millis(2_500),
             health: HealthSettings::default(),
         }
     }
@@ -245,6 +249,18 @@
         true
     }
 
+    /// A runner's agent reports that the runner does not answer. Returns whether this
+    /// was not known.
+    pub fn on_silent(&mut self, now: Instant, incarnation: &Incarnation) -> bool {
+        let silence_ttl = self.settings.silence_ttl;
+        let Some(runner) = self.get_mut(incarnation) else {
+            return false;
+        };
+        let was_silent = runner.is_silent(now, silence_ttl);
+        runner.silent_at = Some(now);
+        !was_silent
+    }
+
     /// Current incarnation of the runner with this name.
     pub fn incarnation(&self, name: &str) -> Option<&Incarnation> {
         self.table
@@ -277,8 +293,8 @@
         }
     }
 
-    /// Runners of a service that are neither leaving, replaced nor ejected. Ejections
-    /// are ignored if they take out more than half of the service.
+    /// Runners of a service that are neither leaving, replaced, silent nor ejected. The
+    /// last two are ignored if they take out more than half of the service.
     pub fn usable(&self, now: Instant, service: &ServiceName) -> Vec<&Runner> {
         let members = self
             .table
@@ -286,7 +302,9 @@
             .filter(|r| r.registration.service == *service);
         let present = members.filter(|r| !r.registration.is_leaving && !r.replaced);
         let present: Vec<_> = present.collect();
-        let healthy = present.iter().filter(|r| !r.health.is_ejected(now));
+        let silence_ttl = self.settings.silence_ttl;
+        let is_healthy = |r: &&&Runner| !r.health.is_ejected(now) && !r.is_silent(now, silence_ttl);
+        let healthy = present.iter().filter(is_healthy);
         let healthy: Vec<_> = healthy.copied().collect();
         if healthy.len() * 2 >= present.len() {
             healthy
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -86,6 +86,8 @@
     pub(super) status: Option<(Instant, Status)>,
     /// Since when its statuses have reported a change of weights.
     pub(super) changing_since: Option<Instant>,
+    /// When its agent last reported that it does not answer; `None` after a status.
+    pub(super) silent_at: Option<Instant>,
     pub(super) health: Health,
     /// Shared segments that it is expected to hold.
     pub segments: segments::Segments,
@@ -119,6 +121,7 @@
             replaced: false,
             status: None,
             changing_since: None,
+            silent_at: None,
             health: Health::default(),
             segments: segments::Segments::default(),
             in_flight: 0,
@@ -144,6 +147,7 @@
         }
         self.segments.on_update(now, &status.segments);
         self.reported_in_flight = self.in_flight;
+        self.silent_at = None;
         self.changing_since = match status.is_changing {
             true => self.changing_since.or(Some(now)),
             false => None,
@@ -151,12 +155,23 @@
         self.status = Some((now, status));
     }
 
+    /// Whether its agent reported within `ttl` that it does not answer.
+    pub fn is_silent(&self, now: Instant, ttl: time::Duration) -> bool {
+        self.silent_at
+            .is_some_and(|reported_at| now.since(reported_at) <= ttl)
+    }
+
     /// Since when its statuses have reported a change of weights; `None` if the last
     /// one did not.
     pub fn changing_since(&self) -> Option<Instant> {
         self.changing_since
     }
 
+    /// Whether it belongs to a service and stays there.
+    pub fn is_member(&self, service: &ServiceName) -> bool {
+        self.registration.service == *service && !self.registration.is_leaving && !self.replaced
+    }
+
     /// Whether another runner has its address.
     pub fn is_replaced(&self) -> bool {
         self.replaced
@@ -271,6 +286,13 @@
         (status.committed + own + more).saturating_sub(status.capacity)
     }
 
+    /// Whether it has no requests, by its last status and this router's own.
+    pub fn is_idle(&self) -> bool {
+        let status = self.status.as_ref();
+        let is_free = status.is_none_or(|(_, status)| status.running + status.waiting == 0);
+        is_free && self.in_flight == 0
+    }
+
     /// Whether it is prefilling a segment, by its last status.
     pub fn is_prefilling(&self, key: segments::SegmentKey) -> bool {
         let status = self.status.as_ref();
--- a/crates/lentil_policy/src/forward/save_budget.rs
+++ b/crates/lentil_policy/src/forward/save_budget.rs
@@ -1,7 +1,7 @@
 //! Limits the shared segments that are saved to the cache store.
 //!
 //! Runners evict segments that are requested again seconds later. Fetching one from
-//! the store is much faster than prefilling it, but the store has a single link, on
+//! a store is much faster than prefilling it, but each store has a single link, on
 //! which saves delay fetches, so saves get a fraction of it.
 
 use std::time;
@@ -13,7 +13,8 @@
 /// Settings of a [`SaveBudget`].
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Fraction of the store's link that saves may take.
+    /// Fraction of the stores' links that saves may take. A link is idle most of the
+    /// time once the segments are saved, and fetches only wait for the saves before.
     pub link_share: f64,
     /// Bytes that may be saved in one burst, as seconds of that fraction.
     pub burst_time: time::Duration,
@@ -25,7 +26,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            link_share: 0.7,
+            link_share: 1.0,
             burst_time: time::Duration::from_secs(2),
             weights_age: time::Duration::from_millis(1_500),
         }
@@ -52,17 +53,18 @@
     }
 
     /// Takes `bytes` for a save from the budget; `false` if it must not be made now.
-    /// `age`: how long its weights have been the target, `None` for the first ones;
-    /// `routers`: how many share the store.
+    /// `link_rate`: bytes per second of all stores together; `age`: how long its weights
+    /// have been the target, `None` for the first ones; `routers`: how many share the
+    /// stores.
     pub fn try_take(
         &mut self,
         now: Instant,
-        store: &routing::CacheStore,
+        link_rate: f64,
         bytes: f64,
         age: Option<time::Duration>,
         routers: usize,
     ) -> bool {
-        let rate = store.link_rate * self.settings.link_share / routers.max(1) as f64;
+        let rate = link_rate * self.settings.link_share / routers.max(1) as f64;
         let refill = now.since(self.refilled_at).as_secs_f64() * rate;
         let burst = rate * self.settings.burst_time.as_secs_f64();
         self.budget = (self.budget + refill).min(burst.max(bytes));
--- a/crates/lentil_policy/src/forward/status_schedule.rs
+++ b/crates/lentil_policy/src/forward/status_schedule.rs
@@ -70,6 +70,11 @@
         self.full_sent_at = None;
     }
 
+    /// The runner answers again: its next status is due at once.
+    pub fn on_recovered(&mut self) {
+        self.last_sent = None;
+    }
+
     /// The status to report now, if one is due. `status` comes without segments;
     /// `segments` are those that the runner holds.
     pub fn next_status(
--- a/crates/lentil_policy/src/forward/wait_queue.rs
+++ b/crates/lentil_policy/src/forward/wait_queue.rs
@@ -6,7 +6,7 @@
 //! order of arrival: an answer that is late anyway is worth about as much a second
 //! later.
 
-use lentil_types::{Instant, ServiceName};
+use lentil_types::{Instant, ServiceName, Tokens};
 
 /// Identifies a waiting request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -80,49 +80,29 @@
     }
 }
 
-/// Prompt tokens that a service was recently asked to compute, decaying
-/// exponentially.
+/// Prompt tokens of the long prompts that a service was recently asked to compute,
+/// decaying exponentially.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand {
-    long: f64,
-    short: f64,
-    long_count: f64,
+    tokens: f64,
+    count: f64,
     updated_at: Instant,
 }
 
 /// Half-life of the demand, in seconds.
 const HALF_LIFE_SECS: f64 = 4.0;
-/// Largest fraction of a service's runners that is reserved for short requests.
-const MAX_RESERVE: f64 = 0.34;
 
 impl Demand {
-    /// A request with `uncached` prompt tokens was sent to a runner; `is_long` if it
-    /// is a long prompt.
-    pub fn on_sent(&mut self, now: Instant, uncached: u64, is_long: bool) {
+    /// A long prompt with `uncached` tokens was sent to a runner.
+    pub fn on_sent(&mut self, now: Instant, uncached: Tokens) {
         let decay = (-now.since(self.updated_at).as_secs_f64() / HALF_LIFE_SECS).exp2();
         self.updated_at = now;
-        self.long *= decay;
-        self.short *= decay;
-        self.long_count *= decay;
-        if is_long {
-            self.long += uncached as f64;
-            self.long_count += 1.0;
-        } else {
-            self.short += uncached as f64;
-        }
-    }
-
-    /// Fraction of a service's runners that short requests need.
-    pub fn reserve(&self) -> f64 {
-        let total = self.long + self.short;
-        if total <= 0.0 {
-            return 0.0;
-        }
-        (self.short / total).min(MAX_RESERVE)
+        self.tokens = self.tokens * decay + uncached.0 as f64;
+        self.count = self.count * decay + 1.0;
     }
 
     /// Mean uncached tokens of a long prompt.
     pub fn mean_long(&self) -> f64 {
-        self.long / self.long_count.max(1.0)
+        self.tokens / self.count.max(1.0)
     }
 }
