Start a rollout without overlapping drains and loads

In the beginning runners get their turns at the same moment, so they drain together and load together: six loads at once took twice their time, the rollout fell behind, and runners started by themselves while others still changed.

Change: while the pace doubles, no runner drains ahead of the loads.

--- a/crates/lentil_policy/src/forward/rollout_pacer.rs
+++ b/crates/lentil_policy/src/forward/rollout_pacer.rs
@@ -203,7 +203,8 @@
     /// next one drains, so the weight store does not idle during a drain.
     fn max_changing(&self) -> usize {
         let load_time = self.load_time().as_secs_f64();
-        let drains = if load_time > 0.0 {
+        // In the beginning all drain, and then load, at the same time.
+        let drains = if load_time > 0.0 && !self.is_starting {
             self.limit * self.drain_time.as_secs_f64() / load_time
         } else {
             0.0
