--- a/crates/lentil_policy/src/forward/placement/estimate.rs
+++ b/crates/lentil_policy/src/forward/placement/estimate.rs
@@ -17,6 +17,9 @@
     save_budget, target_weights,
 };
 
+/// How much longer a transfer of KV cache takes between data centres.
+const REMOTE_TRANSFER_FACTOR: f64 = 2.0;
+
 /// An eligible runner with its expected cost.
 pub(super) struct Candidate<'a> {
     pub(super) runner: &'a Runner,
@@ -239,8 +242,8 @@
         stores.get(store_index(key, stores)?)
     }
 
-    /// Bytes that a transfer of KV cache between a runner and `place` takes of a link.
-    /// Transfers between data centres take twice as long.
+    /// Bytes that a transfer of KV cache between a runner and `place` counts for on a
+    /// link.
     fn transfer_bytes(&self, tokens: Tokens, place: &PlaceName, runner: &Runner) -> f64 {
         let bytes = self
             .engine
@@ -248,7 +251,7 @@
         if runner.registration.place == *place {
             bytes
         } else {
-            bytes * 2.0
+            bytes * REMOTE_TRANSFER_FACTOR
         }
     }
 
