Keep the decisions of rollouts and silence in the policy crate

Change: `rollout_pacer` decides who paces and needs half of the statuses; `silence_watch` is new; `status_schedule::routers_part`; names. No change of behaviour.

Tests: a_router_without_statuses_grants_no_turns, routers_are_told_of_a_silent_runner_ until_it_answers; routers_of_a_large_fleet_are_reported_in_parts moved with its code.

--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -2,7 +2,9 @@
 
 use std::{cell, io, net, rc, time};
 
-use lentil_policy::forward::{backlog, rollout_schedule, runners, status_schedule, weights_update};
+use lentil_policy::forward::{
+    backlog, rollout_schedule, runners, silence_watch, status_schedule, weights_update,
+};
 use lentil_process::{Clock, metrics};
 use lentil_types::{FencingNumber, Instant, Table};
 
@@ -13,16 +15,6 @@
     datagram_socket::DatagramSocket,
 };
 
-/// Most addresses of routers in one status report; it must fit one packet.
-pub const MAX_ROUTERS: usize = 24;
-
-/// Up to `count` of `items` from index `first` on; both ends are joined.
-pub fn rotating_part<T: Copy>(items: &[T], first: usize, count: usize) -> Vec<T> {
-    let start = first.checked_rem(items.len()).unwrap_or(0);
-    let rotated = items[start..].iter().chain(&items[..start]);
-    rotated.take(count).copied().collect()
-}
-
 /// A router that subscribed to the runner's status.
 #[derive(Clone, Copy, Debug)]
 struct Subscriber {
@@ -53,7 +45,7 @@
     /// Keyed by the address at which the router serves documents.
     subscribers: Table<net::SocketAddr, Subscriber>,
     /// Routers that pace the rollout, and when each last granted a turn.
-    pacers: Table<net::SocketAddr, Instant>,
+    pacing_routers: Table<net::SocketAddr, Instant>,
     schedule: status_schedule::StatusSchedule,
     /// When routers were last sent each other's addresses.
     routers_sent: Option<Instant>,
@@ -61,10 +53,7 @@
     next_router: usize,
     cache: cache::SegmentIndex,
     backlog: backlog::Backlog,
-    /// When the report was last read.
-    reported_at: Instant,
-    /// Whether routers were told that the runner does not answer.
-    is_silent: bool,
+    silence: silence_watch::SilenceWatch,
 }
 
 impl State {
@@ -72,7 +61,7 @@
     /// from another boot than routers expect.
     fn status(&self) -> Option<runners::Status> {
         let report = self.updater.report()?;
-        if report.boot_id != self.incarnation.as_ref()?.boot_id || self.is_silent {
+        if report.boot_id != self.incarnation.as_ref()?.boot_id || self.silence.is_silent() {
             return None;
         }
         Some(runners::Status {
@@ -107,15 +96,14 @@
             fence: None,
             incarnation: None,
             subscribers: Table::new(),
-            pacers: Table::new(),
+            pacing_routers: Table::new(),
             schedule: status_schedule::StatusSchedule::new(settings.status_schedule),
             routers_sent: None,
             // Agents start at different addresses, so that together they send all.
             next_router: rand::random_range(0..usize::from(u16::MAX)),
             cache: cache::SegmentIndex::default(),
             backlog: backlog::Backlog::default(),
-            reported_at: Instant::ZERO,
-            is_silent: false,
+            silence: silence_watch::SilenceWatch::new(settings.silence),
         };
         Ok(rc::Rc::new(Self {
             settings,
@@ -167,7 +155,7 @@
                 self.give_order(order).await;
             }
             self.send_status().await;
-            self.send_load().await;
+            self.send_change_times().await;
             let interval = self.poll_interval();
             let timer = async {
                 smol::Timer::after(interval).await;
@@ -192,26 +180,22 @@
     pub async fn watch_runner(&self) {
         loop {
             smol::Timer::after(self.settings.report_interval).await;
-            let Some((incarnation, addresses)) = self.silence() else {
-                continue;
-            };
-            self.socket
-                .send(&addresses, Datagram::Silent(incarnation))
-                .await;
-            smol::Timer::after(self.settings.silence_interval).await;
+            if let Some((incarnation, addresses)) = self.due_notice() {
+                self.socket
+                    .send(&addresses, Datagram::Silent(incarnation))
+                    .await;
+            }
         }
     }
 
-    /// The runner and the routers to tell if it does not answer.
-    fn silence(&self) -> Option<(runners::Incarnation, Vec<net::SocketAddr>)> {
+    /// The runner and the routers to tell now that it does not answer.
+    fn due_notice(&self) -> Option<(runners::Incarnation, Vec<net::SocketAddr>)> {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let silent_for = now.since(state.reported_at);
-        if silent_for <= self.settings.report_ttl {
-            return None;
-        }
         let incarnation = state.incarnation.clone()?;
-        if !std::mem::replace(&mut state.is_silent, true) {
+        let was_silent = state.silence.is_silent();
+        let silent_for = state.silence.due_notice(now)?;
+        if !was_silent {
             log::warn!(runner:% = incarnation.name, silent_ms = silent_for.as_millis(); "the runner does not answer");
         }
         let subscribers = state.subscribers.values();
@@ -324,8 +308,10 @@
             return;
         }
         let ttl = self.settings.subscription_ttl;
-        state.pacers.retain(|_, heard| now.since(*heard) <= ttl);
-        state.pacers.insert(from, now);
+        state
+            .pacing_routers
+            .retain(|_, heard| now.since(*heard) <= ttl);
+        state.pacing_routers.insert(from, now);
         let target = turn.target;
         let age = time::Duration::ZERO;
         state
@@ -338,24 +324,24 @@
     }
 
     /// Tells the routers that pace the rollout how long the last change took.
-    async fn send_load(&self) {
-        let (loaded, pacers) = {
+    async fn send_change_times(&self) {
+        let (loaded, routers) = {
             let mut state = self.state.borrow_mut();
-            let Some(load) = state.updater.take_completed() else {
+            let Some(times) = state.updater.take_completed() else {
                 return;
             };
             let Some(incarnation) = state.incarnation.clone() else {
                 return;
             };
-            let pacers: Vec<_> = state.pacers.keys().copied().collect();
-            (Loaded { incarnation, load }, pacers)
+            let routers: Vec<_> = state.pacing_routers.keys().copied().collect();
+            (Loaded { incarnation, times }, routers)
         };
         log::info!(
-            runner:% = loaded.incarnation.name, drain_ms = loaded.load.drain_time.as_millis(),
-            load_ms = loaded.load.load_time.as_millis();
+            runner:% = loaded.incarnation.name, drain_ms = loaded.times.drain_time.as_millis(),
+            load_ms = loaded.times.load_time.as_millis();
             "changed weights"
         );
-        self.socket.send(&pacers, Datagram::Loaded(loaded)).await;
+        self.socket.send(&routers, Datagram::Loaded(loaded)).await;
     }
 
     async fn read_report(&self) {
@@ -364,8 +350,7 @@
         let mut state = self.state.borrow_mut();
         match report {
             Ok(report) => {
-                state.reported_at = now;
-                if std::mem::replace(&mut state.is_silent, false) {
+                if state.silence.on_report(now) {
                     log::info!("the runner answers again");
                     state.schedule.on_recovered();
                 }
@@ -439,8 +424,8 @@
         state.routers_sent = Some(now);
         let routers: Vec<_> = state.subscribers.keys().copied().collect();
         let first = state.next_router;
-        state.next_router = state.next_router.wrapping_add(MAX_ROUTERS);
-        rotating_part(&routers, first, MAX_ROUTERS)
+        state.next_router = state.next_router.wrapping_add(status_schedule::MAX_ROUTERS);
+        status_schedule::routers_part(&routers, first)
     }
 
     /// The due status report and its recipients.
--- a/crates/lentil_forward/src/agent/mod.rs
+++ b/crates/lentil_forward/src/agent/mod.rs
@@ -4,12 +4,12 @@
 
 use std::{future, pin, time};
 
-use lentil_policy::forward::{runners, status_schedule, weights_update};
+use lentil_policy::forward::{runners, silence_watch, status_schedule, weights_update};
 use lentil_types::{FencingNumber, Tokens};
 
 use crate::cache;
 
-pub use event_loop::{Agent, MAX_ROUTERS, rotating_part};
+pub use event_loop::Agent;
 
 /// Result of a call to a [`Runner`].
 pub type RunnerFuture<'a, T> =
@@ -69,10 +69,8 @@
     pub busy_interval: time::Duration,
     /// The same while the runner's weights change.
     pub changing_interval: time::Duration,
-    /// Age of the last report from which the runner counts as silent.
-    pub report_ttl: time::Duration,
-    /// Interval at which routers are told that it is.
-    pub silence_interval: time::Duration,
+    /// When routers are told that the runner does not answer.
+    pub silence: silence_watch::Settings,
     /// When statuses are sent to routers.
     pub status_schedule: status_schedule::Settings,
     /// Longest wait for cache events. Shorter calls cost the runner more than they
@@ -96,8 +94,7 @@
             report_interval: time::Duration::from_millis(100),
             busy_interval: time::Duration::from_millis(40),
             changing_interval: time::Duration::from_millis(20),
-            report_ttl: time::Duration::from_millis(400),
-            silence_interval: time::Duration::from_secs(1),
+            silence: silence_watch::Settings::default(),
             status_schedule: status_schedule::Settings::default(),
             cache_wait: time::Duration::from_millis(900),
             min_segment: Tokens(1_024),
--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -73,7 +73,7 @@
     /// The runner.
     pub incarnation: runners::Incarnation,
     /// How long it took.
-    pub load: rollout_pacer::Load,
+    pub times: rollout_pacer::ChangeTimes,
 }
 
 /// One datagram.
@@ -345,8 +345,8 @@
         Self {
             runner: from.incarnation.name.to_string(),
             born: from.incarnation.boot_id,
-            drain_ms: whole_millis(from.load.drain_time),
-            load_ms: whole_millis(from.load.load_time),
+            drain_ms: whole_millis(from.times.drain_time),
+            load_ms: whole_millis(from.times.load_time),
         }
     }
 }
@@ -357,7 +357,7 @@
     fn try_from(from: generated::Loaded) -> Result<Self, DatagramError> {
         Ok(Self {
             incarnation: incarnation(&from.runner, from.born)?,
-            load: rollout_pacer::Load {
+            times: rollout_pacer::ChangeTimes {
                 drain_time: time::Duration::from_millis(from.drain_ms.into()),
                 load_time: time::Duration::from_millis(from.load_ms.into()),
             },
--- a/crates/lentil_forward/src/router/rollout.rs
+++ b/crates/lentil_forward/src/router/rollout.rs
@@ -13,28 +13,19 @@
     peers::Recipient,
 };
 
-/// Routers that pace rollouts: those with the lowest addresses. More than one, so that
-/// a rollout continues while one is down.
-const PACING_ROUTERS: usize = 3;
-/// Fraction of a service's runners that must have reported a status. A router that
-/// has just started does not know how many change.
-const MIN_REPORTED: f64 = 0.5;
-
 impl Router {
     /// Grants the turns that are due. Called whenever a runner's status changes, and
     /// periodically.
     pub(crate) fn grant_turns(&self) {
         let now = self.now();
         let mut state = self.state();
-        if state.rank() >= PACING_ROUTERS {
-            return;
-        }
+        let rank = state.rank();
         for (service, target) in lagging_services(&state) {
             let (members, addresses) = members(&state, &service, &target.model);
-            if !knows_enough(&state, &service) {
+            let pacer = state.pacer(&service);
+            if !pacer.may_pace(rank) {
                 continue;
             }
-            let pacer = state.pacer(&service);
             let granted = pacer.grant(now, target.version, &members);
             let limit = pacer.limit();
             for incarnation in granted {
@@ -65,10 +56,10 @@
             return;
         };
         let pacer = state.pacer(&service);
-        pacer.on_load(now, loaded.load);
+        pacer.on_changed(now, loaded.times);
         log::info!(
-            runner:% = loaded.incarnation.name, drain_ms = loaded.load.drain_time.as_millis(),
-            load_ms = loaded.load.load_time.as_millis(), limit = pacer.limit();
+            runner:% = loaded.incarnation.name, drain_ms = loaded.times.drain_time.as_millis(),
+            load_ms = loaded.times.load_time.as_millis(), limit = pacer.limit();
             "a runner changed weights"
         );
         drop(state);
@@ -113,6 +104,7 @@
     let members = present.filter_map(|runner| {
         let member = rollout_pacer::Member {
             incarnation: runner.registration.incarnation.clone(),
+            is_reported: runner.has_status(),
             version: runner.version(model)?,
             outdated_since: target_weights::outdated_since(history, runner.version(model)?),
             changing_since: runner.changing_since(),
@@ -122,15 +114,6 @@
     members.unzip()
 }
 
-fn knows_enough(state: &State, service: &ServiceName) -> bool {
-    let (mut reported, mut all) = (0, 0);
-    for runner in present(state, service) {
-        all += 1;
-        reported += usize::from(runner.has_status());
-    }
-    reported as f64 >= all as f64 * MIN_REPORTED
-}
-
 fn present<'a>(
     state: &'a State,
     service: &'a ServiceName,
--- a/crates/lentil_forward/tests/messages.rs
+++ b/crates/lentil_forward/tests/messages.rs
@@ -3,13 +3,14 @@
 use std::time;
 
 use lentil_forward::{
-    EventSplitter, agent,
+    EventSplitter,
     datagram::{Crash, Datagram, Loaded, StatusReport, Subscribe, Turn},
     documents::WeightsTarget,
 };
 use lentil_policy::forward::{
     backlog, rollout_pacer,
     runners::{Incarnation, SegmentKey, SegmentUpdate, Status},
+    status_schedule,
 };
 use lentil_types::{Fingerprint, Tokens, WeightsVersion};
 use proptest::prelude::*;
@@ -72,7 +73,7 @@
         }),
         Datagram::Loaded(Loaded {
             incarnation: incarnation(),
-            load: rollout_pacer::Load {
+            times: rollout_pacer::ChangeTimes {
                 drain_time: time::Duration::from_millis(450),
                 load_time: time::Duration::from_millis(1_300),
             },
@@ -97,32 +98,13 @@
             number: u32::MAX,
             keys: (0..64).map(|n| SegmentKey(u64::MAX - n)).collect(),
         };
-        report.routers = (0..agent::MAX_ROUTERS)
+        report.routers = (0..status_schedule::MAX_ROUTERS)
             .map(|n| format!("10.100.200.{n}:65535").parse().unwrap())
             .collect();
     }
     assert!(largest.encode().unwrap().len() <= 1_400);
 }
 
-/// All routers of a fleet of 103 in one report did not fit a packet. No report was sent,
-/// and each router believed that it was the only one.
-#[test]
-fn routers_of_a_large_fleet_are_reported_in_parts() {
-    let routers: Vec<_> = (0..103).collect();
-    let mut reported: Vec<i32> = Vec::new();
-    for part in 0..5 {
-        let first = 70 + part * agent::MAX_ROUTERS;
-        let routers = agent::rotating_part(&routers, first, agent::MAX_ROUTERS);
-        assert!(routers.len() <= agent::MAX_ROUTERS);
-        reported.extend(routers);
-    }
-    reported.sort_unstable();
-    reported.dedup();
-    assert_eq!(reported, routers);
-    assert!(agent::rotating_part::<i32>(&[], 3, 24).is_empty());
-    assert_eq!(agent::rotating_part(&[1, 2], 3, 24), [2, 1]);
-}
-
 #[test]
 fn truncated_datagrams_are_rejected() {
     for datagram in datagrams() {
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -11,6 +11,7 @@
 //! - [`backlog`]: prompts that a runner still has to compute, of all routers.
 //! - [`weights_update`]: how an agent changes its runner's weights.
 //! - [`save_budget`]: the limit on saves to the cache store.
+//! - [`silence_watch`]: when an agent reports that its runner does not answer.
 //! - [`status_schedule`]: when an agent reports its runner's status to the routers.
 //! - [`rollout_pacer`]: how many runners change to new weights at once, and which.
 //! - [`rollout_schedule`]: when a runner changes that no router reaches.
@@ -24,6 +25,7 @@
 pub mod routing;
 pub mod runners;
 pub mod save_budget;
+pub mod silence_watch;
 pub mod status_schedule;
 pub mod target_weights;
 pub mod wait_queue;
--- a/crates/lentil_policy/src/forward/rollout_pacer.rs
+++ b/crates/lentil_policy/src/forward/rollout_pacer.rs
@@ -9,6 +9,9 @@
 //! Several routers pace the same rollout without coordination. They see the same
 //! status reports and grant turns in the same order, so they grant the same ones. A
 //! runner that no router reaches starts by itself ([`super::rollout_schedule`]).
+//!
+//! The load it answers: versions that follow each other faster than the fleet can
+//! change, where every overlapping load takes a runner out of service for longer.
 
 use std::{collections::VecDeque, time};
 
@@ -19,6 +22,12 @@
 /// Settings of a [`RolloutPacer`].
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
+    /// Routers that pace: those with the lowest addresses. More than one, so that a
+    /// rollout continues while one is down.
+    pub routers: usize,
+    /// Fraction of the runners that must have reported a status. A router that has just
+    /// started does not know how many change.
+    pub min_reported: f64,
     /// Time after which outdated weights must not be used.
     pub deadline: time::Duration,
     /// Fraction of a service's runners that load at once in the beginning.
@@ -44,6 +53,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            routers: 3,
+            min_reported: 0.5,
             deadline: time::Duration::from_secs(6),
             first_share: 0.12,
             max_share: 0.34,
@@ -56,9 +67,9 @@
     }
 }
 
-/// A change of weights that a runner has completed.
+/// How long a runner's change of weights took.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Load {
+pub struct ChangeTimes {
     /// Time from reporting the change until the order.
     pub drain_time: time::Duration,
     /// Time from the order until the runner served the new weights.
@@ -70,6 +81,8 @@
 pub struct Member {
     /// The runner.
     pub incarnation: Incarnation,
+    /// Whether its agent has reported a status.
+    pub is_reported: bool,
     /// Weights that it serves.
     pub version: WeightsVersion,
     /// Since when these are outdated; `None` if they are not.
@@ -125,14 +138,14 @@
     }
 
     /// A runner completed its change.
-    pub fn on_load(&mut self, now: Instant, load: Load) {
+    pub fn on_changed(&mut self, now: Instant, times: ChangeTimes) {
         if self.loads.len() >= self.settings.window {
             self.loads.pop_front();
         }
-        self.loads.push_back(load.load_time);
-        self.drain_time = load.drain_time;
+        self.loads.push_back(times.load_time);
+        self.drain_time = times.drain_time;
         let shortest = self.load_time();
-        let ratio = load.load_time.as_secs_f64() / shortest.as_secs_f64().max(1e-3);
+        let ratio = times.load_time.as_secs_f64() / shortest.as_secs_f64().max(1e-3);
         if ratio <= self.settings.slow_ratio {
             if self.is_limited {
                 self.limit += if self.is_starting {
@@ -147,10 +160,15 @@
         if now >= self.decreased_until {
             // Loads share the bandwidth evenly, so the ratio shows how many fit.
             self.limit = (self.limit / ratio.min(2.0)).max(1.0);
-            self.decreased_until = now + load.load_time;
+            self.decreased_until = now + times.load_time;
         }
     }
 
+    /// Whether a router with `rank` others before it paces rollouts.
+    pub fn may_pace(&self, rank: usize) -> bool {
+        rank < self.settings.routers
+    }
+
     /// Runners whose turn it is, given the state of all runners of the service, sorted
     /// by name, and the target version. Counts them as granted.
     pub fn grant(
@@ -159,6 +177,10 @@
         target: WeightsVersion,
         members: &[Member],
     ) -> Vec<Incarnation> {
+        let reported = members.iter().filter(|member| member.is_reported).count();
+        if (reported as f64) < members.len() as f64 * self.settings.min_reported {
+            return Vec::new();
+        }
         let is_lagging = |name: &RunnerName| {
             let index = members.binary_search_by(|member| member.incarnation.name.cmp(name));
             index.is_ok_and(|index| members[index].version < target)
--- a/crates/lentil_policy/src/forward/save_budget.rs
+++ b/crates/lentil_policy/src/forward/save_budget.rs
@@ -1,8 +1,8 @@
 //! Limits the shared segments that are saved to the cache store.
 //!
 //! Runners evict segments that are requested again seconds later. Fetching one from
-//! a store is much faster than prefilling it, but each store has a single link, on
-//! which saves delay fetches, so saves get a fraction of it.
+//! a store is much faster than prefilling it, but each store has a single link that
+//! saves and fetches share, so saves are limited.
 
 use std::time;
 
@@ -13,8 +13,9 @@
 /// Settings of a [`SaveBudget`].
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Fraction of the stores' links that saves may take. A link is idle most of the
-    /// time once the segments are saved, and fetches only wait for the saves before.
+    /// Fraction of the stores' links that saves may take. Up to the whole of them: a
+    /// segment that is not saved is prefilled again, which takes longer than a fetch
+    /// behind a save.
     pub link_share: f64,
     /// Bytes that may be saved in one burst, as seconds of that fraction.
     pub burst_time: time::Duration,
--- a/crates/lentil_policy/src/forward/status_schedule.rs
+++ b/crates/lentil_policy/src/forward/status_schedule.rs
@@ -152,3 +152,15 @@
         }
     }
 }
+
+/// Most addresses of routers in one status report; it must fit one packet.
+pub const MAX_ROUTERS: usize = 24;
+
+/// The addresses of a report: up to [`MAX_ROUTERS`] of `routers` from index `first` on,
+/// both ends joined. Agents that start at different indexes report all routers of a
+/// large fleet together.
+pub fn routers_part<T: Copy>(routers: &[T], first: usize) -> Vec<T> {
+    let start = first.checked_rem(routers.len()).unwrap_or(0);
+    let rotated = routers[start..].iter().chain(&routers[..start]);
+    rotated.take(MAX_ROUTERS).copied().collect()
+}
--- a/crates/lentil_policy/src/forward/weights_update.rs
+++ b/crates/lentil_policy/src/forward/weights_update.rs
@@ -122,7 +122,7 @@
     /// The start of the current change, once the first order was given.
     started: Option<Started>,
     /// The last completed change, until it is taken.
-    completed: Option<rollout_pacer::Load>,
+    completed: Option<rollout_pacer::ChangeTimes>,
 }
 
 impl WeightsUpdater {
@@ -167,7 +167,7 @@
     }
 
     /// The last completed change, once.
-    pub fn take_completed(&mut self) -> Option<rollout_pacer::Load> {
+    pub fn take_completed(&mut self) -> Option<rollout_pacer::ChangeTimes> {
         self.completed.take()
     }
 
@@ -278,7 +278,7 @@
 
     fn finish(&mut self, now: Instant) {
         if let Some(started) = self.started.take() {
-            self.completed = Some(rollout_pacer::Load {
+            self.completed = Some(rollout_pacer::ChangeTimes {
                 drain_time: started.ordered_at.since(started.drained_at),
                 load_time: now.since(started.ordered_at),
             });
--- a/crates/lentil_policy/tests/forward_rollout.rs
+++ b/crates/lentil_policy/tests/forward_rollout.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use lentil_policy::forward::{
-    rollout_pacer::{self, Load, Member, RolloutPacer},
+    rollout_pacer::{self, ChangeTimes, Member, RolloutPacer},
     rollout_schedule::{self, RolloutPosition},
     runners::Incarnation,
     target_weights,
@@ -114,6 +114,7 @@
         let runners: Vec<_> = (0..rollout.runners).map(runner).collect();
         let member = |runner: &Runner| Member {
             incarnation: runner.incarnation.clone(),
+            is_reported: true,
             version: WeightsVersion(1),
             outdated_since: None,
             changing_since: None,
@@ -196,6 +197,7 @@
         for pacer in &mut self.pacers {
             pacer.members[index] = Member {
                 incarnation: incarnation.clone(),
+                is_reported: true,
                 version,
                 outdated_since: None,
                 changing_since: None,
@@ -246,7 +248,7 @@
     }
 
     /// Reports a runner's status and load time to the routers.
-    fn report_status(&mut self, index: usize, completed: Option<Load>) {
+    fn report_status(&mut self, index: usize, completed: Option<ChangeTimes>) {
         let runner = &self.runners[index];
         let version = runner.report.weights[0].1;
         let changing_since = runner.updater.is_changing().then_some(self.now);
@@ -256,10 +258,10 @@
                 member.version = version;
                 member.changing_since = changing_since;
             }
-            if let Some(load) = completed
+            if let Some(times) = completed
                 && !self.chance(self.rollout.loss)
             {
-                self.pacers[pacer].pacer.on_load(self.now, load);
+                self.pacers[pacer].pacer.on_changed(self.now, times);
             }
         }
     }
@@ -363,6 +365,30 @@
     assert!(world.most_loading as f64 <= most, "{}", world.most_loading);
 }
 
+/// A router that has just started does not know which runners change.
+#[test]
+fn a_router_without_statuses_grants_no_turns() {
+    let mut pacer = RolloutPacer::new(rollout_pacer::Settings::default());
+    assert!(pacer.may_pace(0) && !pacer.may_pace(3));
+    let member = |index: usize, reported: usize| Member {
+        incarnation: Incarnation {
+            name: format!("runner-{index}").parse().unwrap(),
+            boot_id: 1,
+        },
+        is_reported: index < reported,
+        version: WeightsVersion(1),
+        outdated_since: Some(Instant::ZERO),
+        changing_since: None,
+    };
+    let now = Instant::from_millis(1_000);
+    let mut granted = |reported| {
+        let members: Vec<_> = (0..9).map(|index| member(index, reported)).collect();
+        pacer.grant(now, WeightsVersion(2), &members).len()
+    };
+    assert_eq!(granted(4), 0);
+    assert_eq!(granted(5), 1);
+}
+
 /// Versions come faster than the fleet can change: those that are overtaken before a
 /// runner's turn are skipped.
 #[test]
--- a/crates/lentil_policy/tests/forward_status.rs
+++ b/crates/lentil_policy/tests/forward_status.rs
@@ -6,7 +6,8 @@
     routing::{CacheStore, Engine},
     runners::{SegmentKey, SegmentUpdate, Segments, Status},
     save_budget::{self, SaveBudget},
-    status_schedule::{Settings, StatusSchedule},
+    silence_watch::{self, SilenceWatch},
+    status_schedule::{self, Settings, StatusSchedule},
 };
 use lentil_types::{Instant, Tokens, WeightsVersion};
 
@@ -191,3 +192,43 @@
     };
     assert_eq!(save_budget::segment_bytes(&engine, Tokens(10)), 1_600_000.0);
 }
+
+/// All routers of a fleet of 103 in one report did not fit a packet. No report was sent,
+/// and each router believed that it was the only one.
+#[test]
+fn routers_of_a_large_fleet_are_reported_in_parts() {
+    let routers: Vec<_> = (0..103).collect();
+    let mut reported: Vec<i32> = Vec::new();
+    for part in 0..5 {
+        let first = 70 + part * status_schedule::MAX_ROUTERS;
+        let part = status_schedule::routers_part(&routers, first);
+        assert!(part.len() <= status_schedule::MAX_ROUTERS);
+        reported.extend(part);
+    }
+    reported.sort_unstable();
+    reported.dedup();
+    assert_eq!(reported, routers);
+    assert!(status_schedule::routers_part::<i32>(&[], 3).is_empty());
+    assert_eq!(status_schedule::routers_part(&[1, 2], 3), [2, 1]);
+}
+
+#[test]
+fn routers_are_told_of_a_silent_runner_until_it_answers() {
+    let settings = silence_watch::Settings::default();
+    let mut watch = SilenceWatch::new(settings);
+    assert!(!watch.on_report(at(10_000)));
+    let notices = |watch: &mut SilenceWatch, from: u64, to: u64| {
+        let due = (from..to).step_by(100);
+        due.filter(|ms| watch.due_notice(at(*ms)).is_some()).count()
+    };
+    assert_eq!(
+        notices(&mut watch, 10_000, 10_400),
+        0,
+        "a report may be late"
+    );
+    assert_eq!(notices(&mut watch, 10_400, 13_400), 3);
+    assert!(watch.is_silent());
+    assert!(watch.on_report(at(13_400)), "it was silent before");
+    assert!(!watch.is_silent());
+    assert_eq!(watch.due_notice(at(13_500)), None);
+}
