Move a long prompt that its runner has lost

Cause, read in the diff: since a request moves only when the runner's agent is silent too. A runner that swallows requests while its reports go on kept them until their deadline.

If two statuses in a row, asked for after the usual silence, show none and nothing that waits, the request is lost there and may move. A runner that is only busy shows its prompts and keeps them.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -125,9 +125,14 @@
     end
 }
 
+/// Whether the agent is told of the request, so that its status shows it.
+fn is_announced(choice: &placement::Choice) -> bool {
+    choice.version.is_some() && choice.request_cost.uncached >= runners::LONG_PROMPT
+}
+
 /// Announces a long prompt to the runner's agent when it is sent.
 fn notify_agent(router: &Router, plan: &Plan, choice: &placement::Choice) {
-    if choice.version.is_none() || choice.request_cost.uncached < runners::LONG_PROMPT {
+    if !is_announced(choice) {
         return;
     }
     let long_prompt = backlog::LongPrompt {
@@ -258,13 +263,7 @@
         };
         let (router, choice) = (self.router.clone(), self.choice);
         let can_repeat = self.plan.can_repeat();
-        let silent = answer_timeout(
-            &router,
-            self.plan,
-            &choice.incarnation,
-            self.sent_at,
-            can_repeat,
-        );
+        let silent = answer_timeout(&router, self.plan, choice, self.sent_at, can_repeat);
         let wait = futures_lite::future::or(write, silent);
         futures_lite::future::or(self.matching_head(request), wait).await
     }
@@ -485,26 +484,34 @@
     }
 }
 
-/// Fails when the runner and its agent are silent for the timeout. A runner alone that
-/// sends nothing for so long may just be busy, and to move its requests would add to
-/// the load; its agent tells whether it answers. For a request that must not be
+/// Fails when the runner and its agent are silent for the timeout, or when the agent
+/// reports after it that the runner computes no prompt. A runner that sends nothing
+/// for so long may just be busy, and to move its requests would add to the load. For a request that must not be
 /// repeated this only lowers the runner's health and never returns.
 async fn answer_timeout<T>(
     router: &Router,
     plan: &Plan,
-    incarnation: &runners::Incarnation,
+    choice: &placement::Choice,
     sent_at: Instant,
     can_repeat: bool,
 ) -> Result<T, Failure> {
+    let incarnation = &choice.incarnation;
     let (min, max) = router.settings.silence_range;
     let timeout = plan
         .route
         .objective
         .mul_f64(router.settings.silence_factor)
         .clamp(min, max);
-    router
-        .wait_until_silent(incarnation, sent_at, timeout)
-        .await;
+    let silent = router.wait_until_silent(incarnation, sent_at, timeout);
+    let dropped = async {
+        if !is_announced(choice) {
+            std::future::pending::<()>().await;
+        }
+        router
+            .wait_until_dropped(incarnation, sent_at, timeout)
+            .await;
+    };
+    futures_lite::future::or(silent, dropped).await;
     if can_repeat {
         return Err(Failure::Silent);
     }
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -14,6 +14,10 @@
     peers::Recipient,
 };
 
+/// Statuses in a row that must not show a prompt before it counts as lost: the first
+/// may be older than the report that shows it.
+const DROPPED_STATUSES: u32 = 2;
+
 impl Router {
     /// Applies a complete listing of one kind of document.
     pub fn on_list(&self, kind: Kind, listing: &Listing) {
@@ -174,6 +178,37 @@
         }
     }
 
+    /// Returns when two statuses in a row, received later than `limit` after `since`,
+    /// show that a runner computes no prompt: it has lost one that has no answer yet.
+    pub(crate) async fn wait_until_dropped(
+        &self,
+        incarnation: &runners::Incarnation,
+        since: Instant,
+        limit: time::Duration,
+    ) {
+        let age = self.now().since(since);
+        smol::Timer::after(limit.saturating_sub(age)).await;
+        let mut shown = 0;
+        while shown < DROPPED_STATUSES {
+            let asked_at = self.now();
+            self.ask_agent(incarnation);
+            smol::Timer::after(self.settings.ask_interval).await;
+            let is_empty = self.has_no_prompt(incarnation, asked_at);
+            if is_empty {
+                shown += 1;
+            } else {
+                shown = 0;
+                smol::Timer::after(limit / 2).await;
+            }
+        }
+    }
+
+    fn has_no_prompt(&self, incarnation: &runners::Incarnation, since: Instant) -> bool {
+        let state = self.state();
+        let runner = state.runners().get(incarnation);
+        runner.is_some_and(|runner| runner.has_no_prompt(since))
+    }
+
     /// Time since the last byte of a runner or its agent, or since `since` if later.
     fn silent_for(&self, incarnation: &runners::Incarnation, since: Instant) -> time::Duration {
         let now = self.now();
