Log abandoned attempts and ejections, and a sample of what was answered on time

Change: one in 64 requests that were answered on time at the first runner is logged, all others as before; an abandoned attempt is logged with its runner, the time since it was sent and the time since the runner or its agent was heard; so is an ejection.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -104,6 +104,7 @@
             .state()
             .on_sent(now, &plan.service, choice.request_cost.uncached);
     }
+    let mut abandonment = Abandonment::new(router, plan, choice);
     let end = match connect::connect(router, plan, choice).await {
         None => AttemptEnd::Failed(Failure::Unreachable),
         Some(connection) => {
@@ -121,10 +122,52 @@
             attempt.exchange(request, progress, answer).await
         }
     };
+    abandonment.has_ended = true;
     record_end(router, plan, choice, &end);
     end
 }
 
+/// Logs on drop that the attempt was given up before its end, because the caller left
+/// or the request timed out.
+struct Abandonment<'a> {
+    router: &'a Router,
+    plan: &'a Plan,
+    choice: &'a placement::Choice,
+    started_at: Instant,
+    has_ended: bool,
+}
+
+impl<'a> Abandonment<'a> {
+    fn new(router: &'a Router, plan: &'a Plan, choice: &'a placement::Choice) -> Self {
+        Self {
+            router,
+            plan,
+            choice,
+            started_at: router.now(),
+            has_ended: false,
+        }
+    }
+}
+
+impl Drop for Abandonment<'_> {
+    fn drop(&mut self) {
+        let now = self.router.now();
+        if self.has_ended || !self.router.log_quota.try_take(now) {
+            return;
+        }
+        let incarnation = &self.choice.incarnation;
+        let state = self.router.state();
+        let runner = state.runners().get(incarnation);
+        let heard_ms = runner.map(|runner| now.since(runner.last_heard()).as_millis());
+        log::info!(
+            request = self.plan.id.as_str(), runner:% = incarnation.name, born = incarnation.boot_id,
+            sent_ms = now.since(self.started_at).as_millis(), heard_ms:?,
+            has_answer = self.plan.is_answering.get();
+            "attempt abandoned"
+        );
+    }
+}
+
 /// Whether the agent is told of the request, so that its status shows it.
 fn is_announced(choice: &placement::Choice) -> bool {
     choice.version.is_some() && choice.request_cost.uncached >= runners::LONG_PROMPT
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -6,6 +6,7 @@
 use lentil_policy::forward::{attempt_log, placement, routing};
 use lentil_process::metrics::{Counter, Timing};
 use lentil_types::{Instant, ServiceName};
+use xxhash_rust::xxh3;
 
 use super::{
     Router,
@@ -315,7 +316,7 @@
     router.metrics.count(Counter::OutcomeDone);
     let took = router.now().since(plan.received);
     router.metrics.time(Timing::WholeAnswer, took);
-    if !router.log_quota.try_take(router.now()) {
+    if !is_logged(router, plan, progress) || !router.log_quota.try_take(router.now()) {
         return;
     }
     let since = |at: Instant| at.since(plan.received).as_millis();
@@ -336,6 +337,16 @@
     );
 }
 
+/// Whether an answered request is logged: a sample of those on time, and all others.
+/// The sample depends on the id, so that routers and tools agree on it.
+fn is_logged(router: &Router, plan: &Plan, progress: &Progress) -> bool {
+    let first_byte = progress.first_byte.map(|at| at.since(plan.received));
+    let is_late = first_byte.is_none_or(|wait| wait > plan.route.objective);
+    let was_retried = plan.attempt_log.borrow().sent() > 1;
+    let is_sampled = xxh3::xxh3_64(plan.id.as_bytes()).is_multiple_of(router.settings.log_sample);
+    is_late || was_retried || is_sampled
+}
+
 fn log_own_answer(
     router: &Router,
     plan: &Plan,
--- a/crates/lentil_forward/src/router/settings.rs
+++ b/crates/lentil_forward/src/router/settings.rs
@@ -24,6 +24,9 @@
     pub pool: pool::Settings,
     /// Rate limit of log lines about single requests.
     pub log_quota: logs::QuotaSettings,
+    /// One in this many requests that were answered on time at the first runner is
+    /// logged. All others are.
+    pub log_sample: u64,
     /// Fraction of a route's objective that a request may wait while no runner can
     /// take it. After more, an answer on time is unlikely.
     pub wait_ratio: f64,
@@ -93,6 +96,7 @@
             retries: retries::Settings::default(),
             pool: pool::Settings::default(),
             log_quota: logs::QuotaSettings::default(),
+            log_sample: 64,
             wait_ratio: 0.7,
             max_wait: time::Duration::from_millis(500),
             queue_ratio: 0.5,
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -150,9 +150,13 @@
         signal: runners::HealthSignal,
     ) {
         let now = self.now();
-        self.state()
+        let ejection = self
+            .state()
             .runners_mut()
             .on_health_signal(now, incarnation, signal);
+        if let Some(duration) = ejection {
+            log::info!(runner:% = incarnation.name, born = incarnation.boot_id, signal:%, for_ms = duration.as_millis(); "runner ejected");
+        }
     }
 
     /// Returns when a runner and its agent were silent for `limit`, counted from
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -280,17 +280,17 @@
         (runner.registration.incarnation == *incarnation).then_some(runner)
     }
 
-    /// Records the result of an attempt at a runner.
+    /// Records the result of an attempt at a runner. Returns the duration of an
+    /// ejection that starts now.
     pub fn on_health_signal(
         &mut self,
         now: Instant,
         incarnation: &Incarnation,
         signal: HealthSignal,
-    ) {
+    ) -> Option<time::Duration> {
         let settings = self.settings.health;
-        if let Some(runner) = self.get_mut(incarnation) {
-            runner.health.on_health_signal(now, &settings, signal);
-        }
+        let runner = self.get_mut(incarnation)?;
+        runner.health.on_health_signal(now, &settings, signal)
     }
 
     /// Runners of a service that are neither leaving, replaced, silent nor ejected. The
--- a/crates/lentil_policy/src/forward/runners/health.rs
+++ b/crates/lentil_policy/src/forward/runners/health.rs
@@ -52,12 +52,14 @@
 }
 
 impl Health {
+    /// Records the result of an attempt. Returns the duration of an ejection that
+    /// starts now.
     pub(super) fn on_health_signal(
         &mut self,
         now: Instant,
         settings: &HealthSettings,
         signal: HealthSignal,
-    ) {
+    ) -> Option<time::Duration> {
         let failure = if signal == HealthSignal::Success {
             0.0
         } else {
@@ -68,17 +70,20 @@
             if self.failure_rate < settings.failure_limit / 2.0 {
                 self.ejections = 0;
             }
-            return;
+            return None;
         }
         let should_eject =
             signal == HealthSignal::Unreachable || self.failure_rate > settings.failure_limit;
-        if should_eject && !self.is_ejected(now) {
-            let duration = settings.ejection * (1 << self.ejections.min(8));
-            self.ejected_until = now + duration.min(settings.max_ejection);
-            self.ejections += 1;
-            // One more failure after the ejection causes the next one.
-            self.failure_rate = settings.failure_limit;
+        if !should_eject || self.is_ejected(now) {
+            return None;
         }
+        let duration = settings.ejection * (1 << self.ejections.min(8));
+        let duration = duration.min(settings.max_ejection);
+        self.ejected_until = now + duration;
+        self.ejections += 1;
+        // One more failure after the ejection causes the next one.
+        self.failure_rate = settings.failure_limit;
+        Some(duration)
     }
 
     pub(super) fn is_ejected(&self, now: Instant) -> bool {
