Keep sending nothing to a silent runner after its callers have left

What callers saw: while the instance of a runner stood still, streams that may run once went on to be sent to it, waited two seconds and were lost; the runner read them at the thaw, after their callers had left (GONE).

Cause: a router measured a runner's silence only while it had requests there. When their callers gave up, the runner had no requests, counted as heard and idle, and got the next ones. The class: a belief about one thing (the runner) kept in the life of another (an attempt). Besides, each router found out alone, by requests of its own, and a silent runner only ranked lower.

Change: a runner owes an answer from the first request until it or its agent is heard, whatever becomes of the request. After 40 ms its agent is asked; 40 ms without an answer later it is not used until it, its agent or a probe of its report answers, and the other routers are told, who ask for themselves. A request that may run once avoids it from the first question on. Runners without models have neither agent nor report; theirs end with their requests as before.

Looked for elsewhere: the agent's watch of its runner keeps its state by itself; ejections outlive requests; connections in the pool are checked before use. The wait queue and retries keep nothing about runners.

--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -98,7 +98,8 @@
     /// From an agent to the routers that granted it turns.
     Loaded(Loaded),
     /// From an agent to its subscribers: the runner does not answer, until the next
-    /// status report.
+    /// status report. From a router to every other: neither the runner nor its agent
+    /// answers.
     Silent(runners::Incarnation),
 }
 
--- a/crates/lentil_forward/src/lib.rs
+++ b/crates/lentil_forward/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`follow`]: keeps configuration, registrations and target weights up to date.
 //! - [`cache_store`]: follows which segments a cache store holds.
 //! - [`peers`]: datagrams between a router, agents and other routers.
+//! - [`runner_watch`]: checks runners that owe an answer.
 //! - [`h1`]: HTTP/1.1 that exposes connection state.
 //!
 //! Deployments supply header names and document formats as [`names::HeaderNames`]
@@ -31,6 +32,7 @@
 pub mod names;
 pub mod peers;
 pub mod router;
+pub mod runner_watch;
 
 pub use client::Client;
 pub use events::{EventSplitter, EventTooLarge};
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -112,8 +112,8 @@
     /// Handles received datagrams; never returns.
     pub async fn receive(&self) {
         loop {
-            let (_, datagram) = self.socket.receive().await;
-            self.on_datagram(datagram);
+            let (from, datagram) = self.socket.receive().await;
+            self.on_datagram(from, datagram);
         }
     }
 
@@ -132,7 +132,7 @@
         }
     }
 
-    fn on_datagram(&self, datagram: Datagram) {
+    fn on_datagram(&self, from: net::SocketAddr, datagram: Datagram) {
         match datagram {
             Datagram::StatusReport(report) => {
                 for address in &report.routers {
@@ -142,7 +142,7 @@
             }
             Datagram::Crash(crash) => self.router.on_crash(&crash),
             Datagram::Loaded(loaded) => self.router.on_loaded(&loaded),
-            Datagram::Silent(incarnation) => self.router.on_silent(&incarnation),
+            Datagram::Silent(incarnation) => self.on_silent(from, &incarnation),
             Datagram::Subscribe(_)
             | Datagram::LongPrompt(_)
             | Datagram::StatusRequest(_)
@@ -152,6 +152,16 @@
         }
     }
 
+    /// An agent knows that its runner does not answer; another router may just be cut
+    /// off from it.
+    fn on_silent(&self, from: net::SocketAddr, incarnation: &runners::Incarnation) {
+        match self.router.runner_address(incarnation) {
+            Some(address) if address.ip() == from.ip() => self.router.on_silent(incarnation),
+            Some(_) => self.router.on_doubt(incarnation),
+            None => {}
+        }
+    }
+
     fn on_router(&self, address: net::SocketAddr) {
         if address != self.documents_address {
             self.follower.on_router(address);
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -515,6 +515,7 @@
     /// Returns the connection to the pool if it can be reused: the request was
     /// written, the answer read completely, and no bytes follow it.
     fn return_connection(&mut self, head: &h1::ResponseHead, reader: &h1::BodyReader) {
+        self.in_flight.on_answered();
         let is_clean = reader.is_done() && self.connection.buffered() == 0;
         if !head.keep_alive || !is_clean || !self.written.get() {
             return;
--- a/crates/lentil_forward/src/router/in_flight.rs
+++ b/crates/lentil_forward/src/router/in_flight.rs
@@ -1,6 +1,6 @@
 //! Counts requests in flight at runners.
 
-use std::rc;
+use std::{cell, rc};
 
 use lentil_policy::forward::{placement, runners};
 
@@ -12,6 +12,8 @@
     incarnation: runners::Incarnation,
     cost: runners::RequestCost,
     is_released: bool,
+    /// Whether a complete answer was read.
+    is_answered: cell::Cell<bool>,
 }
 
 impl InFlight {
@@ -24,14 +26,16 @@
             incarnation: choice.incarnation.clone(),
             cost: choice.request_cost,
             is_released: false,
+            is_answered: cell::Cell::new(false),
         }
     }
 
     pub(super) fn on_bytes(&self) {
-        let now = self.router.now();
-        if let Some(runner) = self.router.state().runners_mut().get_mut(&self.incarnation) {
-            runner.last_byte = now;
-        }
+        self.router.on_heard(&self.incarnation);
+    }
+
+    pub(super) fn on_answered(&self) {
+        self.is_answered.set(true);
     }
 
     /// Releases the cost when the answer starts or the attempt ends.
@@ -49,7 +53,7 @@
     fn drop(&mut self) {
         self.release_cost();
         if let Some(runner) = self.router.state().runners_mut().get_mut(&self.incarnation) {
-            runner.on_ended();
+            runner.on_ended(self.is_answered.get());
         }
     }
 }
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -324,6 +324,7 @@
             time_left: plan.time_left(now),
             stores: &stores,
             max_status_age: None,
+            runs_once: !plan.route.repeat.is_repeatable(),
             only_runner,
         };
         let context = placement::Context {
@@ -353,6 +354,28 @@
             .then_some(store)
     }
 
+    /// Address of a known runner.
+    pub(crate) fn runner_address(
+        &self,
+        incarnation: &runners::Incarnation,
+    ) -> Option<net::SocketAddr> {
+        let state = self.state();
+        let runner = state.runners().get(incarnation);
+        runner.map(|runner| runner.registration.address)
+    }
+
+    /// Checks of runners that are due; counts them as made. `notice_delay`: for each
+    /// router, upper bound of the delay before the others are told.
+    pub(crate) fn due_liveness_actions(
+        &self,
+        notice_delay: time::Duration,
+    ) -> Vec<(runners::Incarnation, runners::LivenessAction)> {
+        let now = self.now();
+        let routers = self.state().routers() as f64;
+        let delay = self.jitter(notice_delay.mul_f64(routers));
+        self.state().runners_mut().due_actions(now, delay)
+    }
+
     /// A random duration of less than `max`.
     pub(crate) fn jitter(&self, max: time::Duration) -> time::Duration {
         use rand::RngExt as _;
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -275,6 +275,35 @@
         }
     }
 
+    /// A runner sent something.
+    pub(crate) fn on_heard(&self, incarnation: &runners::Incarnation) {
+        let now = self.now();
+        let was_unresponsive = self.state().runners_mut().on_heard(now, incarnation);
+        self.log_recovery(incarnation, was_unresponsive);
+    }
+
+    /// An unresponsive runner answered a probe.
+    pub(crate) fn on_probe_answered(&self, incarnation: &runners::Incarnation) {
+        let now = self.now();
+        let was_unresponsive = self
+            .state()
+            .runners_mut()
+            .on_probe_answered(now, incarnation);
+        self.log_recovery(incarnation, was_unresponsive);
+    }
+
+    fn log_recovery(&self, incarnation: &runners::Incarnation, was_unresponsive: bool) {
+        if was_unresponsive && self.log_quota.try_take(self.now()) {
+            log::info!(runner:% = incarnation.name, born = incarnation.boot_id; "an unresponsive runner answers again");
+        }
+    }
+
+    /// Another router finds a runner unresponsive.
+    pub(crate) fn on_doubt(&self, incarnation: &runners::Incarnation) {
+        let now = self.now();
+        self.state().runners_mut().on_doubt(now, incarnation);
+    }
+
     /// Applies an agent's status report.
     pub(crate) fn on_status_report(&self, report: datagram::StatusReport) {
         let now = self.now();
@@ -291,8 +320,10 @@
             let status = state.runners().status(now, runner)?;
             Some((status.is_changing, runner.registration.weights.clone()))
         });
+        let was_unresponsive = state.runners_mut().on_heard(now, &incarnation);
         let is_known = state.runners_mut().on_status(now, &incarnation, status);
         drop(state);
+        self.log_recovery(&incarnation, was_unresponsive);
         self.status_received.notify(usize::MAX);
         let is_same =
             |(was_changing, old): &(bool, _)| *was_changing == changing && *old == weights;
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -139,6 +139,8 @@
     /// Largest age of a runner's status; `None` for any. Old statuses of runners that
     /// were idle then would attract every long prompt under overload.
     pub max_status_age: Option<time::Duration>,
+    /// Whether the request may run only once: at a runner that has stopped it is lost.
+    pub runs_once: bool,
     /// The only permitted runner; `None` for any.
     pub only_runner: Option<&'a RunnerName>,
 }
@@ -326,7 +328,7 @@
         ..
     } = context;
     let usable = runners.usable(now, requirements.service).into_iter();
-    usable
+    let eligible = usable
         .filter(|runner| !exclude.contains(&runner.registration.incarnation.name))
         .filter(|runner| {
             requirements
@@ -338,8 +340,13 @@
             let age = runner.status_age(now);
             max_age.is_none_or(|max| age.is_some_and(|age| age <= max))
         })
-        .filter(|runner| serves(now, settings, runners, requirements, runner))
-        .collect()
+        .filter(|runner| serves(now, settings, runners, requirements, runner));
+    let mut eligible: Vec<_> = eligible.collect();
+    let has_others = eligible.iter().any(|runner| !runner.is_doubtful());
+    if requirements.runs_once && has_others {
+        eligible.retain(|runner| !runner.is_doubtful());
+    }
+    eligible
 }
 
 /// The shared prefix: all segments but the last, identified by the last shared one.
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -2,6 +2,7 @@
 //! status reports and its own requests.
 
 mod health;
+mod liveness;
 mod runner;
 mod segments;
 
@@ -10,6 +11,7 @@
 use lentil_types::{Instant, RunnerName, ServiceName, Table};
 
 pub use health::{HealthSettings, HealthSignal};
+pub use liveness::{LivenessAction, LivenessSettings};
 pub use runner::{Incarnation, LONG_PROMPT, Registration, RequestCost, Runner, Status};
 pub use segments::{SaltHash, SegmentId, SegmentKey, SegmentUpdate, Segments, salt};
 
@@ -26,6 +28,8 @@
     pub silence_ttl: time::Duration,
     /// When failures eject a runner.
     pub health: HealthSettings,
+    /// When runners that owe an answer are checked.
+    pub liveness: LivenessSettings,
 }
 
 impl Default for Settings {
@@ -35,6 +39,7 @@
             status_ttl: time::Duration::from_millis(2_500),
             silence_ttl: time::Duration::from_millis(2_500),
             health: HealthSettings::default(),
+            liveness: LivenessSettings::default(),
         }
     }
 }
@@ -293,8 +298,82 @@
         runner.health.on_health_signal(now, &settings, signal)
     }
 
-    /// Runners of a service that are neither leaving, replaced, silent nor ejected. The
-    /// last two are ignored if they take out more than half of the service.
+    /// Another router finds a runner unresponsive.
+    pub fn on_doubt(&mut self, now: Instant, incarnation: &Incarnation) {
+        if let Some(runner) = self
+            .get_mut(incarnation)
+            .filter(|runner| runner.is_checked())
+        {
+            runner.liveness.on_doubt(now);
+        }
+    }
+
+    /// A runner or its agent sent something. Returns whether it was unresponsive.
+    pub fn on_heard(&mut self, now: Instant, incarnation: &Incarnation) -> bool {
+        let settings = self.settings.liveness;
+        let Some(runner) = self.get_mut(incarnation) else {
+            return false;
+        };
+        let was_unresponsive = runner.liveness.is_unresponsive(now, &settings);
+        runner.on_heard(now);
+        was_unresponsive
+    }
+
+    /// A runner answered a probe. Returns whether it was unresponsive.
+    pub fn on_probe_answered(&mut self, now: Instant, incarnation: &Incarnation) -> bool {
+        let settings = self.settings.liveness;
+        let Some(runner) = self.get_mut(incarnation) else {
+            return false;
+        };
+        let was_unresponsive = runner.liveness.is_unresponsive(now, &settings);
+        runner.liveness.on_probe_answered(now);
+        was_unresponsive
+    }
+
+    /// Whether a runner owes an answer and gives none.
+    pub fn is_unresponsive(&self, now: Instant, incarnation: &Incarnation) -> bool {
+        let settings = &self.settings.liveness;
+        self.get(incarnation)
+            .is_some_and(|runner| runner.liveness.is_unresponsive(now, settings))
+    }
+
+    /// Checks of runners that are due; counts them as made. `notice_delay`: delay
+    /// before other routers are told.
+    pub fn due_actions(
+        &mut self,
+        now: Instant,
+        notice_delay: time::Duration,
+    ) -> Vec<(Incarnation, LivenessAction)> {
+        let settings = self.settings.liveness;
+        let mut due = Vec::new();
+        let runners = self.table.iter_mut().map(|(_, runner)| runner);
+        for runner in runners.filter(|runner| runner.is_checked() && !runner.replaced) {
+            let reported_at = runner.status.as_ref().map(|(received_at, _)| *received_at);
+            let liveness = &mut runner.liveness;
+            let actions = liveness.due_actions(now, &settings, reported_at, notice_delay);
+            let incarnation = &runner.registration.incarnation;
+            due.extend(
+                actions
+                    .into_iter()
+                    .map(|action| (incarnation.clone(), action)),
+            );
+        }
+        due
+    }
+
+    /// Time until [`Self::due_actions`] may have something: at most the time that a
+    /// runner may be silent, since it may be sent a request now.
+    pub fn next_check(&self, now: Instant) -> time::Duration {
+        let settings = &self.settings.liveness;
+        let checked = self.table.values().filter(|runner| runner.is_checked());
+        let times = checked.filter_map(|runner| runner.liveness.next_check(settings));
+        let next = times.min().map(|at| at.since(now));
+        next.map_or(settings.ask_after, |wait| wait.min(settings.ask_after))
+    }
+
+    /// Runners of a service that are neither leaving, replaced, silent, unresponsive
+    /// nor ejected. The last three are ignored if they take out more than half of the
+    /// service.
     pub fn usable(&self, now: Instant, service: &ServiceName) -> Vec<&Runner> {
         let members = self
             .table
@@ -303,7 +382,12 @@
         let present = members.filter(|r| !r.registration.is_leaving && !r.replaced);
         let present: Vec<_> = present.collect();
         let silence_ttl = self.settings.silence_ttl;
-        let is_healthy = |r: &&&Runner| !r.health.is_ejected(now) && !r.is_silent(now, silence_ttl);
+        let liveness = &self.settings.liveness;
+        let is_healthy = |r: &&&Runner| {
+            !r.health.is_ejected(now)
+                && !r.is_silent(now, silence_ttl)
+                && !r.liveness.is_unresponsive(now, liveness)
+        };
         let healthy = present.iter().filter(is_healthy);
         let healthy: Vec<_> = healthy.copied().collect();
         if healthy.len() * 2 >= present.len() {
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -6,7 +6,7 @@
     Instant, ModelName, PlaceName, RunnerName, ServiceName, Tokens, WeightsVersion,
 };
 
-use super::{health::Health, segments};
+use super::{health::Health, liveness::Liveness, segments};
 
 /// One start of a runner. Compared only for equality: the boot id derives from
 /// another machine's clock.
@@ -97,10 +97,7 @@
     pub(super) reported_in_flight: u32,
     /// Cost of this router's requests there that have no answer yet.
     pub(super) pending: Vec<RequestCost>,
-    /// When a byte was last received from it.
-    pub last_byte: Instant,
-    /// Since when this router has had requests there without a gap.
-    pub(super) busy_since: Instant,
+    pub(super) liveness: Liveness,
     /// Smoothed ratio of observed to expected time to the first byte.
     pub slowness: f64,
 }
@@ -127,8 +124,7 @@
             in_flight: 0,
             reported_in_flight: 0,
             pending: Vec::new(),
-            last_byte: now,
-            busy_since: now,
+            liveness: Liveness::new(now),
             slowness: 1.0,
         }
     }
@@ -145,6 +141,7 @@
             self.segments.clear();
             self.registration.weights.clone_from(&status.weights);
         }
+        self.on_heard(now);
         self.segments.on_update(now, &status.segments);
         self.reported_in_flight = self.in_flight;
         self.silent_at = None;
@@ -223,9 +220,7 @@
 
     /// A request was sent to it.
     pub fn on_sent(&mut self, cost: RequestCost) {
-        if self.in_flight == 0 {
-            self.busy_since = cost.sent_at;
-        }
+        self.liveness.on_sent(cost.sent_at);
         self.in_flight += 1;
         self.pending.push(cost);
     }
@@ -237,9 +232,29 @@
         }
     }
 
-    /// An attempt at it ended.
-    pub fn on_ended(&mut self) {
+    /// An attempt at it ended. `is_answered`: with a complete answer.
+    pub fn on_ended(&mut self, is_answered: bool) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        if self.in_flight == 0 && (is_answered || !self.is_checked()) {
+            self.liveness.on_idle();
+        }
+    }
+
+    /// Whether it is checked when it owes an answer. Only runners of models have an
+    /// agent or answer questions besides requests.
+    pub(super) fn is_checked(&self) -> bool {
+        !self.registration.weights.is_empty()
+    }
+
+    /// Whether it owes an answer and its agent, asked for its state, has not answered
+    /// yet.
+    pub fn is_doubtful(&self) -> bool {
+        self.liveness.is_asked()
+    }
+
+    /// It or its agent sent something.
+    pub fn on_heard(&mut self, now: Instant) {
+        self.liveness.on_heard(now, self.in_flight > 0);
     }
 
     /// Records the observed and expected time to the first byte of an answer, in
@@ -326,21 +341,14 @@
         self.status.is_some()
     }
 
-    /// When its last byte or status was received.
+    /// When it or its agent last sent anything.
     pub fn last_heard(&self) -> Instant {
-        let last_status = self
-            .status
-            .as_ref()
-            .map_or(Instant::ZERO, |(received_at, _)| *received_at);
-        self.last_byte.max(last_status)
+        self.liveness.heard_at()
     }
 
-    /// Time since its last byte or status while this router has requests there.
+    /// Time that it has owed this router an answer and sent nothing.
     pub fn silence(&self, now: Instant) -> time::Duration {
-        match self.in_flight {
-            0 => time::Duration::ZERO,
-            _ => now.since(self.last_heard().max(self.busy_since)),
-        }
+        self.liveness.silence(now)
     }
 
     /// Other routers' requests there, by its last status.
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -6,8 +6,8 @@
     placement::{self, Choice, Context, Refusal, Requirements, Settings},
     routing::{CacheStore, Engine},
     runners::{
-        self, Incarnation, Registration, RequestCost, Runners, SaltHash, SegmentId, SegmentKey,
-        Status,
+        self, Incarnation, LivenessAction, Registration, RequestCost, Runners, SaltHash, SegmentId,
+        SegmentKey, Status,
     },
     wait_queue::{Demand, WaitQueue},
 };
@@ -34,6 +34,7 @@
     isolated: Option<TeamName>,
     time_left: time::Duration,
     max_status_age: Option<time::Duration>,
+    runs_once: bool,
     rng: rand_pcg::Pcg64Mcg,
 }
 
@@ -61,6 +62,7 @@
             isolated: None,
             time_left: time::Duration::from_secs(6),
             max_status_age: None,
+            runs_once: false,
             rng: rand_pcg::Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -85,6 +87,7 @@
             time_left: self.time_left,
             stores: &self.stores,
             max_status_age: self.max_status_age,
+            runs_once: self.runs_once,
             only_runner: None,
         };
         placement::choose(
@@ -690,7 +693,11 @@
         );
     }
     let now = router.now;
-    router.runners.get_mut(&incarnation(0)).unwrap().last_byte = now;
+    router
+        .runners
+        .get_mut(&incarnation(0))
+        .unwrap()
+        .on_heard(now);
     router.settings.max_jitter = 20.0;
     let mut chosen: Vec<_> = (0..40)
         .map(|_| router.choose(&SHORT, &[]).unwrap().incarnation)
@@ -700,6 +707,33 @@
     assert_eq!(chosen.len(), 2, "the silence has ended");
 }
 
+#[test]
+fn a_request_that_may_run_once_avoids_a_runner_whose_agent_has_not_answered_yet() {
+    let mut router = RouterFixture::new(2, 1);
+    // The other runner is far busier.
+    let busy = Status {
+        running: 4,
+        backlog: Tokens(4_000),
+        ..Status::default()
+    };
+    router.report_status(1, busy);
+    let cost = RequestCost {
+        sent_at: router.now,
+        ..RequestCost::default()
+    };
+    let runner = router.runners.get_mut(&incarnation(0)).unwrap();
+    runner.on_sent(cost);
+    router.now = router.now + time::Duration::from_millis(45);
+    let asked = router.runners.due_actions(router.now, time::Duration::ZERO);
+    assert_eq!(asked, [(incarnation(0), LivenessAction::AskAgent)]);
+    let chosen = |router: &mut RouterFixture| router.choose(&SHORT, &[]).unwrap().incarnation;
+    assert_eq!(chosen(&mut router), incarnation(0));
+    router.runs_once = true;
+    assert_eq!(chosen(&mut router), incarnation(1));
+    router.report_status(0, Status::default());
+    assert_eq!(chosen(&mut router), incarnation(0));
+}
+
 #[test]
 fn a_reported_backlog_shrinks_with_time() {
     let mut router = RouterFixture::new(1, 1);
@@ -739,7 +773,7 @@
                 .get_mut(&incarnation(index))
                 .unwrap();
             runner.on_settled(cost);
-            runner.on_ended();
+            runner.on_ended(true);
         }
         // One in nine is long: 63% of what the runners can compute.
         let is_long = step % 9 == 0;
--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -1,8 +1,8 @@
 //! Membership and health of runners.
 
 use lentil_policy::forward::runners::{
-    ChangeKind, HealthSignal, Incarnation, Registration, RequestCost, Runners, SaltHash, SegmentId,
-    SegmentKey, Settings, Status, salt,
+    ChangeKind, HealthSignal, Incarnation, LivenessAction, Registration, RequestCost, Runners,
+    SaltHash, SegmentId, SegmentKey, Settings, Status, salt,
 };
 use lentil_types::{Instant, ServiceName, Tokens, WeightsVersion};
 use rstest::rstest;
@@ -252,3 +252,247 @@
     );
     assert_eq!(runner.in_flight, 2);
 }
+
+/// Sends a request to a runner at a time.
+fn send(runners: &mut Runners, name: &str, now: Instant) {
+    let cost = RequestCost {
+        sent_at: now,
+        ..RequestCost::default()
+    };
+    runners
+        .get_mut(&incarnation(name, 1))
+        .unwrap()
+        .on_sent(cost);
+}
+
+/// Actions that are due, each with the runner's name.
+fn due(runners: &mut Runners, now: Instant) -> Vec<(String, LivenessAction)> {
+    let due = runners.due_actions(now, std::time::Duration::ZERO);
+    let named = due
+        .into_iter()
+        .map(|(incarnation, action)| (incarnation.name.to_string(), action));
+    named.collect()
+}
+
+#[test]
+fn silence_does_not_end_with_the_requests_of_callers_that_leave() {
+    let mut runners = runners(&["a", "b", "c"]);
+    send(&mut runners, "a", at(100));
+    let runner = runners.get_mut(&incarnation("a", 1)).unwrap();
+    runner.on_ended(false);
+    assert_eq!(runner.silence(at(2_100)), std::time::Duration::from_secs(2));
+    runner.on_heard(at(2_200));
+    assert_eq!(runner.silence(at(4_000)), std::time::Duration::ZERO);
+}
+
+#[test]
+fn a_runner_that_owes_an_answer_is_unusable_until_it_or_its_agent_answers() {
+    let mut runners = runners(&["a", "b", "c"]);
+    let a = incarnation("a", 1);
+    let ask = || ("a".to_owned(), LivenessAction::AskAgent);
+    assert!(due(&mut runners, at(50)).is_empty(), "it owes nothing");
+    send(&mut runners, "a", at(100));
+    assert!(due(&mut runners, at(139)).is_empty());
+    assert_eq!(due(&mut runners, at(140)), [ask()]);
+    assert_eq!(
+        due(&mut runners, at(160)),
+        [ask()],
+        "a datagram may be lost"
+    );
+    assert_eq!(usable(&runners, at(179)), ["a", "b", "c"]);
+    assert_eq!(usable(&runners, at(180)), ["b", "c"]);
+    let actions = due(&mut runners, at(180));
+    for action in [
+        LivenessAction::LogUnresponsive,
+        LivenessAction::Probe,
+        LivenessAction::TellRouters,
+    ] {
+        assert!(actions.contains(&("a".to_owned(), action)), "{action}");
+    }
+    runners.get_mut(&a).unwrap().on_ended(false);
+    for ms in (200..5_000).step_by(20) {
+        assert_eq!(usable(&runners, at(ms)), ["b", "c"], "at {ms} ms");
+        let actions = due(&mut runners, at(ms));
+        assert!(!actions.contains(&("a".to_owned(), LivenessAction::TellRouters)));
+    }
+    assert!(runners.on_heard(at(5_000), &a));
+    assert_eq!(usable(&runners, at(5_000)), ["a", "b", "c"]);
+    assert!(due(&mut runners, at(9_000)).is_empty(), "it owes nothing");
+}
+
+#[test]
+fn a_busy_runner_whose_agent_answers_stays_usable() {
+    let mut runners = runners(&["a", "b", "c"]);
+    send(&mut runners, "a", at(0));
+    for ms in (0..3_000).step_by(20) {
+        let actions = due(&mut runners, at(ms));
+        assert!(
+            actions
+                .iter()
+                .all(|(_, action)| *action == LivenessAction::AskAgent)
+        );
+        // The agent answers ten milliseconds after each question.
+        if !actions.is_empty() {
+            runners.on_status(at(ms + 10), &incarnation("a", 1), Status::default());
+        }
+        assert_eq!(usable(&runners, at(ms + 10)), ["a", "b", "c"], "at {ms} ms");
+    }
+}
+
+/// Routers that have nothing at a frozen runner would each send it a request to find out.
+#[test]
+fn what_another_router_finds_unresponsive_is_not_used_until_its_agent_answers() {
+    let mut runners = runners(&["a", "b", "c"]);
+    let asks = |name: &str| [(name.to_owned(), LivenessAction::AskAgent)];
+    runners.on_doubt(at(1_000), &incarnation("a", 1));
+    assert_eq!(usable(&runners, at(1_000)), ["b", "c"]);
+    assert_eq!(due(&mut runners, at(1_000)), asks("a"));
+    let actions = due(&mut runners, at(1_040));
+    let tell = ("a".to_owned(), LivenessAction::TellRouters);
+    assert!(!actions.contains(&tell), "all routers know");
+    assert_eq!(usable(&runners, at(1_400)), ["b", "c"]);
+    runners.on_heard(at(1_500), &incarnation("a", 1));
+    // A router that is cut off from a runner is wrong about it.
+    runners.on_doubt(at(2_000), &incarnation("b", 1));
+    assert_eq!(due(&mut runners, at(2_000)), asks("b"));
+    runners.on_status(at(2_003), &incarnation("b", 1), Status::default());
+    assert_eq!(usable(&runners, at(2_003)), ["a", "b", "c"]);
+    // Its word does not count against what has just been heard.
+    runners.on_doubt(at(2_004), &incarnation("b", 1));
+    assert_eq!(usable(&runners, at(2_004)), ["a", "b", "c"]);
+}
+
+/// A mute runner answers its probes and no requests: these move elsewhere, as far as
+/// they may be repeated.
+#[test]
+fn a_runner_without_an_agent_is_used_while_it_answers_probes() {
+    let mut runners = runners(&["a", "b", "c"]);
+    let a = incarnation("a", 1);
+    send(&mut runners, "a", at(0));
+    let mut probes = 0;
+    let mut unusable = 0;
+    for ms in (0..3_000).step_by(10) {
+        let probe = ("a".to_owned(), LivenessAction::Probe);
+        unusable += u32::from(!usable(&runners, at(ms)).contains(&"a".to_owned()));
+        if due(&mut runners, at(ms)).contains(&probe) {
+            probes += 1;
+            assert!(runners.on_probe_answered(at(ms), &a));
+        }
+    }
+    assert!((4..=7).contains(&probes), "{probes} probes");
+    assert!(unusable <= probes, "not usable {unusable} times");
+    let runner = runners.get(&a).unwrap();
+    assert_eq!(runner.last_heard(), Instant::ZERO, "its requests are stuck");
+}
+
+#[test]
+fn a_runner_without_models_is_not_lost_by_a_request_without_an_answer() {
+    let mut runners = Runners::new(Settings::default());
+    let plain = |name| Registration {
+        weights: Vec::new(),
+        ..registration(name, 1)
+    };
+    runners.on_list(Instant::ZERO, vec![plain("a"), plain("b")]);
+    send(&mut runners, "a", at(0));
+    assert!(due(&mut runners, at(900)).is_empty());
+    let runner = runners.get_mut(&incarnation("a", 1)).unwrap();
+    runner.on_ended(false);
+    assert_eq!(runner.silence(at(1_000)), std::time::Duration::ZERO);
+    assert_eq!(usable(&runners, at(1_000)), ["a", "b"]);
+}
+
+/// Plays routers that send streams to nine runners, one of which freezes at a random
+/// moment, while callers of what it has leave after two seconds. Returns how many
+/// requests are sent to it after the freeze, and when the last one is, in milliseconds.
+fn sent_to_a_frozen_runner(seed: u64, routers: usize, requests_per_second: u64) -> (u32, u64) {
+    use rand::{RngExt as _, SeedableRng as _};
+    const RUNNERS: [&str; 9] = ["a", "b", "c", "d", "e", "f", "g", "h", "i"];
+    const PATIENCE_MS: u64 = 2_000;
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+    let mut tables: Vec<_> = (0..routers).map(|_| runners(&RUNNERS)).collect();
+    let frozen = incarnation("a", 1);
+    let freeze = rng.random_range(1_000..1_100);
+    let (mut sent, mut last_sent) = (0, 0);
+    // Time, router, runner and whether it ends with a whole answer.
+    let mut ends: Vec<(u64, usize, Incarnation, bool)> = Vec::new();
+    let mut told = false;
+    for ms in 0..freeze + 5_000 {
+        for (_, router, runner, is_answered) in ends.extract_if(.., |(end, ..)| *end <= ms) {
+            let runner = tables[router].get_mut(&runner).unwrap();
+            if is_answered {
+                runner.on_heard(at(ms));
+            }
+            runner.on_ended(is_answered);
+        }
+        if rng.random_range(0..1_000) < requests_per_second {
+            let router = rng.random_range(0..routers);
+            let candidates = usable(&tables[router], at(ms));
+            let name = candidates[rng.random_range(0..candidates.len())].clone();
+            let is_lost = name == "a" && ms >= freeze;
+            if is_lost {
+                (sent, last_sent) = (sent + 1, ms - freeze);
+            }
+            send(&mut tables[router], &name, at(ms));
+            let end = ms
+                + if is_lost {
+                    PATIENCE_MS
+                } else {
+                    rng.random_range(30..600)
+                };
+            let end = if name == "a" && end >= freeze {
+                ms + PATIENCE_MS
+            } else {
+                end
+            };
+            let is_answered = name != "a" || end < freeze;
+            ends.push((end, router, incarnation(&name, 1), is_answered));
+        }
+        // Streams that run send events.
+        for (_, router, runner, _) in &ends {
+            if *runner != frozen || ms < freeze {
+                tables[*router].get_mut(runner).unwrap().on_heard(at(ms));
+            }
+        }
+        for (router, table) in tables.iter_mut().enumerate() {
+            // Each router looks at another moment.
+            if !(ms + router as u64 * 7).is_multiple_of(15) {
+                continue;
+            }
+            let delay = std::time::Duration::from_millis(rng.random_range(0..routers as u64));
+            for (runner, action) in table.due_actions(at(ms), delay) {
+                match action {
+                    LivenessAction::AskAgent if runner != frozen || ms < freeze => {
+                        table.on_status(at(ms), &runner, Status::default());
+                    }
+                    LivenessAction::TellRouters => told = true,
+                    _ => {}
+                }
+            }
+        }
+        if std::mem::take(&mut told) {
+            for table in &mut tables {
+                table.on_doubt(at(ms), &frozen);
+            }
+        }
+    }
+    (sent, last_sent)
+}
+
+/// The operators count more than a few requests that reach a runner after their callers
+/// have left. The traffic of nine runners, as in a deployment of five routers on two days
+/// and in one of 103 routers.
+#[rstest]
+#[case(5, 85)]
+#[case(5, 220)]
+#[case(103, 137)]
+fn few_requests_are_sent_to_a_frozen_runner(#[case] routers: usize, #[case] per_second: u64) {
+    let plays: Vec<_> = (0..20)
+        .map(|seed| sent_to_a_frozen_runner(seed, routers, per_second))
+        .collect();
+    let last = plays.iter().map(|(_, last)| *last).max().unwrap();
+    assert!(last < 400, "one was sent {last} ms after the freeze");
+    let sum: u32 = plays.iter().map(|(sent, _)| *sent).sum();
+    let most = plays.iter().map(|(sent, _)| *sent).max().unwrap();
+    let mean = f64::from(sum) / plays.len() as f64;
+    assert!(mean <= 3.0, "{mean} on average, {most} at most");
+}
--- a/crates/lentil_policy/tests/forward_search.rs
+++ b/crates/lentil_policy/tests/forward_search.rs
@@ -289,6 +289,7 @@
             time_left: time::Duration::from_secs(5),
             stores: &[],
             max_status_age: None,
+            runs_once: true,
             only_runner: None,
         };
         let chosen = placement::choose(
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -92,6 +92,11 @@
     Orders,
     /// Status queries to agents.
     AgentsAsked,
+    /// Runners found unresponsive: they owed an answer, and neither they nor their
+    /// agents sent anything.
+    RunnersUnresponsive,
+    /// Probes of unresponsive runners.
+    RunnerProbes,
     /// Turns to change weights granted to runners.
     TurnsGranted,
     /// Router's own errors: no configuration.
