Answer streams before their callers leave

Long prompts waited in the router's queue for up to half of that deadline, so that their callers left before they were sent.

Cause: the platform says when callers of streams leave (a gap of two seconds, four objectives or eight gaps, whichever is longest), and the router did not know it. The class: a deadline that is modelled by the wrong field.

The deadline sent to runners stays the caller's, and a stream that has begun goes on to it.

--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -321,7 +321,7 @@
             isolated: plan.isolated_team(),
             body_bytes: plan.body_bytes,
             place: &self.place,
-            time_left: plan.time_left(now),
+            time_left: plan.start_by.since(now),
             stores: &stores,
             max_status_age: None,
             runs_once: !plan.route.repeat.is_repeatable(),
--- a/crates/lentil_forward/src/router/pick.rs
+++ b/crates/lentil_forward/src/router/pick.rs
@@ -24,7 +24,7 @@
         Some(_) => plan.answer_by,
         None => plan.received + wait.min(router.settings.max_wait),
     };
-    let total = plan.answer_by.since(plan.received);
+    let total = plan.start_by.since(plan.received);
     let queue_until = plan.received + total.mul_f64(router.settings.queue_ratio);
     let mut queued: Option<QueueTicket> = None;
     let mut last_asked = None;
--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -36,6 +36,9 @@
     pub(super) deadline: Option<Instant>,
     /// Deadline or route timeout, whichever is earlier.
     pub(super) answer_by: Instant,
+    /// When the answer must have begun: `answer_by`, or earlier where the caller leaves
+    /// before that.
+    pub(super) start_by: Instant,
     pub(super) fingerprint: Fingerprint,
     pub(super) attempt_log: cell::RefCell<attempt_log::AttemptLog>,
     /// Whether an answer is being written.
@@ -61,6 +64,8 @@
         let wait = ms.map(|ms: u64| time::Duration::from_millis(ms.min(MAX_DEADLINE_MS)));
         let deadline = wait.map(|wait| request.received + wait);
         let timeout = request.received + route.timeout;
+        let answer_by = deadline.map_or(timeout, |deadline| deadline.min(timeout));
+        let leaves_at = route.patience.map(|patience| request.received + patience);
         let engine = routing.services.get(&*service);
         let engine = engine.and_then(|service| service.engine.as_ref());
         // Ignored for services without engines.
@@ -73,7 +78,8 @@
             body_bytes: request.body.len(),
             priority: routing::rank(&route, team.as_ref()),
             received: request.received,
-            answer_by: deadline.map_or(timeout, |deadline| deadline.min(timeout)),
+            answer_by,
+            start_by: leaves_at.map_or(answer_by, |at| answer_by.min(at)),
             deadline,
             fingerprint: fingerprint(request, names),
             attempt_log: cell::RefCell::default(),
@@ -90,13 +96,14 @@
         self.answer_by.since(now)
     }
 
-    /// Time until the answer must have started: `margin` before the deadline, so that
-    /// a timeout still reaches the caller.
+    /// Time until the answer must have started: `margin` before the caller leaves, so
+    /// that a timeout still reaches it.
     pub(super) fn time_to_start(&self, now: Instant, margin: time::Duration) -> time::Duration {
-        let time_left = self.time_left(now);
-        match self.deadline {
-            Some(deadline) => time_left.min(deadline.since(now).saturating_sub(margin)),
-            None => time_left,
+        let time_left = self.start_by.since(now);
+        match (self.deadline, self.route.patience) {
+            (None, None) => time_left,
+            (Some(deadline), None) => time_left.min(deadline.since(now).saturating_sub(margin)),
+            (_, Some(_)) => time_left.saturating_sub(margin),
         }
     }
 
--- a/crates/lentil_policy/src/forward/routing.rs
+++ b/crates/lentil_policy/src/forward/routing.rs
@@ -57,6 +57,9 @@
     pub objective: time::Duration,
     /// Longest gap between two events of a stream on time.
     pub max_gap: time::Duration,
+    /// Time without an event after which the caller of a stream leaves; `None` where
+    /// callers wait until their deadline.
+    pub patience: Option<time::Duration>,
     /// Most runners that a request may be sent to.
     pub attempts: u32,
     /// Rank; 0 is the most urgent.
--- a/crates/lentil_policy/tests/forward_ledger.rs
+++ b/crates/lentil_policy/tests/forward_ledger.rs
@@ -22,6 +22,7 @@
         timeout: time::Duration::from_secs(1),
         objective: time::Duration::from_millis(300),
         max_gap: time::Duration::from_millis(250),
+        patience: None,
         attempts,
         priority: 0,
         public: true,
--- a/crates/lentil_policy/tests/forward_routing.rs
+++ b/crates/lentil_policy/tests/forward_routing.rs
@@ -15,6 +15,7 @@
         timeout: time::Duration::from_secs(1),
         objective: time::Duration::from_millis(300),
         max_gap: time::Duration::from_millis(250),
+        patience: None,
         attempts: 2,
         priority: 0,
         public: false,
--- a/crates/lentil_policy/tests/forward_search.rs
+++ b/crates/lentil_policy/tests/forward_search.rs
@@ -54,6 +54,7 @@
         timeout: time::Duration::from_secs(1),
         objective: time::Duration::from_millis(300),
         max_gap: time::Duration::from_millis(250),
+        patience: None,
         attempts: rng.random_range(0..4),
         priority: 0,
         public: true,
