Log the limits that runners name

A router now decodes the header, logs when a runner names a limit, changes or ends it, with what it has sent there in the last four seconds, and counts it. An invalid one is counted and logged, and changes nothing. No choice depends on it yet.

--- a/crates/lentil_forward/src/names.rs
+++ b/crates/lentil_forward/src/names.rs
@@ -37,6 +37,8 @@
     pub priority: &'static str,
     /// Requests running and waiting at the runner, and its slots.
     pub load: &'static str,
+    /// Requests a second that the runner takes from all routers together.
+    pub limit: &'static str,
     /// Name of the runner that answered.
     pub runner: &'static str,
     /// Seconds after which the caller may retry.
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use lentil_policy::forward::{attempt_log::AttemptOutcome, backlog, placement, runners};
 use lentil_process::metrics::{Counter, Timing};
-use lentil_types::{Instant, Tokens, WeightsVersion};
+use lentil_types::{Instant, RequestRate, Tokens, WeightsVersion};
 
 use super::{
     Router,
@@ -372,6 +372,7 @@
             }
         }
         drop(state);
+        self.on_limit(head);
         self.in_flight.release_cost();
         if was_run {
             progress.weights = weights;
@@ -384,6 +385,25 @@
         }
     }
 
+    /// Notes the limit that the runner names, or that it names none.
+    fn on_limit(&self, head: &h1::ResponseHead) {
+        let text = head.headers.text(self.router.names.limit);
+        let limit = match text.map(|text| text.trim().parse::<RequestRate>()) {
+            None => None,
+            Some(Ok(limit)) => Some(limit),
+            Some(Err(error)) => {
+                self.router.metrics.count(Counter::AnnouncementsUnusable);
+                if self.router.log_quota.try_take(self.router.now()) {
+                    let name = &self.choice.incarnation.name;
+                    log::warn!(runner:% = name, error:%; "a runner names an invalid limit; keeping the last one");
+                }
+                return;
+            }
+        };
+        self.router
+            .on_limit(&self.choice.incarnation, self.sent_at, limit);
+    }
+
     /// Reads a refusal to its end, so that the connection can be reused.
     async fn on_refusal(&mut self, head: &h1::ResponseHead) -> AttemptEnd {
         self.router.metrics.count(Counter::RunnerRefusals);
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -5,7 +5,7 @@
 use lentil_platform::{Change, Changes, Document, Listing};
 use lentil_policy::forward::runners;
 use lentil_process::metrics::{Counter, Gauge};
-use lentil_types::Instant;
+use lentil_types::{Instant, RequestRate};
 
 use super::Router;
 use crate::{
@@ -292,6 +292,32 @@
         self.log_recovery(incarnation, was_unresponsive);
     }
 
+    /// A runner answered a request sent at `sent_at`, naming a limit or none.
+    pub(crate) fn on_limit(
+        &self,
+        incarnation: &runners::Incarnation,
+        sent_at: Instant,
+        limit: Option<RequestRate>,
+    ) {
+        let now = self.now();
+        let change = self
+            .state()
+            .runners_mut()
+            .on_limit(now, incarnation, sent_at, limit);
+        let Some(runners::LimitChange { limit, sent }) = change else {
+            return;
+        };
+        match limit {
+            Some(limit) => {
+                self.metrics.count(Counter::LimitsNamed);
+                log::info!(runner:% = incarnation.name, born = incarnation.boot_id, limit:%, sent; "a runner limits its requests");
+            }
+            None => {
+                log::info!(runner:% = incarnation.name, born = incarnation.boot_id, sent; "a runner limits its requests no more");
+            }
+        }
+    }
+
     fn log_recovery(&self, incarnation: &runners::Incarnation, was_unresponsive: bool) {
         if was_unresponsive && self.log_quota.try_take(self.now()) {
             log::info!(runner:% = incarnation.name, born = incarnation.boot_id; "an unresponsive runner answers again");
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -1,6 +1,7 @@
 //! The runners that this router knows, from the store's registrations, the agents'
 //! status reports and its own requests.
 
+mod announcements;
 mod health;
 mod liveness;
 mod runner;
@@ -8,8 +9,9 @@
 
 use std::time;
 
-use lentil_types::{Instant, RunnerName, ServiceName, Table};
+use lentil_types::{Instant, RequestRate, RunnerName, ServiceName, Table};
 
+pub use announcements::{AnnouncementSettings, LimitChange};
 pub use health::{HealthSettings, HealthSignal};
 pub use liveness::{LivenessAction, LivenessSettings};
 pub use runner::{Incarnation, LONG_PROMPT, Registration, RequestCost, Runner, Status};
@@ -30,6 +32,8 @@
     pub health: HealthSettings,
     /// When runners that owe an answer are checked.
     pub liveness: LivenessSettings,
+    /// Requests that runners allow.
+    pub announcements: AnnouncementSettings,
 }
 
 impl Default for Settings {
@@ -40,6 +44,7 @@
             silence_ttl: time::Duration::from_millis(2_500),
             health: HealthSettings::default(),
             liveness: LivenessSettings::default(),
+            announcements: AnnouncementSettings::default(),
         }
     }
 }
@@ -298,6 +303,30 @@
         runner.health.on_health_signal(now, &settings, signal)
     }
 
+    /// A request was sent to a runner.
+    pub fn on_sent(&mut self, now: Instant, incarnation: &Incarnation, cost: RequestCost) {
+        let settings = self.settings.announcements;
+        if let Some(runner) = self.get_mut(incarnation) {
+            runner.announcements.on_sent(now, &settings);
+            runner.on_sent(cost);
+        }
+    }
+
+    /// A runner answered a request sent at `sent_at`, naming a limit or none.
+    pub fn on_limit(
+        &mut self,
+        now: Instant,
+        incarnation: &Incarnation,
+        sent_at: Instant,
+        limit: Option<RequestRate>,
+    ) -> Option<LimitChange> {
+        let settings = self.settings.announcements;
+        let runner = self.get_mut(incarnation)?;
+        runner
+            .announcements
+            .on_answer(now, &settings, sent_at, limit)
+    }
+
     /// Another router finds a runner unresponsive.
     pub fn on_doubt(&mut self, now: Instant, incarnation: &Incarnation) {
         if let Some(runner) = self
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -6,7 +6,7 @@
     Instant, ModelName, PlaceName, RunnerName, ServiceName, Tokens, WeightsVersion,
 };
 
-use super::{health::Health, liveness::Liveness, segments};
+use super::{announcements::Announcements, health::Health, liveness::Liveness, segments};
 
 /// One start of a runner. Compared only for equality: the boot id derives from
 /// another machine's clock.
@@ -98,6 +98,7 @@
     /// Cost of this router's requests there that have no answer yet.
     pub(super) pending: Vec<RequestCost>,
     pub(super) liveness: Liveness,
+    pub(super) announcements: Announcements,
     /// Smoothed ratio of observed to expected time to the first byte.
     pub slowness: f64,
 }
@@ -125,6 +126,7 @@
             reported_in_flight: 0,
             pending: Vec::new(),
             liveness: Liveness::new(now),
+            announcements: Announcements::default(),
             slowness: 1.0,
         }
     }
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -97,6 +97,10 @@
     RunnersUnresponsive,
     /// Probes of unresponsive runners.
     RunnerProbes,
+    /// Limits that runners have named, and changes of them.
+    LimitsNamed,
+    /// Invalid statements of runners about themselves.
+    AnnouncementsUnusable,
     /// Turns to change weights granted to runners.
     TurnsGranted,
     /// Router's own errors: no configuration.
--- a/crates/lentil_types/src/lib.rs
+++ b/crates/lentil_types/src/lib.rs
@@ -34,7 +34,7 @@
 pub use outcome::{FailReason, Outcome};
 pub use piece::{PIECE_TOKENS, PieceHash, PieceSeed};
 pub use prompt::PromptPieces;
-pub use rate::{ParseRateError, TokenRate};
+pub use rate::{ParseRateError, RequestRate, TokenRate};
 pub use runner_state::RunnerState;
 pub use size::{Bytes, ParseSizeError, Pieces, Tokens};
 pub use table::Table;
