Keep to the limit that a runner names, all routers together

What runners saw: one that had named a limit (Server-Limit) of 7.3 requests a second got 67 in four seconds, where 49 are allowed (LIMIT).

Besides, a router that obeys at once can break the bound by what it sent just before, since the platform counts four seconds that may begin before the naming. The class: a runner's own word on what it takes has no place where everything that sends to it must ask.

Change: runners::announcements keeps what a runner says of itself. Each router takes its part of nine tenths of the limit over four seconds, by its rank among the routers, and counts what it sent in the last four seconds, before the naming too. The parts add up to the limit without a leader; a router that has just started takes one request. Limits and their ends are passed on between routers, at most every three seconds while unchanged. What sends to a runner needs a Permit that only this type makes: attempts and probes. Where every runner has had its part, requests wait within the time in which they can be answered, others are refused at once with the time at which there is room. The agent reads cache events of a limited runner less often.

--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -137,7 +137,8 @@
                     Datagram::StatusReport(_)
                     | Datagram::Crash(_)
                     | Datagram::Loaded(_)
-                    | Datagram::Silent(_),
+                    | Datagram::Silent(_)
+                    | Datagram::Limit(_),
                 ) => {
                     log::debug!(from:%; "ignored a datagram that is not meant for an agent");
                 }
@@ -218,6 +219,9 @@
                     if has_changed {
                         self.send_status().await;
                     }
+                    if let Some(limit) = batch.limit {
+                        smol::Timer::after(self.settings.cache_interval(limit)).await;
+                    }
                 }
                 Err(error) => {
                     log::debug!(error:%; "cannot read the runner's cache events");
--- a/crates/lentil_forward/src/agent/mod.rs
+++ b/crates/lentil_forward/src/agent/mod.rs
@@ -5,12 +5,15 @@
 use std::{future, pin, time};
 
 use lentil_policy::forward::{runners, silence_watch, status_schedule, weights_update};
-use lentil_types::{FencingNumber, Tokens};
+use lentil_types::{FencingNumber, RequestRate, Tokens};
 
 use crate::cache;
 
 pub use event_loop::Agent;
 
+/// Longest pause between two reads of cache events.
+const MAX_CACHE_INTERVAL: time::Duration = time::Duration::from_secs(10);
+
 /// Result of a call to a [`Runner`].
 pub type RunnerFuture<'a, T> =
     pin::Pin<Box<dyn future::Future<Output = Result<T, RunnerError>> + 'a>>;
@@ -76,6 +79,9 @@
     /// Longest wait for cache events. Shorter calls cost the runner more than they
     /// bring.
     pub cache_wait: time::Duration,
+    /// Fraction of a limit that the runner names which reads of its cache events may
+    /// take.
+    pub cache_share: f64,
     /// Segments with fewer tokens are not reported: prefilling them again is
     /// cheap.
     pub min_segment: Tokens,
@@ -97,6 +103,7 @@
             silence: silence_watch::Settings::default(),
             status_schedule: status_schedule::Settings::default(),
             cache_wait: time::Duration::from_millis(900),
+            cache_share: 0.05,
             min_segment: Tokens(1_024),
             max_segments: 64,
             routers_interval: time::Duration::from_secs(3),
@@ -104,3 +111,13 @@
         }
     }
 }
+
+impl Settings {
+    /// Pause between two reads of cache events of a runner that names a limit.
+    pub(crate) fn cache_interval(&self, limit: RequestRate) -> time::Duration {
+        let seconds = 1.0 / (limit.0 * self.cache_share);
+        time::Duration::try_from_secs_f64(seconds)
+            .unwrap_or(MAX_CACHE_INTERVAL)
+            .min(MAX_CACHE_INTERVAL)
+    }
+}
--- a/crates/lentil_forward/src/cache.rs
+++ b/crates/lentil_forward/src/cache.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use lentil_policy::forward::runners::{SaltHash, SegmentId, SegmentKey};
-use lentil_types::Tokens;
+use lentil_types::{RequestRate, Tokens};
 
 use crate::agent::RunnerFuture;
 
@@ -20,7 +20,7 @@
 }
 
 /// Events of a cache since a given number.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EventBatch {
     /// A new epoch means a new cache, whose events are read from number 0.
     pub epoch: u64,
@@ -30,6 +30,8 @@
     pub has_gap: bool,
     /// Events in order.
     pub events: Vec<Event>,
+    /// Requests a second that the runner takes from all callers, if it names a limit.
+    pub limit: Option<RequestRate>,
 }
 
 /// Reads events of runners and cache stores.
--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -6,7 +6,7 @@
     backlog, rollout_pacer,
     runners::{self, SegmentUpdate},
 };
-use lentil_types::{Fingerprint, ModelName, RunnerName, Tokens, WeightsVersion};
+use lentil_types::{Fingerprint, ModelName, RequestRate, RunnerName, Tokens, WeightsVersion};
 
 use crate::{documents, generated};
 
@@ -76,8 +76,17 @@
     pub times: rollout_pacer::ChangeTimes,
 }
 
+/// A router passes on what a runner names as its limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitNotice {
+    /// The runner.
+    pub incarnation: runners::Incarnation,
+    /// Requests a second that it takes from all routers; `None` for any number.
+    pub limit: Option<RequestRate>,
+}
+
 /// One datagram.
-#[derive(Clone, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[derive(Clone, Debug, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Datagram {
     /// From a router to an agent, periodically.
@@ -101,6 +110,8 @@
     /// status report. From a router to every other: neither the runner nor its agent
     /// answers.
     Silent(runners::Incarnation),
+    /// From a router to every other.
+    Limit(LimitNotice),
 }
 
 /// A datagram that cannot be decoded or encoded.
@@ -138,6 +149,7 @@
                 runner: incarnation.name.to_string(),
                 born: incarnation.boot_id,
             }),
+            Self::Limit(notice) => generated::Body::Limit(notice.into()),
             Self::LongPrompt(prompt) => generated::Body::Sent(generated::Sent {
                 request: prompt.request.0,
                 missing: prompt.uncached.0,
@@ -166,6 +178,7 @@
             generated::Body::Silent(silent) => {
                 Self::Silent(incarnation(&silent.runner, silent.born)?)
             }
+            generated::Body::Limit(limit) => Self::Limit(limit.try_into()?),
             generated::Body::Sent(sent) => Self::LongPrompt(backlog::LongPrompt {
                 request: backlog::RequestHash(sent.request),
                 uncached: Tokens(sent.missing),
@@ -176,6 +189,34 @@
     }
 }
 
+/// Requests in this many seconds are sent as a whole number.
+const LIMIT_SPAN: f64 = 1_000.0;
+
+impl From<LimitNotice> for generated::Limit {
+    fn from(notice: LimitNotice) -> Self {
+        let LimitNotice { incarnation, limit } = notice;
+        // The cast saturates. A limit is never sent as none.
+        let millihertz = limit.map_or(0, |limit| ((limit.0 * LIMIT_SPAN) as u32).max(1));
+        Self {
+            runner: incarnation.name.to_string(),
+            born: incarnation.boot_id,
+            millihertz,
+        }
+    }
+}
+
+impl TryFrom<generated::Limit> for LimitNotice {
+    type Error = DatagramError;
+
+    fn try_from(limit: generated::Limit) -> Result<Self, Self::Error> {
+        let rate = f64::from(limit.millihertz) / LIMIT_SPAN;
+        Ok(Self {
+            incarnation: incarnation(&limit.runner, limit.born)?,
+            limit: (limit.millihertz > 0).then_some(RequestRate(rate)),
+        })
+    }
+}
+
 impl From<Subscribe> for generated::Subscribe {
     fn from(from: Subscribe) -> Self {
         let targets = from
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -85,6 +85,7 @@
     plan: &Plan,
     request: &Request,
     choice: &placement::Choice,
+    permit: runners::Permit,
     progress: &mut Progress,
     answer: &mut Answer,
 ) -> AttemptEnd {
@@ -105,7 +106,7 @@
             .on_sent(now, &plan.service, choice.request_cost.uncached);
     }
     let mut abandonment = Abandonment::new(router, plan, choice);
-    let end = match connect::connect(router, plan, choice).await {
+    let end = match connect::connect(router, plan, choice, permit).await {
         None => AttemptEnd::Failed(Failure::Unreachable),
         Some(connection) => {
             plan.attempt_log.borrow_mut().begin();
--- a/crates/lentil_forward/src/router/connect.rs
+++ b/crates/lentil_forward/src/router/connect.rs
@@ -1,16 +1,17 @@
 //! Opens or reuses connections to runners.
 
-use lentil_policy::forward::placement;
+use lentil_policy::forward::{placement, runners};
 use lentil_process::metrics::Counter;
 
 use super::{Router, plan::Plan};
 use crate::h1;
 
-/// Returns an idle connection from the pool, or a new one.
+/// Returns an idle connection from the pool, or a new one, for one permitted request.
 pub(super) async fn connect(
     router: &Router,
     plan: &Plan,
     choice: &placement::Choice,
+    _permit: runners::Permit,
 ) -> Option<h1::Connection> {
     let once = !plan.route.repeat.is_repeatable();
     loop {
--- a/crates/lentil_forward/src/router/in_flight.rs
+++ b/crates/lentil_forward/src/router/in_flight.rs
@@ -18,11 +18,9 @@
 
 impl InFlight {
     pub(super) fn new(router: rc::Rc<Router>, choice: &placement::Choice) -> Self {
-        let now = router.now();
-        router
-            .state()
-            .runners_mut()
-            .on_sent(now, &choice.incarnation, choice.request_cost);
+        if let Some(runner) = router.state().runners_mut().get_mut(&choice.incarnation) {
+            runner.on_sent(choice.request_cost);
+        }
         Self {
             router,
             incarnation: choice.incarnation.clone(),
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -207,7 +207,9 @@
             excluded.extend(unanswered);
             let choice = match self.choose(plan, &excluded, None) {
                 // A runner whose agent does not answer is better than none.
-                Err(placement::Refusal::NoRunner) => return self.choose(plan, exclude, None),
+                Err(placement::Refusal::NoRunner | placement::Refusal::Limited { .. }) => {
+                    return self.choose(plan, exclude, None);
+                }
                 Err(refusal) => return Err(refusal),
                 Ok(choice) => choice,
             };
@@ -221,7 +223,9 @@
         let max_age = self.now().since(started) + self.settings.ask_age;
         match self.choose_known(plan, &excluded, max_age) {
             // No agent answers.
-            Err(placement::Refusal::NoRunner) => self.choose(plan, &excluded, None),
+            Err(placement::Refusal::NoRunner | placement::Refusal::Limited { .. }) => {
+                self.choose(plan, &excluded, None)
+            }
             end => end,
         }
     }
@@ -354,6 +358,13 @@
             .then_some(store)
     }
 
+    /// Takes a request that is sent to a runner now; `None` if the runner does not allow
+    /// it.
+    pub(crate) fn admit(&self, incarnation: &runners::Incarnation) -> Option<runners::Permit> {
+        let now = self.now();
+        self.state().runners_mut().admit(now, incarnation)
+    }
+
     /// Address of a known runner.
     pub(crate) fn runner_address(
         &self,
--- a/crates/lentil_forward/src/router/pick.rs
+++ b/crates/lentil_forward/src/router/pick.rs
@@ -60,6 +60,15 @@
                 }
                 queued.get_or_insert_with(|| QueueTicket::enqueue(router.clone(), plan));
             }
+            Err(placement::Refusal::Limited { wait, interval }) => {
+                pause = pause.max(wait);
+                let ahead = queue_position(router, plan, queued.as_ref());
+                let wait = wait + interval.mul_f64(ahead as f64);
+                if router.now() + wait > queue_until {
+                    return Err(placement::Refusal::TooLate { wait });
+                }
+                queued.get_or_insert_with(|| QueueTicket::enqueue(router.clone(), plan));
+            }
             end => return end,
         }
         let pause = async {
@@ -85,17 +94,24 @@
     })
 }
 
-/// Expected time until all requests ahead in the wait queue have a runner. The
-/// queues of other routers are assumed to be equally long.
-fn queued_wait(router: &Router, plan: &Plan, queued: Option<&QueueTicket>) -> time::Duration {
+/// Requests ahead in the wait queue.
+fn queue_position(router: &Router, plan: &Plan, queued: Option<&QueueTicket>) -> usize {
     let state = router.state();
     let now = router.now();
-    let ahead = match queued {
+    match queued {
         Some(queued) => state.wait_queue.position(now, queued.ticket),
         None => state
             .wait_queue
             .position_of_new(now, &plan.service, plan.priority),
-    };
+    }
+}
+
+/// Expected time until all requests ahead in the wait queue have a runner. The
+/// queues of other routers are assumed to be equally long.
+fn queued_wait(router: &Router, plan: &Plan, queued: Option<&QueueTicket>) -> time::Duration {
+    let ahead = queue_position(router, plan, queued);
+    let state = router.state();
+    let now = router.now();
     let demand = state.demand(&plan.service);
     let usable = state.runners().usable(now, &plan.service).len() as f64;
     let available = usable.max(1.0);
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -21,6 +21,8 @@
 /// Pause before a runner that refused to resume a stream is retried; much shorter
 /// than a weights update.
 const RESUME_PAUSE: time::Duration = time::Duration::from_millis(60);
+/// Pause before another choice when the chosen runner allows no request after all.
+const ADMISSION_PAUSE: time::Duration = time::Duration::from_millis(5);
 /// Upper bound of the random addition to a retry delay, as a fraction of it.
 const RETRY_JITTER: f64 = 0.5;
 /// A request that was running when this many runners died is not retried by the
@@ -198,7 +200,12 @@
         if plan.attempt_log.borrow().sent() > 0 && !may_retry(router, plan) {
             break;
         }
-        let end = attempt::run(router, plan, request, &choice, progress, answer).await;
+        let Some(permit) = router.admit(&choice.incarnation) else {
+            // Not reached unless the choice is older than the runner's last word.
+            smol::Timer::after(ADMISSION_PAUSE).await;
+            continue;
+        };
+        let end = attempt::run(router, plan, request, &choice, permit, progress, answer).await;
         exclude.push(choice.incarnation.name.clone());
         match end {
             attempt::AttemptEnd::Answered => return RequestEnd::Answered,
@@ -383,7 +390,9 @@
 fn refusal_reason(router: &Router, refusal: placement::Refusal) -> (Reason, time::Duration) {
     let reason = match refusal {
         placement::Refusal::NoRunner => Reason::NoRunner,
-        placement::Refusal::Busy { .. } | placement::Refusal::TooLate { .. } => Reason::TooLate,
+        placement::Refusal::Busy { .. }
+        | placement::Refusal::Limited { .. }
+        | placement::Refusal::TooLate { .. } => Reason::TooLate,
     };
     (reason, refusal.retry_after(router.settings.retry_after))
 }
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -127,6 +127,10 @@
     pub fn set_routers(&mut self, routers: usize, rank: usize) {
         self.routers = routers.max(1);
         self.rank = rank;
+        self.runners.set_share(runners::Share {
+            routers: Some(self.routers),
+            rank,
+        });
     }
 
     /// Routers with lower addresses than this one.
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -300,13 +300,37 @@
         limit: Option<RequestRate>,
     ) {
         let now = self.now();
-        let change = self
+        let news = self
             .state()
             .runners_mut()
             .on_limit(now, incarnation, sent_at, limit);
-        let Some(runners::LimitChange { limit, sent }) = change else {
-            return;
-        };
+        if news.is_notice_due {
+            let notice = datagram::LimitNotice {
+                incarnation: incarnation.clone(),
+                limit,
+            };
+            self.outbox.put(Recipient::Routers, Datagram::Limit(notice));
+        }
+        if let Some(change) = news.change {
+            self.on_limit_change(incarnation, change);
+        }
+    }
+
+    /// Another router passes on a runner's limit.
+    pub(crate) fn on_limit_notice(&self, notice: &datagram::LimitNotice) {
+        let now = self.now();
+        let datagram::LimitNotice { incarnation, limit } = notice;
+        let change = self
+            .state()
+            .runners_mut()
+            .on_limit_notice(now, incarnation, *limit);
+        if let Some(change) = change {
+            self.on_limit_change(incarnation, change);
+        }
+    }
+
+    fn on_limit_change(&self, incarnation: &runners::Incarnation, change: runners::LimitChange) {
+        let runners::LimitChange { limit, sent } = change;
         match limit {
             Some(limit) => {
                 self.metrics.count(Counter::LimitsNamed);
@@ -314,6 +338,7 @@
             }
             None => {
                 log::info!(runner:% = incarnation.name, born = incarnation.boot_id, sent; "a runner limits its requests no more");
+                self.availability_changed.notify(usize::MAX);
             }
         }
     }
--- a/crates/lentil_forward/src/runner_watch.rs
+++ b/crates/lentil_forward/src/runner_watch.rs
@@ -17,7 +17,7 @@
 /// Asks runners whether they respond.
 pub trait Probe {
     /// Asks the runner at an address. Returns when it has answered.
-    fn probe(&self, address: net::SocketAddr) -> RunnerFuture<'_, ()>;
+    fn probe(&self, address: net::SocketAddr, permit: runners::Permit) -> RunnerFuture<'_, ()>;
 }
 
 /// Checks the runners of a router periodically; never returns.
@@ -52,8 +52,11 @@
     let Some(address) = router.runner_address(incarnation) else {
         return;
     };
+    let Some(permit) = router.admit(incarnation) else {
+        return;
+    };
     router.metrics.count(Counter::RunnerProbes);
-    match probe.probe(address).await {
+    match probe.probe(address, permit).await {
         Ok(()) => router.on_probe_answered(incarnation),
         Err(error) => {
             log::debug!(runner:% = incarnation.name, error:%; "an unresponsive runner does not answer a probe");
--- a/crates/lentil_forward/tests/messages.rs
+++ b/crates/lentil_forward/tests/messages.rs
@@ -4,7 +4,7 @@
 
 use lentil_forward::{
     EventSplitter,
-    datagram::{Crash, Datagram, Loaded, StatusReport, Subscribe, Turn},
+    datagram::{Crash, Datagram, LimitNotice, Loaded, StatusReport, Subscribe, Turn},
     documents::WeightsTarget,
 };
 use lentil_policy::forward::{
@@ -12,7 +12,7 @@
     runners::{Incarnation, SegmentKey, SegmentUpdate, Status},
     status_schedule,
 };
-use lentil_types::{Fingerprint, Tokens, WeightsVersion};
+use lentil_types::{Fingerprint, RequestRate, Tokens, WeightsVersion};
 use proptest::prelude::*;
 
 fn incarnation() -> Incarnation {
@@ -56,6 +56,14 @@
             },
             routers: vec!["10.1.0.31:8783".parse().unwrap()],
         }),
+        Datagram::Limit(LimitNotice {
+            incarnation: incarnation(),
+            limit: Some(RequestRate(5.9)),
+        }),
+        Datagram::Limit(LimitNotice {
+            incarnation: incarnation(),
+            limit: None,
+        }),
         Datagram::Crash(Crash {
             fingerprint: Fingerprint(9),
             incarnation: incarnation(),
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -214,6 +214,13 @@
         /// Expected time until a runner has room.
         wait: time::Duration,
     },
+    /// Every runner that could take the request has had as many as it allows.
+    Limited {
+        /// Time until one allows another.
+        wait: time::Duration,
+        /// Mean time between two requests that they allow this router.
+        interval: time::Duration,
+    },
     /// Even the best runner is expected to answer too late.
     TooLate {
         /// Expected wait at the best runner.
@@ -227,7 +234,9 @@
     pub fn retry_after(self, min: time::Duration) -> time::Duration {
         match self {
             Self::NoRunner => min,
-            Self::Busy { wait } | Self::TooLate { wait } => wait.max(min),
+            Self::Busy { wait } | Self::Limited { wait, .. } | Self::TooLate { wait } => {
+                wait.max(min)
+            }
         }
     }
 }
@@ -255,7 +264,7 @@
     exclude: &[RunnerName],
     rng: &mut dyn rand::Rng,
 ) -> Result<Choice, Refusal> {
-    let eligible = eligible(context, requirements, exclude);
+    let eligible = admitted(context, eligible(context, requirements, exclude))?;
     let estimator = estimate::Estimator::new(context, requirements, &eligible);
     let candidates = eligible.iter().map(|runner| estimator.candidate(runner));
     let candidates = estimator.admissible(candidates.collect())?;
@@ -315,7 +324,26 @@
         .collect()
 }
 
-/// Runners that may take the request.
+/// Runners that allow another request now.
+fn admitted<'a>(
+    context: Context<'_>,
+    eligible: Vec<&'a Runner>,
+) -> Result<Vec<&'a Runner>, Refusal> {
+    let Context { now, runners, .. } = context;
+    let waits = eligible
+        .iter()
+        .map(|runner| runners.admission_wait(now, runner));
+    let waits: Vec<_> = waits.collect();
+    if let Some(wait) = waits.iter().copied().min().flatten() {
+        let interval = runners.admission_interval(now, &eligible);
+        return Err(Refusal::Limited { wait, interval });
+    }
+    let admitted = eligible.into_iter().zip(waits);
+    let admitted = admitted.filter_map(|(runner, wait)| wait.is_none().then_some(runner));
+    Ok(admitted.collect())
+}
+
+/// Runners that may take the request, as far as they allow it.
 fn eligible<'a>(
     context: Context<'a>,
     requirements: &Requirements<'_>,
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -11,7 +11,7 @@
 
 use lentil_types::{Instant, RequestRate, RunnerName, ServiceName, Table};
 
-pub use announcements::{AnnouncementSettings, LimitChange};
+pub use announcements::{AnnouncementSettings, LimitChange, LimitNews, Permit, Share};
 pub use health::{HealthSettings, HealthSignal};
 pub use liveness::{LivenessAction, LivenessSettings};
 pub use runner::{Incarnation, LONG_PROMPT, Registration, RequestCost, Runner, Status};
@@ -90,6 +90,7 @@
     settings: Settings,
     table: Table<RunnerName, Runner>,
     store: StoreAvailability,
+    share: Share,
 }
 
 impl Runners {
@@ -99,6 +100,7 @@
             settings,
             table: Table::new(),
             store: StoreAvailability::Available,
+            share: Share::UNKNOWN,
         }
     }
 
@@ -303,13 +305,37 @@
         runner.health.on_health_signal(now, &settings, signal)
     }
 
-    /// A request was sent to a runner.
-    pub fn on_sent(&mut self, now: Instant, incarnation: &Incarnation, cost: RequestCost) {
-        let settings = self.settings.announcements;
-        if let Some(runner) = self.get_mut(incarnation) {
-            runner.announcements.on_sent(now, &settings);
-            runner.on_sent(cost);
-        }
+    /// This router's share of the limits of runners.
+    pub fn set_share(&mut self, share: Share) {
+        self.share = share;
+    }
+
+    /// Takes a request that is sent to a runner now; `None` if the runner does not allow
+    /// it.
+    pub fn admit(&mut self, now: Instant, incarnation: &Incarnation) -> Option<Permit> {
+        let (settings, share) = (self.settings.announcements, self.share);
+        let salt = salt_of(incarnation);
+        let announcements = &mut self.get_mut(incarnation)?.announcements;
+        announcements.admit(now, &settings, share, salt)
+    }
+
+    /// Time until a runner allows a request; `None` if it does now.
+    pub fn admission_wait(&self, now: Instant, runner: &Runner) -> Option<time::Duration> {
+        let settings = &self.settings.announcements;
+        let salt = salt_of(&runner.registration.incarnation);
+        runner.announcements.wait(now, settings, self.share, salt)
+    }
+
+    /// Mean time between two requests that these runners, all of them limited, allow
+    /// this router.
+    pub fn admission_interval(&self, now: Instant, limited: &[&Runner]) -> time::Duration {
+        let settings = &self.settings.announcements;
+        let part = |runner: &&Runner| {
+            let salt = salt_of(&runner.registration.incarnation);
+            runner.announcements.part(now, settings, self.share, salt)
+        };
+        let parts: usize = limited.iter().filter_map(part).sum();
+        settings.window.div_f64(parts.max(1) as f64)
     }
 
     /// A runner answered a request sent at `sent_at`, naming a limit or none.
@@ -319,12 +345,26 @@
         incarnation: &Incarnation,
         sent_at: Instant,
         limit: Option<RequestRate>,
+    ) -> LimitNews {
+        let settings = self.settings.announcements;
+        self.get_mut(incarnation)
+            .map_or_else(LimitNews::default, |runner| {
+                runner
+                    .announcements
+                    .on_answer(now, &settings, sent_at, limit)
+            })
+    }
+
+    /// Another router passes on a runner's limit.
+    pub fn on_limit_notice(
+        &mut self,
+        now: Instant,
+        incarnation: &Incarnation,
+        limit: Option<RequestRate>,
     ) -> Option<LimitChange> {
         let settings = self.settings.announcements;
         let runner = self.get_mut(incarnation)?;
-        runner
-            .announcements
-            .on_answer(now, &settings, sent_at, limit)
+        runner.announcements.on_notice(now, &settings, limit)
     }
 
     /// Another router finds a runner unresponsive.
@@ -447,3 +487,10 @@
         self.table.is_empty()
     }
 }
+
+/// Equal at every router and different for each runner.
+fn salt_of(incarnation: &Incarnation) -> usize {
+    let hash = xxhash_rust::xxh3::xxh3_64(incarnation.name.as_bytes());
+    // Truncated on small targets: any of its bits do.
+    hash as usize
+}
--- /dev/null
+++ b/crates/lentil_policy/tests/forward_announcements.rs
@@ -0,0 +1,263 @@
+//! What runners say of themselves, and what is sent to them then.
+
+use lentil_policy::forward::runners::{Incarnation, Registration, Runners, Settings, Share};
+use lentil_types::{Instant, RequestRate};
+use rand::{RngExt as _, SeedableRng as _};
+use rstest::rstest;
+
+/// The platform counts requests over this time.
+const WINDOW_MS: u64 = 4_000;
+
+fn incarnation(name: &str) -> Incarnation {
+    Incarnation {
+        name: name.parse().unwrap(),
+        boot_id: 1,
+    }
+}
+
+fn registration(name: &str) -> Registration {
+    Registration {
+        incarnation: incarnation(name),
+        address: ([127, 0, 0, 1], name.as_bytes()[0].into()).into(),
+        service: "sort".parse().unwrap(),
+        place: "here".parse().unwrap(),
+        slots: 4,
+        is_leaving: false,
+        weights: Vec::new(),
+        revision: 1,
+    }
+}
+
+/// A router that knows runner `a` and how many routers there are.
+fn router(routers: usize, rank: usize) -> Runners {
+    let mut runners = Runners::new(Settings::default());
+    runners.on_list(Instant::ZERO, vec![registration("a")]);
+    runners.set_share(Share {
+        routers: Some(routers),
+        rank,
+    });
+    runners
+}
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+/// Sends a request to runner `a` if it allows one.
+fn send(router: &mut Runners, ms: u64) -> bool {
+    router.admit(at(ms), &incarnation("a")).is_some()
+}
+
+/// Runner `a` answers a request that was sent at `sent_ms`.
+fn answer(router: &mut Runners, ms: u64, sent_ms: u64, limit: Option<f64>) -> bool {
+    let limit = limit.map(RequestRate);
+    let news = router.on_limit(at(ms), &incarnation("a"), at(sent_ms), limit);
+    news.is_notice_due
+}
+
+fn notice(router: &mut Runners, ms: u64, limit: Option<f64>) {
+    router.on_limit_notice(at(ms), &incarnation("a"), limit.map(RequestRate));
+}
+
+/// How many of the requests that a router would like to send are sent.
+fn sent_of(router: &mut Runners, times: impl Iterator<Item = u64>) -> usize {
+    times.filter(|ms| send(router, *ms)).count()
+}
+
+#[test]
+fn a_runner_without_a_limit_takes_every_request() {
+    let mut router = router(5, 0);
+    assert_eq!(sent_of(&mut router, 0..1_000), 1_000);
+}
+
+#[test]
+fn requests_from_before_a_limit_count() {
+    let mut router = router(1, 0);
+    assert_eq!(sent_of(&mut router, (0..4_000).step_by(100)), 40);
+    answer(&mut router, 4_000, 3_990, Some(5.0));
+    // 18 of the 20 that the limit allows in 4 s; 40 were sent.
+    assert_eq!(sent_of(&mut router, (4_000..6_200).step_by(10)), 0);
+    assert_eq!(sent_of(&mut router, (6_200..6_400).step_by(10)), 2);
+}
+
+#[test]
+fn a_limit_ends_when_the_runner_names_none() {
+    let mut router = router(1, 0);
+    assert!(answer(&mut router, 100, 90, Some(1.0)));
+    assert_eq!(sent_of(&mut router, 100..1_000), 3);
+    assert!(
+        !answer(&mut router, 1_000, 95, None),
+        "an older request's answer"
+    );
+    assert!(!send(&mut router, 1_001));
+    assert!(answer(&mut router, 1_200, 1_100, None));
+    assert_eq!(sent_of(&mut router, 1_200..1_300), 100);
+}
+
+#[test]
+fn a_limit_that_nobody_names_again_expires() {
+    let mut router = router(1, 0);
+    answer(&mut router, 0, 0, Some(1.0));
+    assert_eq!(sent_of(&mut router, 11_000..11_900), 3);
+    assert_eq!(sent_of(&mut router, 12_000..12_500), 500);
+}
+
+#[test]
+fn routers_pass_on_limits_and_their_ends_but_not_every_answer() {
+    let mut first = router(2, 0);
+    let mut second = router(2, 1);
+    assert!(answer(&mut first, 0, 0, Some(5.0)));
+    notice(&mut second, 1, Some(5.0));
+    for ms in (10..2_900).step_by(10) {
+        assert!(!answer(&mut first, ms, ms - 5, Some(5.0)), "unchanged");
+        assert!(!answer(&mut second, ms, ms - 5, Some(5.0)), "unchanged");
+    }
+    assert!(answer(&mut first, 3_100, 3_090, Some(5.0)), "told again");
+    notice(&mut second, 3_101, Some(5.0));
+    assert!(
+        !answer(&mut second, 3_110, 3_100, Some(5.0)),
+        "by one of them"
+    );
+    assert!(sent_of(&mut second, 3_110..3_300) <= 9);
+    assert!(answer(&mut first, 3_400, 3_300, None));
+    notice(&mut second, 3_401, None);
+    assert_eq!(sent_of(&mut second, 3_401..3_501), 100);
+}
+
+#[test]
+fn a_router_that_does_not_know_the_others_sends_one_request() {
+    let mut router = router(1, 0);
+    router.set_share(Share::UNKNOWN);
+    answer(&mut router, 0, 0, Some(50.0));
+    assert_eq!(sent_of(&mut router, 0..3_900), 1);
+}
+
+#[test]
+fn a_restarted_runner_has_no_limit() {
+    let mut router = router(1, 0);
+    answer(&mut router, 0, 0, Some(0.1));
+    assert_eq!(sent_of(&mut router, 0..100), 1);
+    let restarted = Registration {
+        incarnation: Incarnation {
+            boot_id: 2,
+            ..incarnation("a")
+        },
+        ..registration("a")
+    };
+    router.on_registration(at(100), restarted.clone());
+    assert!(
+        router.admit(at(100), &incarnation("a")).is_none(),
+        "another life"
+    );
+    let admitted = (100..200).filter(|ms| router.admit(at(*ms), &restarted.incarnation).is_some());
+    assert_eq!(admitted.count(), 100);
+}
+
+#[rstest]
+fn the_parts_of_all_routers_add_up_to_the_limit(
+    #[values(1, 2, 5, 37, 103, 300)] routers: usize,
+    #[values(0.01, 0.3, 1.0, 3.6, 7.3, 59.0, 200.0)] rate: f64,
+) {
+    let mut sum = 0;
+    for rank in 0..routers {
+        let mut one = router(routers, rank);
+        answer(&mut one, 0, 0, Some(rate));
+        sum += sent_of(&mut one, (0..WINDOW_MS).step_by(5));
+    }
+    let allowed = rate * WINDOW_MS as f64 / 1e3;
+    // One request shows when the limit ends.
+    assert!(sum as f64 <= allowed.max(1.0), "{sum} of {allowed}");
+    assert!(
+        sum as f64 >= (allowed * 0.9).floor().max(1.0),
+        "{sum} of {allowed}"
+    );
+}
+
+/// Plays routers with different shares of the demand, twice what the runner takes. Some
+/// start late, and do not know the others; some lose every notice; one is cut off from
+/// the others, which forget it. Returns the largest number of requests in a window that
+/// ends 3 s after the limit was named or later, and how many were sent in all after it.
+fn play(seed: u64, routers: usize, rate: f64) -> (usize, usize) {
+    const NAMED_MS: u64 = 5_000;
+    const END_MS: u64 = 25_000;
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+    let mut all: Vec<_> = (0..routers).map(|rank| router(routers, rank)).collect();
+    let weights: Vec<f64> = (0..routers).map(|_| rng.random_range(0.1..1.0)).collect();
+    let weight: f64 = weights.iter().sum();
+    let is_deaf: Vec<bool> = (0..routers).map(|_| rng.random::<f64>() < 0.2).collect();
+    let restarts_at = rng.random_range(8_000..20_000);
+    let cut_at = rng.random_range(8_000..12_000);
+    let mut sent = Vec::new();
+    for ms in 0..END_MS {
+        if ms == restarts_at {
+            all[0] = router(routers, 0);
+            all[0].set_share(Share::UNKNOWN);
+        }
+        if ms == restarts_at + 1_000 {
+            all[0].set_share(Share {
+                routers: Some(routers),
+                rank: 0,
+            });
+        }
+        if ms == cut_at + 12_000 && routers > 1 {
+            // The last one is forgotten by the others and still counts them.
+            for (rank, one) in all[..routers - 1].iter_mut().enumerate() {
+                one.set_share(Share {
+                    routers: Some(routers - 1),
+                    rank,
+                });
+            }
+        }
+        let limit = (ms >= NAMED_MS).then_some(rate);
+        for index in 0..routers {
+            let demand = 2.0 * rate * weights[index] / weight / 1e3;
+            if rng.random::<f64>() >= demand || !send(&mut all[index], ms) {
+                continue;
+            }
+            sent.push(ms);
+            // Answered 20 ms later; the runner's word is that of the time of the answer.
+            if answer(&mut all[index], ms + 20, ms, limit) {
+                for other in (0..routers).filter(|other| *other != index) {
+                    let is_cut = routers > 1
+                        && ms >= cut_at
+                        && (index == routers - 1 || other == routers - 1);
+                    if !is_deaf[other] && !is_cut {
+                        notice(&mut all[other], ms + 21, limit);
+                    }
+                }
+            }
+        }
+    }
+    let in_window = |end: &u64| {
+        sent.iter()
+            .filter(|ms| **ms <= *end && end - **ms < WINDOW_MS)
+            .count()
+    };
+    let late = sent.iter().filter(|ms| **ms >= NAMED_MS + 3_000);
+    let most = late.map(in_window).max().unwrap_or(0);
+    let after = sent.iter().filter(|ms| **ms >= NAMED_MS + 4_000).count();
+    (most, after)
+}
+
+/// The load: more than a runner in need takes, at few and at many routers.
+#[rstest]
+#[case(1, 5.0)]
+#[case(5, 3.6)]
+#[case(5, 7.3)]
+#[case(5, 60.0)]
+#[case(103, 3.6)]
+#[case(103, 30.0)]
+fn routers_keep_to_a_runners_limit_together(#[case] routers: usize, #[case] rate: f64) {
+    for seed in 0..20 {
+        let (most, after) = play(seed, routers, rate);
+        // The platform's bound.
+        let bound = (1.5 * rate * WINDOW_MS as f64 / 1e3 + 5.0) as usize;
+        assert!(most <= bound, "seed {seed}: {most} of {bound} in 4 s");
+        // Its capacity is used, as far as requests arrive where the parts are.
+        let share = after as f64 / (rate * 16.0);
+        assert!(
+            routers > 5 || share > 0.5,
+            "seed {seed}: {share} of the limit used"
+        );
+    }
+}
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -12,7 +12,8 @@
     wait_queue::{Demand, WaitQueue},
 };
 use lentil_types::{
-    Instant, ModelName, PlaceName, RunnerName, ServiceName, TeamName, Tokens, WeightsVersion,
+    Instant, ModelName, PlaceName, RequestRate, RunnerName, ServiceName, TeamName, Tokens,
+    WeightsVersion,
 };
 use rand::SeedableRng as _;
 use rstest::rstest;
@@ -734,6 +735,51 @@
     assert_eq!(chosen(&mut router), incarnation(0));
 }
 
+#[test]
+fn a_runner_that_has_had_as_much_as_it_allows_is_passed_over() {
+    let mut router = RouterFixture::new(2, 1);
+    let busy = Status {
+        running: 4,
+        backlog: Tokens(4_000),
+        ..Status::default()
+    };
+    router.report_status(1, busy);
+    let share = runners::Share {
+        routers: Some(1),
+        rank: 0,
+    };
+    router.runners.set_share(share);
+    let now = router.now;
+    let name_limit = |router: &mut RouterFixture, number| {
+        let limit = Some(RequestRate(0.5));
+        let news = router
+            .runners
+            .on_limit(now, &incarnation(number), now, limit);
+        assert!(news.change.is_some());
+        assert!(router.runners.admit(now, &incarnation(number)).is_some());
+    };
+    assert_eq!(
+        router.choose(&SHORT, &[]).unwrap().incarnation,
+        incarnation(0)
+    );
+    name_limit(&mut router, 0);
+    assert_eq!(
+        router.choose(&SHORT, &[]).unwrap().incarnation,
+        incarnation(1)
+    );
+    name_limit(&mut router, 1);
+    router.now = now + time::Duration::from_millis(1_000);
+    // Each allows one request in four seconds.
+    let refusal = router.choose(&SHORT, &[]).unwrap_err();
+    let expected = Refusal::Limited {
+        wait: time::Duration::from_secs(3),
+        interval: time::Duration::from_secs(2),
+    };
+    assert_eq!(refusal, expected);
+    router.now = now + time::Duration::from_secs(4);
+    assert!(router.choose(&SHORT, &[]).is_ok());
+}
+
 #[test]
 fn a_reported_backlog_shrinks_with_time() {
     let mut router = RouterFixture::new(1, 1);
--- a/crates/lentil_policy/tests/forward_search.rs
+++ b/crates/lentil_policy/tests/forward_search.rs
@@ -306,7 +306,12 @@
         );
         let choice = match chosen {
             Ok(choice) => choice,
-            Err(Refusal::NoRunner | Refusal::Busy { .. } | Refusal::TooLate { .. }) => return,
+            Err(
+                Refusal::NoRunner
+                | Refusal::Busy { .. }
+                | Refusal::Limited { .. }
+                | Refusal::TooLate { .. },
+            ) => return,
         };
         assert!(
             !exclude.contains(&choice.incarnation.name),
