Follow runners that say they leave or want nothing for a time

Neither was read: a leaving runner that stayed registered as ready got 11 of 30 requests, a closed one every request that came first to it.

Change: both join the limit in runners::announcements, which every sender asks by way of a Permit. Leaving holds for the incarnation and is passed on to other routers; a closed time is this router's own, bounded by a minute. Waiting requests are placed anew at once, and where all runners are closed callers are told at once when the first opens. Invalid times are counted, logged and change nothing; the word of another runner at the address (421) is not taken.

--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -138,7 +138,7 @@
                     | Datagram::Crash(_)
                     | Datagram::Loaded(_)
                     | Datagram::Silent(_)
-                    | Datagram::Limit(_),
+                    | Datagram::Announcement(_),
                 ) => {
                     log::debug!(from:%; "ignored a datagram that is not meant for an agent");
                 }
--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -76,13 +76,15 @@
     pub times: rollout_pacer::ChangeTimes,
 }
 
-/// A router passes on what a runner names as its limit.
+/// A router passes on what a runner says of itself.
 #[derive(Clone, Debug, PartialEq)]
-pub struct LimitNotice {
+pub struct AnnouncementNotice {
     /// The runner.
     pub incarnation: runners::Incarnation,
     /// Requests a second that it takes from all routers; `None` for any number.
     pub limit: Option<RequestRate>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
 }
 
 /// One datagram.
@@ -111,7 +113,7 @@
     /// answers.
     Silent(runners::Incarnation),
     /// From a router to every other.
-    Limit(LimitNotice),
+    Announcement(AnnouncementNotice),
 }
 
 /// A datagram that cannot be decoded or encoded.
@@ -149,7 +151,7 @@
                 runner: incarnation.name.to_string(),
                 born: incarnation.boot_id,
             }),
-            Self::Limit(notice) => generated::Body::Limit(notice.into()),
+            Self::Announcement(notice) => generated::Body::Announcement(notice.into()),
             Self::LongPrompt(prompt) => generated::Body::Sent(generated::Sent {
                 request: prompt.request.0,
                 missing: prompt.uncached.0,
@@ -178,7 +180,7 @@
             generated::Body::Silent(silent) => {
                 Self::Silent(incarnation(&silent.runner, silent.born)?)
             }
-            generated::Body::Limit(limit) => Self::Limit(limit.try_into()?),
+            generated::Body::Announcement(notice) => Self::Announcement(notice.try_into()?),
             generated::Body::Sent(sent) => Self::LongPrompt(backlog::LongPrompt {
                 request: backlog::RequestHash(sent.request),
                 uncached: Tokens(sent.missing),
@@ -192,27 +194,28 @@
 /// Requests in this many seconds are sent as a whole number.
 const LIMIT_SPAN: f64 = 1_000.0;
 
-impl From<LimitNotice> for generated::Limit {
-    fn from(notice: LimitNotice) -> Self {
-        let LimitNotice { incarnation, limit } = notice;
+impl From<AnnouncementNotice> for generated::Announcement {
+    fn from(notice: AnnouncementNotice) -> Self {
         // The cast saturates. A limit is never sent as none.
-        let millihertz = limit.map_or(0, |limit| ((limit.0 * LIMIT_SPAN) as u32).max(1));
+        let limit = notice.limit.map(|limit| (limit.0 * LIMIT_SPAN) as u32);
         Self {
-            runner: incarnation.name.to_string(),
-            born: incarnation.boot_id,
-            millihertz,
+            runner: notice.incarnation.name.to_string(),
+            born: notice.incarnation.boot_id,
+            millihertz: limit.map_or(0, |limit| limit.max(1)),
+            leaving: notice.is_leaving,
         }
     }
 }
 
-impl TryFrom<generated::Limit> for LimitNotice {
+impl TryFrom<generated::Announcement> for AnnouncementNotice {
     type Error = DatagramError;
 
-    fn try_from(limit: generated::Limit) -> Result<Self, Self::Error> {
-        let rate = f64::from(limit.millihertz) / LIMIT_SPAN;
+    fn try_from(notice: generated::Announcement) -> Result<Self, Self::Error> {
+        let rate = f64::from(notice.millihertz) / LIMIT_SPAN;
         Ok(Self {
-            incarnation: incarnation(&limit.runner, limit.born)?,
-            limit: (limit.millihertz > 0).then_some(RequestRate(rate)),
+            incarnation: incarnation(&notice.runner, notice.born)?,
+            limit: (notice.millihertz > 0).then_some(RequestRate(rate)),
+            is_leaving: notice.leaving,
         })
     }
 }
--- a/crates/lentil_forward/src/names.rs
+++ b/crates/lentil_forward/src/names.rs
@@ -39,9 +39,12 @@
     pub load: &'static str,
     /// Requests a second that the runner takes from all routers together.
     pub limit: &'static str,
+    /// Set to `1` by a runner that leaves.
+    pub leaving: &'static str,
     /// Name of the runner that answered.
     pub runner: &'static str,
-    /// Seconds after which the caller may retry.
+    /// Seconds after which the caller may retry. In a runner's refusal: how long it wants
+    /// nothing from this router.
     pub retry_after: &'static str,
     /// Request fields that only this system may set; dropped from callers'
     /// requests.
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -143,7 +143,7 @@
             Datagram::Crash(crash) => self.router.on_crash(&crash),
             Datagram::Loaded(loaded) => self.router.on_loaded(&loaded),
             Datagram::Silent(incarnation) => self.on_silent(from, &incarnation),
-            Datagram::Limit(notice) => self.router.on_limit_notice(&notice),
+            Datagram::Announcement(notice) => self.router.on_announcement_notice(&notice),
             Datagram::Subscribe(_)
             | Datagram::LongPrompt(_)
             | Datagram::StatusRequest(_)
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -5,10 +5,10 @@
 use compact_str::CompactString;
 use lentil_policy::forward::{attempt_log::AttemptOutcome, backlog, placement, runners};
 use lentil_process::metrics::{Counter, Timing};
-use lentil_types::{Instant, RequestRate, Tokens, WeightsVersion};
+use lentil_types::{Instant, Tokens, WeightsVersion};
 
 use super::{
-    Router,
+    Router, announcement,
     answer::{Answer, CompleteAnswer},
     connect,
     in_flight::InFlight,
@@ -373,7 +373,7 @@
             }
         }
         drop(state);
-        self.on_limit(head);
+        self.on_announcement(head);
         self.in_flight.release_cost();
         if was_run {
             progress.weights = weights;
@@ -386,23 +386,26 @@
         }
     }
 
-    /// Notes the limit that the runner names, or that it names none.
-    fn on_limit(&self, head: &h1::ResponseHead) {
-        let text = head.headers.text(self.router.names.limit);
-        let limit = match text.map(|text| text.trim().parse::<RequestRate>()) {
-            None => None,
-            Some(Ok(limit)) => Some(limit),
-            Some(Err(error)) => {
+    /// Notes what the runner says of itself.
+    fn on_announcement(&self, head: &h1::ResponseHead) {
+        // Another runner answers for itself.
+        if head.status == 421 {
+            return;
+        }
+        match announcement::decode(&self.router.names, head) {
+            Ok(said) => {
+                let incarnation = &self.choice.incarnation;
+                self.router
+                    .on_announcement(incarnation, self.sent_at, &said);
+            }
+            Err(error) => {
                 self.router.metrics.count(Counter::AnnouncementsUnusable);
                 if self.router.log_quota.try_take(self.router.now()) {
                     let name = &self.choice.incarnation.name;
-                    log::warn!(runner:% = name, error:%; "a runner names an invalid limit; keeping the last one");
+                    log::warn!(runner:% = name, error:%; "cannot read what a runner says of itself; nothing changes");
                 }
-                return;
             }
-        };
-        self.router
-            .on_limit(&self.choice.incarnation, self.sent_at, limit);
+        }
     }
 
     /// Reads a refusal to its end, so that the connection can be reused.
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -1,5 +1,6 @@
 //! Router: accepts requests of callers, chooses runners and relays the answers.
 
+mod announcement;
 mod answer;
 mod attempt;
 mod body_memory;
--- a/crates/lentil_forward/src/router/rollout.rs
+++ b/crates/lentil_forward/src/router/rollout.rs
@@ -119,8 +119,6 @@
     service: &'a ServiceName,
 ) -> impl Iterator<Item = &'a runners::Runner> {
     state.runners().iter().filter(move |runner| {
-        runner.registration.service == *service
-            && !runner.registration.is_leaving
-            && !runner.is_replaced()
+        runner.registration.service == *service && !runner.is_leaving() && !runner.is_replaced()
     })
 }
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -5,7 +5,7 @@
 use lentil_platform::{Change, Changes, Document, Listing};
 use lentil_policy::forward::runners;
 use lentil_process::metrics::{Counter, Gauge};
-use lentil_types::{Instant, RequestRate};
+use lentil_types::Instant;
 
 use super::Router;
 use crate::{
@@ -292,55 +292,77 @@
         self.log_recovery(incarnation, was_unresponsive);
     }
 
-    /// A runner answered a request sent at `sent_at`, naming a limit or none.
-    pub(crate) fn on_limit(
+    /// A runner said this of itself in the answer to a request sent at `sent_at`.
+    pub(crate) fn on_announcement(
         &self,
         incarnation: &runners::Incarnation,
         sent_at: Instant,
-        limit: Option<RequestRate>,
+        said: &runners::Announcement,
     ) {
         let now = self.now();
         let news = self
             .state()
             .runners_mut()
-            .on_limit(now, incarnation, sent_at, limit);
+            .on_announcement(now, incarnation, sent_at, said);
         if news.is_notice_due {
-            let notice = datagram::LimitNotice {
+            let notice = datagram::AnnouncementNotice {
                 incarnation: incarnation.clone(),
-                limit,
+                limit: said.limit,
+                is_leaving: said.is_leaving,
             };
-            self.outbox.put(Recipient::Routers, Datagram::Limit(notice));
-        }
-        if let Some(change) = news.change {
-            self.on_limit_change(incarnation, change);
+            let notice = Datagram::Announcement(notice);
+            self.outbox.put(Recipient::Routers, notice);
         }
+        self.on_announcement_changes(incarnation, &news.changes);
     }
 
-    /// Another router passes on a runner's limit.
-    pub(crate) fn on_limit_notice(&self, notice: &datagram::LimitNotice) {
+    /// Another router passes on what a runner says of itself.
+    pub(crate) fn on_announcement_notice(&self, notice: &datagram::AnnouncementNotice) {
         let now = self.now();
-        let datagram::LimitNotice { incarnation, limit } = notice;
-        let change = self
-            .state()
-            .runners_mut()
-            .on_limit_notice(now, incarnation, *limit);
-        if let Some(change) = change {
-            self.on_limit_change(incarnation, change);
-        }
+        let said = runners::Announcement {
+            limit: notice.limit,
+            is_leaving: notice.is_leaving,
+            closed_for: None,
+        };
+        let changes =
+            self.state()
+                .runners_mut()
+                .on_announcement_notice(now, &notice.incarnation, &said);
+        self.on_announcement_changes(&notice.incarnation, &changes);
     }
 
-    fn on_limit_change(&self, incarnation: &runners::Incarnation, change: runners::LimitChange) {
-        let runners::LimitChange { limit, sent } = change;
-        match limit {
-            Some(limit) => {
-                self.metrics.count(Counter::LimitsNamed);
-                log::info!(runner:% = incarnation.name, born = incarnation.boot_id, limit:%, sent; "a runner limits its requests");
-            }
-            None => {
-                log::info!(runner:% = incarnation.name, born = incarnation.boot_id, sent; "a runner limits its requests no more");
-                self.availability_changed.notify(usize::MAX);
+    fn on_announcement_changes(
+        &self,
+        incarnation: &runners::Incarnation,
+        changes: &[runners::AnnouncementChange],
+    ) {
+        use runners::AnnouncementChange as Change;
+        let (name, boot_id) = (&incarnation.name, incarnation.boot_id);
+        for change in changes {
+            match change {
+                Change::Limited { limit, sent } => {
+                    self.metrics.count(Counter::LimitsNamed);
+                    log::info!(runner:% = name, born = boot_id, limit:%, sent; "a runner limits its requests");
+                }
+                Change::LimitEnded => {
+                    log::info!(runner:% = name, born = boot_id; "a runner limits its requests no more");
+                }
+                Change::Leaving => {
+                    self.metrics.count(Counter::RunnersLeaving);
+                    log::info!(runner:% = name, born = boot_id; "a runner says that it leaves");
+                }
+                Change::Closed(closed_for) => {
+                    self.metrics.count(Counter::RunnersClosed);
+                    if self.log_quota.try_take(self.now()) {
+                        log::info!(runner:% = name, born = boot_id, for_ms = closed_for.as_millis(); "a runner wants nothing for a time");
+                    }
+                }
             }
         }
+        if !changes.is_empty() {
+            // What waits for this runner is placed anew.
+            self.availability_changed.notify(usize::MAX);
+        }
     }
 
     fn log_recovery(&self, incarnation: &runners::Incarnation, was_unresponsive: bool) {
--- a/crates/lentil_forward/tests/messages.rs
+++ b/crates/lentil_forward/tests/messages.rs
@@ -4,7 +4,7 @@
 
 use lentil_forward::{
     EventSplitter,
-    datagram::{Crash, Datagram, LimitNotice, Loaded, StatusReport, Subscribe, Turn},
+    datagram::{AnnouncementNotice, Crash, Datagram, Loaded, StatusReport, Subscribe, Turn},
     documents::WeightsTarget,
 };
 use lentil_policy::forward::{
@@ -56,13 +56,15 @@
             },
             routers: vec!["10.1.0.31:8783".parse().unwrap()],
         }),
-        Datagram::Limit(LimitNotice {
+        Datagram::Announcement(AnnouncementNotice {
             incarnation: incarnation(),
             limit: Some(RequestRate(5.9)),
+            is_leaving: false,
         }),
-        Datagram::Limit(LimitNotice {
+        Datagram::Announcement(AnnouncementNotice {
             incarnation: incarnation(),
             limit: None,
+            is_leaving: true,
         }),
         Datagram::Crash(Crash {
             fingerprint: Fingerprint(9),
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -9,9 +9,11 @@
 
 use std::time;
 
-use lentil_types::{Instant, RequestRate, RunnerName, ServiceName, Table};
+use lentil_types::{Instant, RunnerName, ServiceName, Table};
 
-pub use announcements::{AnnouncementSettings, LimitChange, LimitNews, Permit, Share};
+pub use announcements::{
+    Announcement, AnnouncementChange, AnnouncementNews, AnnouncementSettings, Permit, Share,
+};
 pub use health::{HealthSettings, HealthSignal};
 pub use liveness::{LivenessAction, LivenessSettings};
 pub use runner::{Incarnation, LONG_PROMPT, Registration, RequestCost, Runner, Status};
@@ -326,45 +328,50 @@
         runner.announcements.wait(now, settings, self.share, salt)
     }
 
-    /// Mean time between two requests that these runners, all of them limited, allow
-    /// this router.
+    /// Mean time between two requests that these runners, all of them limited or
+    /// closed, allow this router.
     pub fn admission_interval(&self, now: Instant, limited: &[&Runner]) -> time::Duration {
         let settings = &self.settings.announcements;
         let part = |runner: &&Runner| {
             let salt = salt_of(&runner.registration.incarnation);
             runner.announcements.part(now, settings, self.share, salt)
         };
-        let parts: usize = limited.iter().filter_map(part).sum();
-        settings.window.div_f64(parts.max(1) as f64)
+        let parts: Option<usize> = limited.iter().map(part).sum();
+        // One without a limit takes any number once it is open.
+        parts.map_or(time::Duration::ZERO, |parts| {
+            settings.window.div_f64(parts.max(1) as f64)
+        })
     }
 
-    /// A runner answered a request sent at `sent_at`, naming a limit or none.
-    pub fn on_limit(
+    /// A runner said this of itself in the answer to a request sent at `sent_at`.
+    pub fn on_announcement(
         &mut self,
         now: Instant,
         incarnation: &Incarnation,
         sent_at: Instant,
-        limit: Option<RequestRate>,
-    ) -> LimitNews {
+        said: &Announcement,
+    ) -> AnnouncementNews {
         let settings = self.settings.announcements;
-        self.get_mut(incarnation)
-            .map_or_else(LimitNews::default, |runner| {
-                runner
-                    .announcements
-                    .on_answer(now, &settings, sent_at, limit)
-            })
+        let Some(runner) = self.get_mut(incarnation) else {
+            return AnnouncementNews::default();
+        };
+        runner
+            .announcements
+            .on_answer(now, &settings, sent_at, said)
     }
 
-    /// Another router passes on a runner's limit.
-    pub fn on_limit_notice(
+    /// Another router passes on what a runner says of itself.
+    pub fn on_announcement_notice(
         &mut self,
         now: Instant,
         incarnation: &Incarnation,
-        limit: Option<RequestRate>,
-    ) -> Option<LimitChange> {
+        said: &Announcement,
+    ) -> Vec<AnnouncementChange> {
         let settings = self.settings.announcements;
-        let runner = self.get_mut(incarnation)?;
-        runner.announcements.on_notice(now, &settings, limit)
+        let Some(runner) = self.get_mut(incarnation) else {
+            return Vec::new();
+        };
+        runner.announcements.on_notice(now, &settings, said)
     }
 
     /// Another router finds a runner unresponsive.
@@ -448,7 +455,7 @@
             .table
             .values()
             .filter(|r| r.registration.service == *service);
-        let present = members.filter(|r| !r.registration.is_leaving && !r.replaced);
+        let present = members.filter(|r| !r.is_leaving() && !r.replaced);
         let present: Vec<_> = present.collect();
         let silence_ttl = self.settings.silence_ttl;
         let liveness = &self.settings.liveness;
--- a/crates/lentil_policy/src/forward/runners/announcements.rs
+++ b/crates/lentil_policy/src/forward/runners/announcements.rs
@@ -2,7 +2,9 @@
 //!
 //! The load it answers: a runner in need names how many requests a second it takes from
 //! all routers together. Each router keeps to a share of its own, without a leader, so
-//! that the sum holds also when some of them hear nothing of each other.
+//! that the sum holds also when some of them hear nothing of each other. A full runner
+//! names a time in which it wants nothing from this router. One that leaves may say so
+//! before its registration does, or only itself.
 
 use std::{collections::VecDeque, time};
 
@@ -21,6 +23,9 @@
     pub limit_ttl: time::Duration,
     /// Interval at which the other routers are told of a limit.
     pub notice_interval: time::Duration,
+    /// Longest time for which a runner's wish to get nothing is followed. After it a
+    /// request asks again.
+    pub max_closed: time::Duration,
 }
 
 impl Default for AnnouncementSettings {
@@ -30,6 +35,7 @@
             usable: 0.9,
             limit_ttl: time::Duration::from_secs(12),
             notice_interval: time::Duration::from_secs(3),
+            max_closed: time::Duration::from_secs(60),
         }
     }
 }
@@ -62,21 +68,41 @@
     }
 }
 
-/// A change of a runner's limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitChange {
-    /// The limit on the requests of all routers; `None` when it has ended.
+/// What a runner says of itself in one answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Announcement {
+    /// Requests a second that it takes from all routers together.
     pub limit: Option<RequestRate>,
-    /// Requests that this router has sent there in the last window.
-    pub sent: usize,
+    /// Whether it leaves.
+    pub is_leaving: bool,
+    /// How long it wants nothing from this router.
+    pub closed_for: Option<time::Duration>,
+}
+
+/// A change of what a runner says, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum AnnouncementChange {
+    /// It named a limit, or another one than before.
+    Limited {
+        /// The limit on the requests of all routers.
+        limit: RequestRate,
+        /// Requests that this router has sent there in the last window.
+        sent: usize,
+    },
+    /// It names no limit any more.
+    LimitEnded,
+    /// It leaves.
+    Leaving,
+    /// It wants nothing from this router for this long.
+    Closed(time::Duration),
 }
 
 /// What follows from a runner's answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct LimitNews {
-    /// A change, for the log.
-    pub change: Option<LimitChange>,
-    /// Whether to tell the other routers what the runner names now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AnnouncementNews {
+    /// Changes, for the log.
+    pub changes: Vec<AnnouncementChange>,
+    /// Whether to tell the other routers what the runner says now.
     pub is_notice_due: bool,
 }
 
@@ -97,6 +123,11 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Announcements {
     limit: Option<Limit>,
+    /// Whether it leaves. Like a registration that says so, this holds for the whole
+    /// incarnation.
+    is_leaving: bool,
+    /// Until when it wants nothing from this router.
+    closed_until: Instant,
     /// When the other routers were last told of the limit, by this one or another.
     told_at: Option<Instant>,
     /// When this router's last requests were sent there, oldest first.
@@ -112,7 +143,7 @@
         share: Share,
         salt: usize,
     ) -> Option<Permit> {
-        if self.wait(now, settings, share, salt).is_some() {
+        if self.is_leaving || self.wait(now, settings, share, salt).is_some() {
             return None;
         }
         let is_old = |at: &Instant| now.since(*at) >= settings.window;
@@ -123,13 +154,32 @@
         Some(Permit(()))
     }
 
-    /// Time until it may be sent a request; `None` if it may be now.
+    /// Whether it has said that it leaves.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Time until a runner that stays may be sent a request; `None` if it may be now.
     pub(super) fn wait(
         &self,
         now: Instant,
         settings: &AnnouncementSettings,
         share: Share,
         salt: usize,
+    ) -> Option<time::Duration> {
+        let closed_for = self.closed_until.since(now);
+        let is_closed = !closed_for.is_zero();
+        let limit_wait = self.limit_wait(now, settings, share, salt);
+        limit_wait.max(is_closed.then_some(closed_for))
+    }
+
+    /// Time until its limit leaves room for a request.
+    fn limit_wait(
+        &self,
+        now: Instant,
+        settings: &AnnouncementSettings,
+        share: Share,
+        salt: usize,
     ) -> Option<time::Duration> {
         let part = self.part(now, settings, share, salt)?;
         let sent = self.sent_in_window(now, settings);
@@ -158,55 +208,80 @@
         Some(share.of(total(rate, settings), salt))
     }
 
-    /// It answered a request sent at `sent_at`, naming a limit or none.
+    /// It said this of itself in the answer to a request sent at `sent_at`.
     pub(super) fn on_answer(
         &mut self,
         now: Instant,
         settings: &AnnouncementSettings,
         sent_at: Instant,
-        rate: Option<RequestRate>,
-    ) -> LimitNews {
+        said: &Announcement,
+    ) -> AnnouncementNews {
+        let mut news = AnnouncementNews::default();
         let is_overtaken = self.limit.is_some_and(|limit| sent_at < limit.heard_at);
-        if rate.is_none() && (self.limit.is_none() || is_overtaken) {
-            return LimitNews::default();
+        if said.limit.is_some() || !is_overtaken {
+            news.changes
+                .extend(self.set_limit(now, settings, said.limit));
+        }
+        if said.is_leaving {
+            news.changes.extend(self.set_leaving());
         }
-        let change = self.set(now, settings, rate);
+        let is_repeated = said.limit.is_some() || said.is_leaving;
         let is_old = |at: Instant| now.since(at) >= settings.notice_interval;
-        let is_notice_due = change.is_some() || self.told_at.is_none_or(is_old);
-        if is_notice_due {
+        news.is_notice_due =
+            !news.changes.is_empty() || (is_repeated && self.told_at.is_none_or(is_old));
+        if news.is_notice_due {
             self.told_at = Some(now);
         }
-        LimitNews {
-            change,
-            is_notice_due,
+        // For this router only, so that the others are not told.
+        if let Some(closed_for) = said.closed_for {
+            let closed_for = closed_for.min(settings.max_closed);
+            self.closed_until = self.closed_until.max(now + closed_for);
+            news.changes.push(AnnouncementChange::Closed(closed_for));
         }
+        news
     }
 
-    /// Another router passes on what the runner names.
+    /// Another router passes on what the runner says.
     pub(super) fn on_notice(
         &mut self,
         now: Instant,
         settings: &AnnouncementSettings,
-        rate: Option<RequestRate>,
-    ) -> Option<LimitChange> {
+        said: &Announcement,
+    ) -> Vec<AnnouncementChange> {
         self.told_at = Some(now);
-        self.set(now, settings, rate)
+        let mut changes = Vec::new();
+        changes.extend(self.set_limit(now, settings, said.limit));
+        if said.is_leaving {
+            changes.extend(self.set_leaving());
+        }
+        changes
+    }
+
+    fn set_leaving(&mut self) -> Option<AnnouncementChange> {
+        let was_leaving = std::mem::replace(&mut self.is_leaving, true);
+        (!was_leaving).then_some(AnnouncementChange::Leaving)
     }
 
-    fn set(
+    fn set_limit(
         &mut self,
         now: Instant,
         settings: &AnnouncementSettings,
         rate: Option<RequestRate>,
-    ) -> Option<LimitChange> {
+    ) -> Option<AnnouncementChange> {
         let old = self.limit(now, settings);
         self.limit = rate.map(|rate| Limit {
             rate,
             heard_at: now,
         });
-        (rate != old).then(|| LimitChange {
-            limit: rate,
-            sent: self.sent_in_window(now, settings),
+        if rate == old {
+            return None;
+        }
+        Some(match rate {
+            Some(limit) => AnnouncementChange::Limited {
+                limit,
+                sent: self.sent_in_window(now, settings),
+            },
+            None => AnnouncementChange::LimitEnded,
         })
     }
 
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -168,7 +168,12 @@
 
     /// Whether it belongs to a service and stays there.
     pub fn is_member(&self, service: &ServiceName) -> bool {
-        self.registration.service == *service && !self.registration.is_leaving && !self.replaced
+        self.registration.service == *service && !self.is_leaving() && !self.replaced
+    }
+
+    /// Whether its registration or the runner itself says that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.registration.is_leaving || self.announcements.is_leaving()
     }
 
     /// Whether another runner has its address.
--- a/crates/lentil_policy/tests/forward_announcements.rs
+++ b/crates/lentil_policy/tests/forward_announcements.rs
@@ -1,6 +1,8 @@
 //! What runners say of themselves, and what is sent to them then.
 
-use lentil_policy::forward::runners::{Incarnation, Registration, Runners, Settings, Share};
+use lentil_policy::forward::runners::{
+    Announcement, AnnouncementChange, Incarnation, Registration, Runners, Settings, Share,
+};
 use lentil_types::{Instant, RequestRate};
 use rand::{RngExt as _, SeedableRng as _};
 use rstest::rstest;
@@ -50,13 +52,20 @@
 
 /// Runner `a` answers a request that was sent at `sent_ms`.
 fn answer(router: &mut Runners, ms: u64, sent_ms: u64, limit: Option<f64>) -> bool {
-    let limit = limit.map(RequestRate);
-    let news = router.on_limit(at(ms), &incarnation("a"), at(sent_ms), limit);
+    let said = Announcement {
+        limit: limit.map(RequestRate),
+        ..Announcement::default()
+    };
+    let news = router.on_announcement(at(ms), &incarnation("a"), at(sent_ms), &said);
     news.is_notice_due
 }
 
 fn notice(router: &mut Runners, ms: u64, limit: Option<f64>) {
-    router.on_limit_notice(at(ms), &incarnation("a"), limit.map(RequestRate));
+    let said = Announcement {
+        limit: limit.map(RequestRate),
+        ..Announcement::default()
+    };
+    router.on_announcement_notice(at(ms), &incarnation("a"), &said);
 }
 
 /// How many of the requests that a router would like to send are sent.
@@ -153,6 +162,57 @@
     assert_eq!(admitted.count(), 100);
 }
 
+#[test]
+fn a_runner_that_leaves_gets_nothing_until_it_starts_again() {
+    let mut first = router(2, 0);
+    let mut second = router(2, 1);
+    let said = Announcement {
+        is_leaving: true,
+        ..Announcement::default()
+    };
+    let news = first.on_announcement(at(100), &incarnation("a"), at(90), &said);
+    assert_eq!(news.changes, [AnnouncementChange::Leaving]);
+    assert!(news.is_notice_due);
+    second.on_announcement_notice(at(101), &incarnation("a"), &said);
+    // The answer to an older request, made before the runner began to leave.
+    answer(&mut first, 120, 80, None);
+    for router in [&mut first, &mut second] {
+        assert_eq!(sent_of(router, 120..400), 0);
+        assert!(router.usable(at(400), &"sort".parse().unwrap()).is_empty());
+        let restarted = Registration {
+            incarnation: Incarnation {
+                boot_id: 2,
+                ..incarnation("a")
+            },
+            ..registration("a")
+        };
+        router.on_registration(at(400), restarted.clone());
+        assert!(router.admit(at(400), &restarted.incarnation).is_some());
+    }
+}
+
+#[rstest]
+#[case(1_500, 1_500)]
+#[case(0, 0)]
+// Days: a request asks again after a minute.
+#[case(200_000_000, 60_000)]
+fn a_closed_runner_gets_nothing_until_its_time_is_over(#[case] named: u64, #[case] closed: u64) {
+    let mut router = router(5, 0);
+    let said = Announcement {
+        closed_for: Some(std::time::Duration::from_millis(named)),
+        ..Announcement::default()
+    };
+    let news = router.on_announcement(at(100), &incarnation("a"), at(90), &said);
+    assert!(!news.is_notice_due, "it is the word to this router only");
+    assert_eq!(sent_of(&mut router, 100..100 + closed), 0);
+    assert_eq!(sent_of(&mut router, 100 + closed..200 + closed), 100);
+    // A later word does not shorten it.
+    let mut router = self::router(5, 0);
+    router.on_announcement(at(0), &incarnation("a"), at(0), &said);
+    answer(&mut router, 10, 5, None);
+    assert_eq!(sent_of(&mut router, 10..closed), 0);
+}
+
 #[rstest]
 fn the_parts_of_all_routers_add_up_to_the_limit(
     #[values(1, 2, 5, 37, 103, 300)] routers: usize,
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -751,11 +751,13 @@
     router.runners.set_share(share);
     let now = router.now;
     let name_limit = |router: &mut RouterFixture, number| {
-        let limit = Some(RequestRate(0.5));
-        let news = router
-            .runners
-            .on_limit(now, &incarnation(number), now, limit);
-        assert!(news.change.is_some());
+        let said = runners::Announcement {
+            limit: Some(RequestRate(0.5)),
+            ..runners::Announcement::default()
+        };
+        let named = incarnation(number);
+        let news = router.runners.on_announcement(now, &named, now, &said);
+        assert_eq!(news.changes.len(), 1);
         assert!(router.runners.admit(now, &incarnation(number)).is_some());
     };
     assert_eq!(
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -99,6 +99,10 @@
     RunnerProbes,
     /// Limits that runners have named, and changes of them.
     LimitsNamed,
+    /// Runners that said that they leave.
+    RunnersLeaving,
+    /// Refusals in which a runner named a time in which it wants nothing.
+    RunnersClosed,
     /// Invalid statements of runners about themselves.
     AnnouncementsUnusable,
     /// Turns to change weights granted to runners.
