--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -206,7 +206,7 @@
             cached.is_fresh = false;
         });
         if kind == Kind::Runners {
-            self.router.state().runners_mut().on_store_lost();
+            self.router.state().runners_mut().on_store_restored();
         }
     }
 
--- a/crates/lentil_forward/src/router/pick.rs
+++ b/crates/lentil_forward/src/router/pick.rs
@@ -65,7 +65,7 @@
                 let ahead = queue_position(router, plan, queued.as_ref());
                 let wait = wait + interval.mul_f64(ahead as f64);
                 if router.now() + wait > queue_until {
-                    return Err(placement::Refusal::TooLate { wait });
+                    return Err(placement::Refusal::Limited { wait, interval });
                 }
                 queued.get_or_insert_with(|| QueueTicket::enqueue(router.clone(), plan));
             }
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -44,6 +44,8 @@
     Poison,
     /// No runner can take the request now.
     NoRunner,
+    /// Every runner has had as many requests as it allows.
+    Limited,
     /// Every runner is expected to answer too late.
     TooLate,
     /// The runner proved that it did not execute the request.
@@ -64,6 +66,7 @@
             Self::UnknownKey => Counter::OwnUnknownKey,
             Self::Poison => Counter::OwnPoison,
             Self::NoRunner => Counter::OwnNoRunner,
+            Self::Limited => Counter::OwnLimited,
             Self::TooLate => Counter::OwnTooLate,
             Self::Refused => Counter::OwnRefused,
             Self::Unreachable => Counter::OwnUnreachable,
@@ -390,9 +393,8 @@
 fn refusal_reason(router: &Router, refusal: placement::Refusal) -> (Reason, time::Duration) {
     let reason = match refusal {
         placement::Refusal::NoRunner => Reason::NoRunner,
-        placement::Refusal::Busy { .. }
-        | placement::Refusal::Limited { .. }
-        | placement::Refusal::TooLate { .. } => Reason::TooLate,
+        placement::Refusal::Limited { .. } => Reason::Limited,
+        placement::Refusal::Busy { .. } | placement::Refusal::TooLate { .. } => Reason::TooLate,
     };
     (reason, refusal.retry_after(router.settings.retry_after))
 }
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -95,6 +95,8 @@
     share: Share,
     /// Runners that were leaving when they were removed, oldest first.
     departed: Vec<Incarnation>,
+    /// Whether the next list is that of an older copy of the store.
+    is_copy_next: bool,
 }
 
 /// Most departed runners kept.
@@ -109,6 +111,7 @@
             store: StoreAvailability::Available,
             share: Share::UNKNOWN,
             departed: Vec::new(),
+            is_copy_next: false,
         }
     }
 
@@ -117,6 +120,12 @@
         self.store = StoreAvailability::Unavailable;
     }
 
+    /// The store came back from an older copy, which is listed next.
+    pub fn on_store_restored(&mut self) {
+        self.on_store_lost();
+        self.is_copy_next = true;
+    }
+
     /// The store answered.
     pub fn on_store_answer(&mut self, now: Instant) {
         if self.store == StoreAvailability::Unavailable {
@@ -124,7 +133,8 @@
         }
     }
 
-    /// Applies a complete list of registrations; runners not in it count as removed.
+    /// Applies a complete list of registrations; runners not in it count as removed. In
+    /// the list of an older copy of the store a runner that was leaving stays so.
     pub fn on_list(
         &mut self,
         now: Instant,
@@ -132,7 +142,9 @@
     ) -> Vec<MembershipChange> {
         let mut unlisted: Vec<_> = self.table.keys().cloned().collect();
         let mut changes = Vec::new();
-        for registration in registrations {
+        let is_copy = std::mem::take(&mut self.is_copy_next);
+        for mut registration in registrations {
+            registration.is_leaving |= is_copy && self.was_leaving(&registration.incarnation);
             unlisted.retain(|name| *name != registration.incarnation.name);
             changes.extend(self.on_registration(now, registration));
         }
@@ -142,14 +154,12 @@
         changes
     }
 
-    /// Adds or updates a registration. A runner that was leaving stays so: an older
-    /// registration may come back with an older copy of the store.
+    /// Adds or updates a registration.
     pub fn on_registration(
         &mut self,
         now: Instant,
-        mut registration: Registration,
+        registration: Registration,
     ) -> Option<MembershipChange> {
-        registration.is_leaving |= self.was_leaving(&registration.incarnation);
         self.mark_replaced(&registration);
         let name = registration.incarnation.name.clone();
         let change = |kind| {
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -119,6 +119,8 @@
     OwnPoison,
     /// Router's own errors: no runner may take requests.
     OwnNoRunner,
+    /// Router's own errors: every runner has had as many requests as it allows.
+    OwnLimited,
     /// Router's own errors: every runner would answer too late.
     OwnTooLate,
     /// Router's own errors: the runner refused the request.
