Keep a runner's word while its registration comes and goes

Change: what an incarnation says outlives its registration, for the last 256 that were removed; an earlier incarnation in the list of an older copy counts as missing; one that was leaving when it was removed does not come back.

--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -11,6 +11,7 @@
 
 use lentil_types::{Instant, RunnerName, ServiceName, Table};
 
+use announcements::Announcements;
 pub use announcements::{
     Announcement, AnnouncementChange, AnnouncementNews, AnnouncementSettings, Permit, Share,
 };
@@ -93,14 +94,15 @@
     table: Table<RunnerName, Runner>,
     store: StoreAvailability,
     share: Share,
-    /// Runners that were leaving when they were removed, oldest first.
-    departed: Vec<Incarnation>,
+    /// What incarnations that are not registered any more said of themselves, oldest
+    /// first. A registration may come back.
+    removed: Vec<(Incarnation, Announcements)>,
     /// Whether the next list is that of an older copy of the store.
     is_copy_next: bool,
 }
 
-/// Most departed runners kept.
-const MAX_DEPARTED: usize = 256;
+/// Most runners kept that are not registered any more.
+const MAX_REMOVED: usize = 256;
 
 impl Runners {
     /// An empty table.
@@ -110,7 +112,7 @@
             table: Table::new(),
             store: StoreAvailability::Available,
             share: Share::UNKNOWN,
-            departed: Vec::new(),
+            removed: Vec::new(),
             is_copy_next: false,
         }
     }
@@ -134,7 +136,8 @@
     }
 
     /// Applies a complete list of registrations; runners not in it count as removed. In
-    /// the list of an older copy of the store a runner that was leaving stays so.
+    /// the list of an older copy of the store a runner that was leaving stays so, and an
+    /// earlier incarnation of a known runner counts as missing.
     pub fn on_list(
         &mut self,
         now: Instant,
@@ -144,6 +147,9 @@
         let mut changes = Vec::new();
         let is_copy = std::mem::take(&mut self.is_copy_next);
         for mut registration in registrations {
+            if is_copy && self.is_superseded(&registration.incarnation) {
+                continue;
+            }
             registration.is_leaving |= is_copy && self.was_leaving(&registration.incarnation);
             unlisted.retain(|name| *name != registration.incarnation.name);
             changes.extend(self.on_registration(now, registration));
@@ -178,13 +184,19 @@
                 other.registration.address == registration.address
                     && other.registration.revision > registration.revision
             });
+            let announcements = self.take_removed(&registration.incarnation);
             let mut runner = Runner::new(now, registration);
             runner.replaced = is_superseded;
+            runner.announcements = announcements;
             self.table.insert(name.clone(), runner);
             return change(kind);
         };
         if runner.registration.incarnation != registration.incarnation {
-            *runner = Runner::new(now, registration);
+            self.remove(&name);
+            let announcements = self.take_removed(&registration.incarnation);
+            let mut runner = Runner::new(now, registration);
+            runner.announcements = announcements;
+            self.table.insert(name.clone(), runner);
             return change(ChangeKind::Restarted);
         }
         let began_leaving = registration.is_leaving && !runner.registration.is_leaving;
@@ -197,10 +209,52 @@
         }
     }
 
+    /// Whether another incarnation with this name is known.
+    fn is_superseded(&self, incarnation: &Incarnation) -> bool {
+        let known = self.incarnation(&incarnation.name);
+        known.is_some_and(|known| known != incarnation)
+    }
+
     fn was_leaving(&self, incarnation: &Incarnation) -> bool {
         let runner = self.get(incarnation);
         runner.is_some_and(|runner| runner.registration.is_leaving)
-            || self.departed.contains(incarnation)
+    }
+
+    /// What an incarnation that is not registered says of itself.
+    fn removed_mut(&mut self, incarnation: &Incarnation) -> &mut Announcements {
+        let index = self
+            .removed
+            .iter()
+            .position(|(other, _)| other == incarnation);
+        let index = index.unwrap_or_else(|| {
+            if self.removed.len() >= MAX_REMOVED {
+                self.removed.remove(0);
+            }
+            self.removed
+                .push((incarnation.clone(), Announcements::default()));
+            self.removed.len() - 1
+        });
+        &mut self.removed[index].1
+    }
+
+    fn take_removed(&mut self, incarnation: &Incarnation) -> Announcements {
+        let index = self
+            .removed
+            .iter()
+            .position(|(other, _)| other == incarnation);
+        index.map_or_else(Announcements::default, |index| self.removed.remove(index).1)
+    }
+
+    /// Removes a runner from the table.
+    fn remove(&mut self, name: &str) {
+        let Some(mut runner) = self.table.remove(name) else {
+            return;
+        };
+        if runner.registration.is_leaving {
+            runner.announcements.on_leaving();
+        }
+        let incarnation = &runner.registration.incarnation;
+        *self.removed_mut(incarnation) = runner.announcements;
     }
 
     /// Another runner answers at this runner's address.
@@ -235,21 +289,14 @@
         };
         let runner = self.table.get_mut(name)?;
         let incarnation = runner.registration.incarnation.clone();
-        let kind = if is_lapse && !runner.registration.is_leaving {
+        let kind = if is_lapse && !runner.is_leaving() {
             if runner.lapsed.is_some() {
                 return None;
             }
             runner.lapsed = Some(now);
             ChangeKind::Lapsed
         } else {
-            let was_leaving = runner.is_leaving();
-            self.table.remove(name);
-            if was_leaving {
-                if self.departed.len() >= MAX_DEPARTED {
-                    self.departed.remove(0);
-                }
-                self.departed.push(incarnation.clone());
-            }
+            self.remove(name);
             ChangeKind::Gone
         };
         Some(MembershipChange {
@@ -273,7 +320,7 @@
             .filter(|(_, runner)| runner.lapsed.is_some());
         let gone: Vec<_> = lapsed.map(|(name, _)| name.clone()).collect();
         let change = |name: RunnerName| {
-            self.table.remove(&name);
+            self.remove(&name);
             MembershipChange {
                 name,
                 kind: ChangeKind::Gone,
@@ -383,12 +430,14 @@
         said: &Announcement,
     ) -> AnnouncementNews {
         let settings = self.settings.announcements;
-        let Some(runner) = self.get_mut(incarnation) else {
-            return AnnouncementNews::default();
-        };
-        runner
-            .announcements
-            .on_answer(now, &settings, sent_at, said)
+        match self.get_mut(incarnation) {
+            Some(runner) => runner
+                .announcements
+                .on_answer(now, &settings, sent_at, said),
+            None => self
+                .removed_mut(incarnation)
+                .on_answer(now, &settings, sent_at, said),
+        }
     }
 
     /// Another router passes on what a runner says of itself.
@@ -399,10 +448,12 @@
         said: &Announcement,
     ) -> Vec<AnnouncementChange> {
         let settings = self.settings.announcements;
-        let Some(runner) = self.get_mut(incarnation) else {
-            return Vec::new();
-        };
-        runner.announcements.on_notice(now, &settings, said)
+        match self.get_mut(incarnation) {
+            Some(runner) => runner.announcements.on_notice(now, &settings, said),
+            None => self
+                .removed_mut(incarnation)
+                .on_notice(now, &settings, said),
+        }
     }
 
     /// Another router finds a runner unresponsive.
--- a/crates/lentil_policy/src/forward/runners/announcements.rs
+++ b/crates/lentil_policy/src/forward/runners/announcements.rs
@@ -257,6 +257,11 @@
         changes
     }
 
+    /// Its registration says that it leaves.
+    pub(super) fn on_leaving(&mut self) {
+        self.is_leaving = true;
+    }
+
     fn set_leaving(&mut self) -> Option<AnnouncementChange> {
         let was_leaving = std::mem::replace(&mut self.is_leaving, true);
         (!was_leaving).then_some(AnnouncementChange::Leaving)
--- a/crates/lentil_policy/tests/forward_announcements.rs
+++ b/crates/lentil_policy/tests/forward_announcements.rs
@@ -321,3 +321,173 @@
         );
     }
 }
+
+/// Seeds of the search, not used for tuning.
+const SEARCH_SEEDS: std::ops::Range<u64> = 0..5_000;
+
+/// What one runner has done, besides what the router knows of it.
+#[derive(Clone, Default)]
+struct ActualRunner {
+    boot_id: u64,
+    /// Whether the router was told that this incarnation leaves, by its answer or by its
+    /// registration.
+    leaves: bool,
+    closed_until: u64,
+    limit: Option<f64>,
+    /// When the router was told of the limit.
+    limited_at: u64,
+    /// Requests of the router to this incarnation.
+    sent: Vec<u64>,
+}
+
+/// Plays random words of three runners, restarts, and losses of the store with lists of
+/// older copies. After each event the router asks every runner for a permit.
+fn search(seed: u64) {
+    const NAMES: [&str; 3] = ["a", "b", "c"];
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+    let routers = rng.random_range(1..6);
+    let share = Share {
+        routers: Some(routers),
+        rank: rng.random_range(0..routers),
+    };
+    let mut router = Runners::new(Settings::default());
+    router.set_share(share);
+    let mut actual = vec![ActualRunner::default(); NAMES.len()];
+    let named = |index: usize, boot_id| Registration {
+        incarnation: Incarnation {
+            name: NAMES[index].parse().unwrap(),
+            boot_id,
+        },
+        ..registration(NAMES[index])
+    };
+    let all = |actual: &[ActualRunner]| -> Vec<_> {
+        let runners = actual.iter().enumerate();
+        runners
+            .map(|(index, runner)| named(index, runner.boot_id))
+            .collect()
+    };
+    router.on_list(Instant::ZERO, all(&actual));
+    // Registrations of an older copy, all of them ready.
+    let mut copy = all(&actual);
+    let mut ms = 0;
+    for _ in 0..80 {
+        ms += rng.random_range(1..900);
+        let index = rng.random_range(0..NAMES.len());
+        let incarnation = named(index, actual[index].boot_id).incarnation;
+        let runner = &mut actual[index];
+        let mut said = Announcement {
+            limit: runner.limit.map(RequestRate),
+            ..Announcement::default()
+        };
+        match rng.random_range(0..9) {
+            0 => {
+                runner.limit = Some(rng.random_range(0.1..20.0));
+                runner.limited_at = ms;
+                said.limit = runner.limit.map(RequestRate);
+                router.on_announcement(at(ms), &incarnation, at(ms), &said);
+            }
+            1 => {
+                runner.limit = None;
+                said.limit = None;
+                router.on_announcement(at(ms), &incarnation, at(ms), &said);
+            }
+            2 => {
+                let closed_ms = rng.random_range(0..3_000);
+                runner.closed_until = runner.closed_until.max(ms + closed_ms);
+                said.closed_for = Some(std::time::Duration::from_millis(closed_ms));
+                router.on_announcement(at(ms), &incarnation, at(ms), &said);
+            }
+            3 if rng.random_bool(0.3) => {
+                runner.leaves = true;
+                said.is_leaving = true;
+                router.on_announcement(at(ms), &incarnation, at(ms), &said);
+            }
+            4 if rng.random_bool(0.3) => {
+                runner.leaves = true;
+                let draining = Registration {
+                    is_leaving: true,
+                    ..named(index, runner.boot_id)
+                };
+                router.on_registration(at(ms), draining);
+                if rng.random_bool(0.5) {
+                    router.on_removed(at(ms), NAMES[index]);
+                }
+            }
+            5 if rng.random_bool(0.3) => {
+                *runner = ActualRunner {
+                    boot_id: runner.boot_id + 1,
+                    ..ActualRunner::default()
+                };
+                router.on_registration(at(ms), named(index, runner.boot_id));
+            }
+            6 => copy = all(&actual),
+            7 => {
+                router.on_store_restored();
+                router.on_list(at(ms), copy.clone());
+                router.on_store_answer(at(ms));
+                // Runners that live write their registrations again.
+                for (index, runner) in actual.iter().enumerate() {
+                    let again = Registration {
+                        is_leaving: runner.leaves,
+                        ..named(index, runner.boot_id)
+                    };
+                    if rng.random_bool(0.5) {
+                        router.on_registration(at(ms + 1), again);
+                    }
+                }
+            }
+            _ => {}
+        }
+        ask(seed, &mut rng, &mut router, &mut actual, ms + 2);
+        router.tick(at(ms + 3));
+    }
+}
+
+/// Asks for permits at each runner and checks those that are given.
+fn ask(
+    seed: u64,
+    rng: &mut rand_pcg::Pcg64Mcg,
+    router: &mut Runners,
+    actual: &mut [ActualRunner],
+    ms: u64,
+) {
+    for (name, runner) in ["a", "b", "c"].into_iter().zip(actual) {
+        let incarnation = Incarnation {
+            name: name.parse().unwrap(),
+            boot_id: runner.boot_id,
+        };
+        for _ in 0..rng.random_range(0..4) {
+            let is_usable = router
+                .usable(at(ms), &"sort".parse().unwrap())
+                .iter()
+                .any(|usable| usable.registration.incarnation == incarnation);
+            if !is_usable || router.admit(at(ms), &incarnation).is_none() {
+                continue;
+            }
+            runner.sent.push(ms);
+            assert!(!runner.leaves, "seed {seed}: {name} leaves at {ms} ms");
+            assert!(
+                ms >= runner.closed_until,
+                "seed {seed}: {name} is closed at {ms} ms"
+            );
+            // A limit that is not named again for 12 s is over.
+            if let Some(limit) = runner.limit.filter(|_| ms < runner.limited_at + 12_000) {
+                let sent = runner
+                    .sent
+                    .iter()
+                    .filter(|at| ms - **at < WINDOW_MS)
+                    .count();
+                let allowed = (limit * WINDOW_MS as f64 / 1e3).max(1.0);
+                assert!(
+                    sent as f64 <= allowed,
+                    "seed {seed}: {sent} of {allowed} to {name}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn no_request_goes_against_a_runners_word() {
+    SEARCH_SEEDS.for_each(search);
+}
