--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -159,10 +159,10 @@
         let incarnation = &self.choice.incarnation;
         let state = self.router.state();
         let runner = state.runners().get(incarnation);
-        let heard_ms = runner.map(|runner| now.since(runner.last_heard()).as_millis());
+        let heard_at = runner.map_or(Instant::ZERO, runners::Runner::last_heard);
         log::info!(
             request = self.plan.id.as_str(), runner:% = incarnation.name, born = incarnation.boot_id,
-            sent_ms = now.since(self.started_at).as_millis(), heard_ms:?,
+            sent_ms = now.since(self.started_at).as_millis(), heard_ms = now.since(heard_at).as_millis(),
             has_answer = self.plan.is_answering.get();
             "attempt abandoned"
         );
--- a/crates/lentil_forward/src/runner_watch.rs
+++ b/crates/lentil_forward/src/runner_watch.rs
@@ -71,11 +71,12 @@
         return;
     }
     let state = router.state();
-    let runner = state.runners().get(incarnation);
-    let silent_ms = runner.map(|runner| runner.silence(now).as_millis());
-    let in_flight = runner.map(|runner| runner.in_flight);
+    let Some(runner) = state.runners().get(incarnation) else {
+        return;
+    };
     log::warn!(
-        runner:% = incarnation.name, born = incarnation.boot_id, silent_ms:?, in_flight:?;
+        runner:% = incarnation.name, born = incarnation.boot_id,
+        silent_ms = runner.silence(now).as_millis(), in_flight = runner.in_flight;
         "a runner that owes an answer is unresponsive"
     );
 }
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -488,13 +488,6 @@
         was_unresponsive
     }
 
-    /// Whether a runner owes an answer and gives none.
-    pub fn is_unresponsive(&self, now: Instant, incarnation: &Incarnation) -> bool {
-        let settings = &self.settings.liveness;
-        self.get(incarnation)
-            .is_some_and(|runner| runner.liveness.is_unresponsive(now, settings))
-    }
-
     /// Checks of runners that are due; counts them as made. `notice_delay`: delay
     /// before other routers are told.
     pub fn due_actions(
@@ -577,7 +570,8 @@
     }
 }
 
-/// Equal at every router and different for each runner.
+/// Decides which routers get the remainder of a runner's limit: equal at every router, and
+/// different for each runner.
 fn salt_of(incarnation: &Incarnation) -> usize {
     let hash = xxhash_rust::xxh3::xxh3_64(incarnation.name.as_bytes());
     // Truncated on small targets: any of its bits do.
--- a/crates/lentil_policy/src/forward/runners/liveness.rs
+++ b/crates/lentil_policy/src/forward/runners/liveness.rs
@@ -1,4 +1,5 @@
-//! Decides whether a runner that owes an answer still responds.
+//! Decides whether a runner that owes an answer still responds. It owes one from the first
+//! request that it is sent until it or its agent is heard.
 //!
 //! The load it answers: an instance freezes, and its runner and agent with it. It
 //! accepts connections and requests all the while, and those that may run once cannot
