Withdraw the early answer of streams; list what it hid

Change: streams are answered 40 ms before the deadline that their callers name, as before. Placement and the wait queue go on counting with the time when callers leave.

--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -36,8 +36,8 @@
     pub(super) deadline: Option<Instant>,
     /// Deadline or route timeout, whichever is earlier.
     pub(super) answer_by: Instant,
-    /// When the answer must have begun: `answer_by`, or earlier where the caller leaves
-    /// before that.
+    /// When an answer is of use at the latest: `answer_by`, or earlier where the caller
+    /// leaves before that. Bounds what a request is queued for, not its attempts.
     pub(super) start_by: Instant,
     pub(super) fingerprint: Fingerprint,
     pub(super) attempt_log: cell::RefCell<attempt_log::AttemptLog>,
@@ -96,14 +96,13 @@
         self.answer_by.since(now)
     }
 
-    /// Time until the answer must have started: `margin` before the caller leaves, so
-    /// that a timeout still reaches it.
+    /// Time until the answer must have started: `margin` before the deadline, so that
+    /// a timeout still reaches the caller.
     pub(super) fn time_to_start(&self, now: Instant, margin: time::Duration) -> time::Duration {
-        let time_left = self.start_by.since(now);
-        match (self.deadline, self.route.patience) {
-            (None, None) => time_left,
-            (Some(deadline), None) => time_left.min(deadline.since(now).saturating_sub(margin)),
-            (_, Some(_)) => time_left.saturating_sub(margin),
+        let time_left = self.time_left(now);
+        match self.deadline {
+            Some(deadline) => time_left.min(deadline.since(now).saturating_sub(margin)),
+            None => time_left,
         }
     }
 
