Keep the decisions on the store's era in the policy crate

What the client of the store decides when an answer names another era could only be tested over a network, and answers of an earlier era that arrive late on another connection were not tested at all.

No change of behaviour.

--- a/crates/lentil_policy/src/lib.rs
+++ b/crates/lentil_policy/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod sidecar;
 pub mod store;
 pub mod store_budget;
+pub mod store_era;
