--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -37,7 +37,7 @@
     /// Most routers tried in turn after a failed call.
     pub max_peers: usize,
     /// Listings a second of all routers together after the store came back from an older
-    /// copy, about half of the calls that it answers.
+    /// copy.
     pub restore_rate: f64,
 }
 
@@ -213,7 +213,7 @@
     /// Random, so that all routers together list at no more than `restore_rate`.
     fn restore_delay(&self) -> time::Duration {
         let listings = (self.router.state().routers() * Kind::COUNT) as f64;
-        let spread = time::Duration::from_secs_f64(listings / self.settings.restore_rate);
+        let spread = time::Duration::from_secs_f64(listings / self.settings.restore_rate.max(1.0));
         self.router.jitter(spread)
     }
 
