Name announcements and suspicion by the usual terms

Read as a newcomer: log lines and names used the words of the platform's pages or metaphors (a runner in need, its word, closed, wants nothing, doubt, debt, thaw). Now: overloaded, announcement, retry-after, suspected. Soak names follow.

The policy tests of silent runners reported statuses without models, which take a runner out of the checks; they name a model now, so that the tests check what their names say. No change of behaviour.

--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -158,7 +158,7 @@
     fn on_silent(&self, from: net::SocketAddr, incarnation: &runners::Incarnation) {
         match self.router.runner_address(incarnation) {
             Some(address) if address.ip() == from.ip() => self.router.on_silent(incarnation),
-            Some(_) => self.router.on_doubt(incarnation),
+            Some(_) => self.router.on_suspected(incarnation),
             None => {}
         }
     }
--- a/crates/lentil_forward/src/router/announcement.rs
+++ b/crates/lentil_forward/src/router/announcement.rs
@@ -13,7 +13,7 @@
     #[error("invalid limit: {0}")]
     Limit(#[from] ParseRateError),
     #[error("invalid time: {0:?} is not a number of seconds")]
-    ClosedFor(String),
+    RetryAfter(String),
 }
 
 pub(super) fn decode(
@@ -23,16 +23,16 @@
     let text = |name| head.headers.text(name).map(str::trim);
     let limit = text(names.limit).map(str::parse).transpose()?;
     // Other statuses carry the field for the caller.
-    let closed_for = text(names.retry_after).filter(|_| head.status == 503);
+    let retry_after = text(names.retry_after).filter(|_| head.status == 503);
     Ok(runners::Announcement {
         limit,
         is_leaving: text(names.leaving) == Some("1"),
-        closed_for: closed_for.map(seconds).transpose()?,
+        retry_after: retry_after.map(seconds).transpose()?,
     })
 }
 
 fn seconds(text: &str) -> Result<time::Duration, AnnouncementError> {
-    let error = || AnnouncementError::ClosedFor(text.to_owned());
+    let error = || AnnouncementError::RetryAfter(text.to_owned());
     let seconds: f64 = text.parse().map_err(|_| error())?;
     if seconds.is_nan() || seconds < 0.0 {
         return Err(error());
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -402,7 +402,7 @@
                 self.router.metrics.count(Counter::AnnouncementsUnusable);
                 if self.router.log_quota.try_take(self.router.now()) {
                     let name = &self.choice.incarnation.name;
-                    log::warn!(runner:% = name, error:%; "cannot read what a runner says of itself; nothing changes");
+                    log::warn!(runner:% = name, error:%; "cannot read an announcement of a runner; nothing changes");
                 }
             }
         }
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -338,7 +338,7 @@
         let said = runners::Announcement {
             limit: notice.limit,
             is_leaving: notice.is_leaving,
-            closed_for: None,
+            retry_after: None,
         };
         let changes =
             self.state()
@@ -358,19 +358,19 @@
             match change {
                 Change::Limited { limit, sent } => {
                     self.metrics.count(Counter::LimitsNamed);
-                    log::info!(runner:% = name, born = boot_id, limit:%, sent; "a runner limits its requests");
+                    log::info!(runner:% = name, born = boot_id, limit:%, sent; "a runner named a request limit");
                 }
                 Change::LimitEnded => {
-                    log::info!(runner:% = name, born = boot_id; "a runner limits its requests no more");
+                    log::info!(runner:% = name, born = boot_id; "a runner's request limit has ended");
                 }
                 Change::Leaving => {
                     self.metrics.count(Counter::RunnersLeaving);
-                    log::info!(runner:% = name, born = boot_id; "a runner says that it leaves");
+                    log::info!(runner:% = name, born = boot_id; "a runner announced that it is leaving");
                 }
-                Change::Closed(closed_for) => {
-                    self.metrics.count(Counter::RunnersClosed);
+                Change::RetryAfter(retry_after) => {
+                    self.metrics.count(Counter::RetryAfterNamed);
                     if self.log_quota.try_take(self.now()) {
-                        log::info!(runner:% = name, born = boot_id, for_ms = closed_for.as_millis(); "a runner wants nothing for a time");
+                        log::info!(runner:% = name, born = boot_id, for_ms = retry_after.as_millis(); "a runner named a retry-after time");
                     }
                 }
             }
@@ -388,9 +388,9 @@
     }
 
     /// Another router finds a runner unresponsive.
-    pub(crate) fn on_doubt(&self, incarnation: &runners::Incarnation) {
+    pub(crate) fn on_suspected(&self, incarnation: &runners::Incarnation) {
         let now = self.now();
-        self.state().runners_mut().on_doubt(now, incarnation);
+        self.state().runners_mut().on_suspected(now, incarnation);
     }
 
     /// Applies an agent's status report.
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -370,9 +370,9 @@
         })
         .filter(|runner| serves(now, settings, runners, requirements, runner));
     let mut eligible: Vec<_> = eligible.collect();
-    let has_others = eligible.iter().any(|runner| !runner.is_doubtful());
+    let has_others = eligible.iter().any(|runner| !runner.is_being_checked());
     if requirements.runs_once && has_others {
-        eligible.retain(|runner| !runner.is_doubtful());
+        eligible.retain(|runner| !runner.is_being_checked());
     }
     eligible
 }
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -13,7 +13,7 @@
 
 use announcements::Announcements;
 pub use announcements::{
-    Announcement, AnnouncementChange, AnnouncementNews, AnnouncementSettings, Permit, Share,
+    Announcement, AnnouncementChange, AnnouncementOutcome, AnnouncementSettings, Permit, Share,
 };
 pub use health::{HealthSettings, HealthSignal};
 pub use liveness::{LivenessAction, LivenessSettings};
@@ -98,7 +98,7 @@
     /// first. A registration may come back.
     removed: Vec<(Incarnation, Announcements)>,
     /// Whether the next list is that of an older copy of the store.
-    is_copy_next: bool,
+    is_restored: bool,
 }
 
 /// Most runners kept that are not registered any more.
@@ -113,7 +113,7 @@
             store: StoreAvailability::Available,
             share: Share::UNKNOWN,
             removed: Vec::new(),
-            is_copy_next: false,
+            is_restored: false,
         }
     }
 
@@ -125,7 +125,7 @@
     /// The store came back from an older copy, which is listed next.
     pub fn on_store_restored(&mut self) {
         self.on_store_lost();
-        self.is_copy_next = true;
+        self.is_restored = true;
     }
 
     /// The store answered.
@@ -145,7 +145,7 @@
     ) -> Vec<MembershipChange> {
         let mut unlisted: Vec<_> = self.table.keys().cloned().collect();
         let mut changes = Vec::new();
-        let is_copy = std::mem::take(&mut self.is_copy_next);
+        let is_copy = std::mem::take(&mut self.is_restored);
         for mut registration in registrations {
             if is_copy && self.is_superseded(&registration.incarnation) {
                 continue;
@@ -428,7 +428,7 @@
         incarnation: &Incarnation,
         sent_at: Instant,
         said: &Announcement,
-    ) -> AnnouncementNews {
+    ) -> AnnouncementOutcome {
         let settings = self.settings.announcements;
         match self.get_mut(incarnation) {
             Some(runner) => runner
@@ -457,12 +457,12 @@
     }
 
     /// Another router finds a runner unresponsive.
-    pub fn on_doubt(&mut self, now: Instant, incarnation: &Incarnation) {
+    pub fn on_suspected(&mut self, now: Instant, incarnation: &Incarnation) {
         if let Some(runner) = self
             .get_mut(incarnation)
             .filter(|runner| runner.is_checked())
         {
-            runner.liveness.on_doubt(now);
+            runner.liveness.on_suspected(now);
         }
     }
 
--- a/crates/lentil_policy/src/forward/runners/announcements.rs
+++ b/crates/lentil_policy/src/forward/runners/announcements.rs
@@ -1,9 +1,10 @@
 //! What a runner says of itself in its answers, and whether it may be sent a request.
 //!
-//! The load it answers: a runner in need names how many requests a second it takes from
+//! The load it answers: an overloaded runner names how many requests a second it takes from
 //! all routers together. Each router keeps to a share of its own, without a leader, so
 //! that the sum holds also when some of them hear nothing of each other. A full runner
-//! names a time in which it wants nothing from this router. One that leaves may say so
+//! refuses a request and names a time before which this router is to send nothing. One
+//! that leaves may say so
 //! before its registration does, or only itself.
 
 use std::{collections::VecDeque, time};
@@ -13,8 +14,8 @@
 /// Settings of the requests that a runner allows.
 #[derive(Clone, Copy, Debug)]
 pub struct AnnouncementSettings {
-    /// Time over which requests to a runner are counted. Those from before it named its
-    /// limit count too.
+    /// Time over which requests to a runner are counted, as the platform does. Those from
+    /// before it named its limit count too.
     pub window: time::Duration,
     /// Fraction of a limit that the routers share. The rest is left for its agent and
     /// for requests that are delayed on their way.
@@ -23,9 +24,9 @@
     pub limit_ttl: time::Duration,
     /// Interval at which the other routers are told of a limit.
     pub notice_interval: time::Duration,
-    /// Longest time for which a runner's wish to get nothing is followed. After it a
-    /// request asks again.
-    pub max_closed: time::Duration,
+    /// Longest time that a runner is sent nothing because it said so. After it a request
+    /// asks again, so that an absurd time does not lose the runner.
+    pub max_retry_after: time::Duration,
 }
 
 impl Default for AnnouncementSettings {
@@ -35,7 +36,7 @@
             usable: 0.9,
             limit_ttl: time::Duration::from_secs(12),
             notice_interval: time::Duration::from_secs(3),
-            max_closed: time::Duration::from_secs(60),
+            max_retry_after: time::Duration::from_secs(60),
         }
     }
 }
@@ -43,7 +44,8 @@
 /// This router among those that share a runner's limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share {
-    /// Live routers, this one included; `None` until others have been looked for.
+    /// Live routers, this one included; `None` while no agent reports any, at the start,
+    /// behind a cut or where there are no agents.
     pub routers: Option<usize>,
     /// Routers with lower addresses than this one.
     pub rank: usize,
@@ -75,8 +77,8 @@
     pub limit: Option<RequestRate>,
     /// Whether it leaves.
     pub is_leaving: bool,
-    /// How long it wants nothing from this router.
-    pub closed_for: Option<time::Duration>,
+    /// How long this router is to send it nothing.
+    pub retry_after: Option<time::Duration>,
 }
 
 /// A change of what a runner says, for the log.
@@ -93,13 +95,13 @@
     LimitEnded,
     /// It leaves.
     Leaving,
-    /// It wants nothing from this router for this long.
-    Closed(time::Duration),
+    /// This router is to send it nothing for this long.
+    RetryAfter(time::Duration),
 }
 
 /// What follows from a runner's answer.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct AnnouncementNews {
+pub struct AnnouncementOutcome {
     /// Changes, for the log.
     pub changes: Vec<AnnouncementChange>,
     /// Whether to tell the other routers what the runner says now.
@@ -126,8 +128,8 @@
     /// Whether it leaves. Like a registration that says so, this holds for the whole
     /// incarnation.
     is_leaving: bool,
-    /// Until when it wants nothing from this router.
-    closed_until: Instant,
+    /// Until when this router is to send it nothing.
+    blocked_until: Instant,
     /// When the other routers were last told of the limit, by this one or another.
     told_at: Option<Instant>,
     /// When this router's last requests were sent there, oldest first.
@@ -167,10 +169,10 @@
         share: Share,
         salt: usize,
     ) -> Option<time::Duration> {
-        let closed_for = self.closed_until.since(now);
-        let is_closed = !closed_for.is_zero();
+        let blocked_for = self.blocked_until.since(now);
+        let is_blocked = !blocked_for.is_zero();
         let limit_wait = self.limit_wait(now, settings, share, salt);
-        limit_wait.max(is_closed.then_some(closed_for))
+        limit_wait.max(is_blocked.then_some(blocked_for))
     }
 
     /// Time until its limit leaves room for a request.
@@ -215,8 +217,8 @@
         settings: &AnnouncementSettings,
         sent_at: Instant,
         said: &Announcement,
-    ) -> AnnouncementNews {
-        let mut news = AnnouncementNews::default();
+    ) -> AnnouncementOutcome {
+        let mut news = AnnouncementOutcome::default();
         let is_overtaken = self.limit.is_some_and(|limit| sent_at < limit.heard_at);
         if said.limit.is_some() || !is_overtaken {
             news.changes
@@ -233,10 +235,11 @@
             self.told_at = Some(now);
         }
         // For this router only, so that the others are not told.
-        if let Some(closed_for) = said.closed_for {
-            let closed_for = closed_for.min(settings.max_closed);
-            self.closed_until = self.closed_until.max(now + closed_for);
-            news.changes.push(AnnouncementChange::Closed(closed_for));
+        if let Some(retry_after) = said.retry_after {
+            let retry_after = retry_after.min(settings.max_retry_after);
+            self.blocked_until = self.blocked_until.max(now + retry_after);
+            news.changes
+                .push(AnnouncementChange::RetryAfter(retry_after));
         }
         news
     }
--- a/crates/lentil_policy/src/forward/runners/liveness.rs
+++ b/crates/lentil_policy/src/forward/runners/liveness.rs
@@ -53,8 +53,8 @@
 
 /// Whether one runner owes an answer, and the checks of it.
 ///
-/// The debt outlives the requests: a caller that gives up says nothing about the
-/// runner.
+/// It goes on owing one when its requests end without it: a caller that gives up says
+/// nothing about the runner.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Liveness {
     /// When it or its agent last sent anything but the answer to a probe.
@@ -69,7 +69,7 @@
     /// When the other routers are to be told.
     notice_due: Option<Instant>,
     /// Whether another router has found it unresponsive since it was heard.
-    is_doubted: bool,
+    is_suspected: bool,
 }
 
 impl Liveness {
@@ -81,7 +81,7 @@
             asked: None,
             probed_at: None,
             notice_due: None,
-            is_doubted: false,
+            is_suspected: false,
         }
     }
 
@@ -114,9 +114,9 @@
 
     /// Another router finds it unresponsive. It is not used until it is heard, and its
     /// agent is asked at once: the other router may just be cut off from it.
-    pub(super) fn on_doubt(&mut self, now: Instant) {
+    pub(super) fn on_suspected(&mut self, now: Instant) {
         self.owed_since.get_or_insert(now);
-        self.is_doubted = true;
+        self.is_suspected = true;
         self.notice_due = None;
     }
 
@@ -135,7 +135,7 @@
     }
 
     pub(super) fn is_unresponsive(&self, now: Instant, settings: &LivenessSettings) -> bool {
-        self.is_doubtful(now, settings) || self.has_no_answer(now, settings)
+        self.is_suspect(now, settings) || self.has_no_answer(now, settings)
     }
 
     /// Whether the question to its agent has had no answer in time.
@@ -151,8 +151,8 @@
 
     /// Whether another router finds it unresponsive, and nothing has been heard of it
     /// for a while.
-    fn is_doubtful(&self, now: Instant, settings: &LivenessSettings) -> bool {
-        self.is_doubted && now.since(self.heard_at) >= settings.ask_after
+    fn is_suspect(&self, now: Instant, settings: &LivenessSettings) -> bool {
+        self.is_suspected && now.since(self.heard_at) >= settings.ask_after
     }
 
     /// Actions that are due; counts them as taken. `reported_at`: when its agent last
@@ -169,7 +169,7 @@
         if self.has_no_answer(now, settings) {
             if self.probed_at.is_none() {
                 due.push(LivenessAction::LogUnresponsive);
-                self.notice_due = (!self.is_doubted).then_some(now + notice_delay);
+                self.notice_due = (!self.is_suspected).then_some(now + notice_delay);
             }
             let is_past = |last: Instant| now.since(last) >= settings.probe_interval;
             if self.probed_at.is_none_or(is_past) {
@@ -220,6 +220,6 @@
         }
         let has_reported = reported_at.is_some_and(|at| now.since(at) < settings.report_ttl);
         let is_silent = self.silence(now) >= settings.ask_after && !has_reported;
-        is_silent || self.is_doubtful(now, settings)
+        is_silent || self.is_suspect(now, settings)
     }
 }
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -255,7 +255,7 @@
 
     /// Whether it owes an answer and its agent, asked for its state, has not answered
     /// yet.
-    pub fn is_doubtful(&self) -> bool {
+    pub fn is_being_checked(&self) -> bool {
         self.liveness.is_asked()
     }
 
--- a/crates/lentil_policy/tests/forward_announcements.rs
+++ b/crates/lentil_policy/tests/forward_announcements.rs
@@ -196,17 +196,17 @@
 #[case(0, 0)]
 // Days: a request asks again after a minute.
 #[case(200_000_000, 60_000)]
-fn a_closed_runner_gets_nothing_until_its_time_is_over(#[case] named: u64, #[case] closed: u64) {
+fn a_runner_gets_nothing_until_its_retry_after_has_passed(#[case] named: u64, #[case] closed: u64) {
     let mut router = router(5, 0);
     let said = Announcement {
-        closed_for: Some(std::time::Duration::from_millis(named)),
+        retry_after: Some(std::time::Duration::from_millis(named)),
         ..Announcement::default()
     };
     let news = router.on_announcement(at(100), &incarnation("a"), at(90), &said);
-    assert!(!news.is_notice_due, "it is the word to this router only");
+    assert!(!news.is_notice_due, "it is meant for this router only");
     assert_eq!(sent_of(&mut router, 100..100 + closed), 0);
     assert_eq!(sent_of(&mut router, 100 + closed..200 + closed), 100);
-    // A later word does not shorten it.
+    // A later answer does not shorten it.
     let mut router = self::router(5, 0);
     router.on_announcement(at(0), &incarnation("a"), at(0), &said);
     answer(&mut router, 10, 5, None);
@@ -235,7 +235,7 @@
 
 /// Plays routers with different shares of the demand, twice what the runner takes. Some
 /// start late, and do not know the others; some lose every notice; one is cut off from
-/// the others, which forget it. Returns the largest number of requests in a window that
+/// the others and the agents, and they forget each other. Returns the largest number of requests in a window that
 /// ends 3 s after the limit was named or later, and how many were sent in all after it.
 fn play(seed: u64, routers: usize, rate: f64) -> (usize, usize) {
     const NAMED_MS: u64 = 5_000;
@@ -260,13 +260,14 @@
             });
         }
         if ms == cut_at + 12_000 && routers > 1 {
-            // The last one is forgotten by the others and still counts them.
+            // The others forget the last one, which hears of no router any more.
             for (rank, one) in all[..routers - 1].iter_mut().enumerate() {
                 one.set_share(Share {
                     routers: Some(routers - 1),
                     rank,
                 });
             }
+            all[routers - 1].set_share(Share::UNKNOWN);
         }
         let limit = (ms >= NAMED_MS).then_some(rate);
         for index in 0..routers {
@@ -275,7 +276,7 @@
                 continue;
             }
             sent.push(ms);
-            // Answered 20 ms later; the runner's word is that of the time of the answer.
+            // Answered 20 ms later; the runner names its limit at the time of the answer.
             if answer(&mut all[index], ms + 20, ms, limit) {
                 for other in (0..routers).filter(|other| *other != index) {
                     let is_cut = routers > 1
@@ -299,7 +300,7 @@
     (most, after)
 }
 
-/// The load: more than a runner in need takes, at few and at many routers.
+/// The load: more than an overloaded runner takes, at few and at many routers.
 #[rstest]
 #[case(1, 5.0)]
 #[case(5, 3.6)]
@@ -325,14 +326,14 @@
 /// Seeds of the search, not used for tuning.
 const SEARCH_SEEDS: std::ops::Range<u64> = 0..5_000;
 
-/// What one runner has done, besides what the router knows of it.
+/// What one runner has done and announced, besides what the router knows of it.
 #[derive(Clone, Default)]
 struct ActualRunner {
     boot_id: u64,
     /// Whether the router was told that this incarnation leaves, by its answer or by its
     /// registration.
     leaves: bool,
-    closed_until: u64,
+    blocked_until: u64,
     limit: Option<f64>,
     /// When the router was told of the limit.
     limited_at: u64,
@@ -340,7 +341,7 @@
     sent: Vec<u64>,
 }
 
-/// Plays random words of three runners, restarts, and losses of the store with lists of
+/// Plays random announcements of three runners, restarts, and losses of the store with lists of
 /// older copies. After each event the router asks every runner for a permit.
 fn search(seed: u64) {
     const NAMES: [&str; 3] = ["a", "b", "c"];
@@ -393,8 +394,8 @@
             }
             2 => {
                 let closed_ms = rng.random_range(0..3_000);
-                runner.closed_until = runner.closed_until.max(ms + closed_ms);
-                said.closed_for = Some(std::time::Duration::from_millis(closed_ms));
+                runner.blocked_until = runner.blocked_until.max(ms + closed_ms);
+                said.retry_after = Some(std::time::Duration::from_millis(closed_ms));
                 router.on_announcement(at(ms), &incarnation, at(ms), &said);
             }
             3 if rng.random_bool(0.3) => {
@@ -467,8 +468,8 @@
             runner.sent.push(ms);
             assert!(!runner.leaves, "seed {seed}: {name} leaves at {ms} ms");
             assert!(
-                ms >= runner.closed_until,
-                "seed {seed}: {name} is closed at {ms} ms"
+                ms >= runner.blocked_until,
+                "seed {seed}: {name} is to get nothing at {ms} ms"
             );
             // A limit that is not named again for 12 s is over.
             if let Some(limit) = runner.limit.filter(|_| ms < runner.limited_at + 12_000) {
@@ -488,6 +489,6 @@
 }
 
 #[test]
-fn no_request_goes_against_a_runners_word() {
+fn no_request_goes_against_what_a_runner_announced() {
     SEARCH_SEEDS.for_each(search);
 }
--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -253,6 +253,14 @@
     assert_eq!(runner.in_flight, 2);
 }
 
+/// A status of a runner of [`MODEL`].
+fn report() -> Status {
+    Status {
+        weights: vec![(MODEL.parse().unwrap(), WeightsVersion(1))],
+        ..Status::default()
+    }
+}
+
 /// Sends a request to a runner at a time.
 fn send(runners: &mut Runners, name: &str, now: Instant) {
     let cost = RequestCost {
@@ -333,7 +341,7 @@
         );
         // The agent answers ten milliseconds after each question.
         if !actions.is_empty() {
-            runners.on_status(at(ms + 10), &incarnation("a", 1), Status::default());
+            runners.on_status(at(ms + 10), &incarnation("a", 1), report());
         }
         assert_eq!(usable(&runners, at(ms + 10)), ["a", "b", "c"], "at {ms} ms");
     }
@@ -344,7 +352,7 @@
 fn what_another_router_finds_unresponsive_is_not_used_until_its_agent_answers() {
     let mut runners = runners(&["a", "b", "c"]);
     let asks = |name: &str| [(name.to_owned(), LivenessAction::AskAgent)];
-    runners.on_doubt(at(1_000), &incarnation("a", 1));
+    runners.on_suspected(at(1_000), &incarnation("a", 1));
     assert_eq!(usable(&runners, at(1_000)), ["b", "c"]);
     assert_eq!(due(&mut runners, at(1_000)), asks("a"));
     let actions = due(&mut runners, at(1_040));
@@ -353,12 +361,12 @@
     assert_eq!(usable(&runners, at(1_400)), ["b", "c"]);
     runners.on_heard(at(1_500), &incarnation("a", 1));
     // A router that is cut off from a runner is wrong about it.
-    runners.on_doubt(at(2_000), &incarnation("b", 1));
+    runners.on_suspected(at(2_000), &incarnation("b", 1));
     assert_eq!(due(&mut runners, at(2_000)), asks("b"));
-    runners.on_status(at(2_003), &incarnation("b", 1), Status::default());
+    runners.on_status(at(2_003), &incarnation("b", 1), report());
     assert_eq!(usable(&runners, at(2_003)), ["a", "b", "c"]);
     // Its word does not count against what has just been heard.
-    runners.on_doubt(at(2_004), &incarnation("b", 1));
+    runners.on_suspected(at(2_004), &incarnation("b", 1));
     assert_eq!(usable(&runners, at(2_004)), ["a", "b", "c"]);
 }
 
@@ -462,7 +470,7 @@
             for (runner, action) in table.due_actions(at(ms), delay) {
                 match action {
                     LivenessAction::AskAgent if runner != frozen || ms < freeze => {
-                        table.on_status(at(ms), &runner, Status::default());
+                        table.on_status(at(ms), &runner, report());
                     }
                     LivenessAction::TellRouters => told = true,
                     _ => {}
@@ -471,7 +479,7 @@
         }
         if std::mem::take(&mut told) {
             for table in &mut tables {
-                table.on_doubt(at(ms), &frozen);
+                table.on_suspected(at(ms), &frozen);
             }
         }
     }
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -103,9 +103,9 @@
     LimitsNamed,
     /// Runners that said that they leave.
     RunnersLeaving,
-    /// Refusals in which a runner named a time in which it wants nothing.
-    RunnersClosed,
-    /// Invalid statements of runners about themselves.
+    /// Refusals in which a runner named a time before which to send it nothing.
+    RetryAfterNamed,
+    /// Invalid announcements of runners.
     AnnouncementsUnusable,
     /// Turns to change weights granted to runners.
     TurnsGranted,
