Keep a leaving runner out until its registration is written again

After a loss of the store a runner that was leaving stays out in the first listing of the older copy only. A second listing before the runner has written its registration again (a compacted history, a listing from another router) took it back in.

Change: a registration with the revision that is known says nothing new, so it cannot end the leaving. One that is written since does.

Test: a_leaving_runner_stays_so_until_its_registration_is_written_again failed before (used again at the second listing).

--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -164,7 +164,7 @@
     pub fn on_registration(
         &mut self,
         now: Instant,
-        registration: Registration,
+        mut registration: Registration,
     ) -> Option<MembershipChange> {
         self.mark_replaced(&registration);
         let name = registration.incarnation.name.clone();
@@ -199,6 +199,9 @@
             self.table.insert(name.clone(), runner);
             return change(ChangeKind::Restarted);
         }
+        // A registration that was not written since says nothing new.
+        let is_same = registration.revision == runner.registration.revision;
+        registration.is_leaving |= is_same && runner.registration.is_leaving;
         let began_leaving = registration.is_leaving && !runner.registration.is_leaving;
         runner.lapsed = None;
         runner.on_registration(registration);
--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -504,3 +504,31 @@
     let mean = f64::from(sum) / plays.len() as f64;
     assert!(mean <= 3.0, "{mean} on average, {most} at most");
 }
+
+/// An older copy of the store shows a runner as ready that is leaving. The same
+/// registration, listed again later, says nothing new.
+#[test]
+fn a_leaving_runner_stays_so_until_its_registration_is_written_again() {
+    let mut runners = runners(&["a", "b"]);
+    let leaving = Registration {
+        is_leaving: true,
+        revision: 5,
+        ..registration("a", 1)
+    };
+    runners.on_registration(at(1), leaving);
+    runners.on_store_restored();
+    let copied = |name| Registration {
+        revision: 100,
+        ..registration(name, 1)
+    };
+    for ms in [10, 500, 900] {
+        runners.on_list(at(ms), vec![copied("a"), copied("b")]);
+        assert_eq!(usable(&runners, at(ms)), ["b"], "at {ms} ms");
+    }
+    let written = Registration {
+        revision: 101,
+        ..registration("a", 1)
+    };
+    runners.on_registration(at(1_000), written);
+    assert_eq!(usable(&runners, at(1_000)), ["a", "b"]);
+}
