Take one request of a limit where no agent reports routers

Routers learn of each other from agents. One that hears of none believed that it was alone and took a runner's whole limit: in a deployment without agents, and 12 s after a cut.

Change: a router's share is known only while agents report routers, itself among them; else it sends one request in four seconds.

--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -79,6 +79,8 @@
     documents_address: net::SocketAddr,
     /// Port on which agents and routers receive datagrams.
     port: u16,
+    /// When an agent last reported routers, this one among them.
+    reported_at: cell::Cell<Option<Instant>>,
     /// When each other router was last reported, by document address.
     routers: cell::RefCell<Table<net::SocketAddr, Instant>>,
 }
@@ -105,6 +107,7 @@
             socket,
             documents_address,
             port,
+            reported_at: cell::Cell::new(None),
             routers: cell::RefCell::default(),
         }))
     }
@@ -135,6 +138,9 @@
     fn on_datagram(&self, from: net::SocketAddr, datagram: Datagram) {
         match datagram {
             Datagram::StatusReport(report) => {
+                if !report.routers.is_empty() {
+                    self.reported_at.set(Some(self.router.now()));
+                }
                 for address in &report.routers {
                     self.on_router(*address);
                 }
@@ -181,7 +187,10 @@
             .keys()
             .filter(|other| **other < self.documents_address)
             .count();
-        self.router.state().set_routers(routers.len() + 1, rank);
+        let is_recent = |at: Instant| now.since(at) <= self.settings.router_ttl;
+        let is_reported = self.reported_at.get().is_some_and(is_recent);
+        let count = routers.len() + 1;
+        self.router.state().set_routers(count, rank, is_reported);
     }
 
     /// Returns the bytes sent.
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -123,12 +123,13 @@
         self.targets.iter()
     }
 
-    /// Sets the number of live routers, and of those with lower addresses.
-    pub fn set_routers(&mut self, routers: usize, rank: usize) {
+    /// Sets the number of live routers and this one's rank. `is_reported`: whether agents
+    /// have reported them lately.
+    pub fn set_routers(&mut self, routers: usize, rank: usize, is_reported: bool) {
         self.routers = routers.max(1);
         self.rank = rank;
         self.runners.set_share(runners::Share {
-            routers: Some(self.routers),
+            routers: is_reported.then_some(self.routers),
             rank,
         });
     }
