Learn how long agents take to answer

Change: the time is twice that of the agent's answers, which is learned from the statuses that follow questions, longer ones at once and shorter ones slowly; between 40 ms and 500 ms. Questions are repeated accordingly less often.

Test: an_agent_far_away_is_waited_for_as_long_as_its_answers_take failed before; with the change the runner is out once, for at most 150 ms.

--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -409,7 +409,7 @@
             let status = state.runners().status(now, runner)?;
             Some((status.is_changing, runner.registration.weights.clone()))
         });
-        let was_unresponsive = state.runners_mut().on_heard(now, &incarnation);
+        let was_unresponsive = state.runners().is_unresponsive(now, &incarnation);
         let is_known = state.runners_mut().on_status(now, &incarnation, status);
         drop(state);
         self.log_recovery(&incarnation, was_unresponsive);
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -340,6 +340,7 @@
         else {
             return false;
         };
+        runner.liveness.on_status(now, &self.settings.liveness);
         runner.on_status(now, status);
         true
     }
@@ -480,6 +481,13 @@
         was_unresponsive
     }
 
+    /// Whether a runner owes an answer and is silent for too long.
+    pub fn is_unresponsive(&self, now: Instant, incarnation: &Incarnation) -> bool {
+        let settings = &self.settings.liveness;
+        let runner = self.get(incarnation);
+        runner.is_some_and(|runner| runner.liveness.is_unresponsive(now, settings))
+    }
+
     /// A runner answered a probe. Returns whether it was unresponsive.
     pub fn on_probe_answered(&mut self, now: Instant, incarnation: &Incarnation) -> bool {
         let settings = self.settings.liveness;
--- a/crates/lentil_policy/src/forward/runners/liveness.rs
+++ b/crates/lentil_policy/src/forward/runners/liveness.rs
@@ -18,9 +18,12 @@
     pub ask_interval: time::Duration,
     /// An agent that has reported this recently is not asked.
     pub report_ttl: time::Duration,
-    /// Time without an answer after which the runner counts as unresponsive. An agent
-    /// answers within some milliseconds.
-    pub answer_time: time::Duration,
+    /// Shortest time without an answer after which the runner counts as unresponsive. It
+    /// is twice as long as the agent's answers take, which is learned.
+    pub min_answer: time::Duration,
+    /// Longest such time. Answers that take longer are not learned from: their agent had
+    /// stopped.
+    pub max_answer: time::Duration,
     /// Interval between checks of an unresponsive runner.
     pub probe_interval: time::Duration,
 }
@@ -31,12 +34,16 @@
             ask_after: time::Duration::from_millis(40),
             ask_interval: time::Duration::from_millis(15),
             report_ttl: time::Duration::from_millis(100),
-            answer_time: time::Duration::from_millis(40),
+            min_answer: time::Duration::from_millis(40),
+            max_answer: time::Duration::from_millis(500),
             probe_interval: time::Duration::from_millis(500),
         }
     }
 }
 
+/// Weight of the newest answer in the smoothed time of answers.
+const SMOOTHING: f64 = 0.1;
+
 /// What to do about a runner that owes an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -63,6 +70,9 @@
     probe_answered: Option<Instant>,
     /// Since when it owes an answer to a request or a question.
     owed_since: Option<Instant>,
+    /// Time that its agent takes to answer; kept over everything else. `None` before the
+    /// first answer.
+    answer_time: Option<time::Duration>,
     /// First and last question since it was heard.
     asked: Option<(Instant, Instant)>,
     probed_at: Option<Instant>,
@@ -78,6 +88,7 @@
             heard_at: now,
             probe_answered: None,
             owed_since: None,
+            answer_time: None,
             asked: None,
             probed_at: None,
             notice_due: None,
@@ -94,15 +105,32 @@
     pub(super) fn on_heard(&mut self, now: Instant, is_busy: bool) {
         *self = Self {
             owed_since: is_busy.then_some(now),
+            answer_time: self.answer_time,
             ..Self::new(now)
         };
     }
 
+    /// Its agent sent a status; [`Self::on_heard`] follows. Answers are learned from:
+    /// longer ones at once, shorter ones slowly, since a status may not be the answer.
+    pub(super) fn on_status(&mut self, now: Instant, settings: &LivenessSettings) {
+        let Some((asked_at, _)) = self.asked else {
+            return;
+        };
+        let took = now.since(asked_at);
+        if took >= settings.max_answer {
+            return;
+        }
+        let known = self.answer_time.unwrap_or(took);
+        let smoothed = known.mul_f64(1.0 - SMOOTHING) + took.mul_f64(SMOOTHING);
+        self.answer_time = Some(smoothed.max(took));
+    }
+
     /// It answered a probe, so it takes requests. Those that it has may still be stuck.
     pub(super) fn on_probe_answered(&mut self, now: Instant) {
         *self = Self {
             probe_answered: Some(now),
             owed_since: self.owed_since,
+            answer_time: self.answer_time,
             ..Self::new(self.heard_at)
         };
     }
@@ -141,7 +169,12 @@
     /// Whether the question to its agent has had no answer in time.
     fn has_no_answer(&self, now: Instant, settings: &LivenessSettings) -> bool {
         let first = self.asked.map(|(first, _)| first);
-        first.is_some_and(|first| now.since(first) >= settings.answer_time)
+        first.is_some_and(|first| now.since(first) >= self.answer_limit(settings))
+    }
+
+    fn answer_limit(&self, settings: &LivenessSettings) -> time::Duration {
+        let learned = self.answer_time.unwrap_or_default() * 2;
+        learned.clamp(settings.min_answer, settings.max_answer)
     }
 
     /// Whether a question to its agent has no answer yet.
@@ -214,7 +247,7 @@
             let interval = if self.has_no_answer(now, settings) {
                 settings.probe_interval
             } else {
-                settings.ask_interval
+                settings.ask_interval.max(self.answer_limit(settings) / 4)
             };
             return now.since(last) >= interval;
         }
--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -532,3 +532,32 @@
     runners.on_registration(at(1_000), written);
     assert_eq!(usable(&runners, at(1_000)), ["a", "b"]);
 }
+
+/// The answer of an agent in another region takes longer than a frozen one's silence is
+/// waited for at first.
+#[test]
+fn an_agent_far_away_is_waited_for_as_long_as_its_answers_take() {
+    const ROUND_TRIP_MS: u64 = 130;
+    let mut runners = runners(&["a", "b", "c"]);
+    let a = incarnation("a", 1);
+    let mut answers = Vec::new();
+    let mut unusable = 0;
+    for ms in (0..20_000).step_by(10) {
+        if ms % 400 == 0 {
+            send(&mut runners, "a", at(ms));
+        }
+        if answers.first().is_some_and(|due| *due <= ms) {
+            answers.clear();
+            runners.on_status(at(ms), &a, report());
+            runners.get_mut(&a).unwrap().on_ended(true);
+        }
+        let actions = due(&mut runners, at(ms));
+        if actions.contains(&("a".to_owned(), LivenessAction::AskAgent)) {
+            answers.push(ms + ROUND_TRIP_MS);
+        }
+        // The runner takes longer than its agent.
+        unusable += u32::from(usable(&runners, at(ms)).len() < 3);
+    }
+    // Once, until the first answer has shown how long it takes.
+    assert!(unusable <= 15, "not usable for {unusable} times 10 ms");
+}
