Log how long a call to the store waited and how old the last answer is

The three hypotheses of the CONFIG incident differ in what a router knew of the store before a configuration came into force: a call that waited until its timeout, no failed call at all, or a start. The lines about the store said only that a call had failed.

--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -7,7 +7,7 @@
 use lentil_platform::{Change, Changes, Document, KindStore, Listing, StoreError};
 use lentil_policy::store::ObjectVersion;
 use lentil_process::metrics::Counter;
-use lentil_types::Table;
+use lentil_types::{Instant, Table};
 
 use crate::{
     documents::Kind,
@@ -69,6 +69,8 @@
     documents: Table<CompactString, Document>,
     /// Whether the last call to the store succeeded.
     is_fresh: bool,
+    /// When the store last answered a call for this kind.
+    answered_at: Option<Instant>,
 }
 
 /// Keeps a router's documents up to date.
@@ -115,10 +117,12 @@
         let mut failures = 0u32;
         let mut is_compared = false;
         loop {
+            let called_at = self.router.now();
             match self.list_or_watch(kind, failures > 0).await {
                 Ok(()) => {
                     if failures > 0 {
-                        log::info!(kind:%, failures; "the store answers again");
+                        let silent_ms = self.silent_ms(kind);
+                        log::info!(kind:%, failures, silent_ms:?; "the store answers again");
                     }
                     failures = 0;
                     self.on_success(kind);
@@ -127,7 +131,8 @@
                     }
                 }
                 Err(StoreError::Restored) => {
-                    log::warn!(kind:%; "the store came back from an older copy; keeping what is known and listing again");
+                    let silent_ms = self.silent_ms(kind);
+                    log::warn!(kind:%, silent_ms:?; "the store came back from an older copy; keeping what is known and listing again");
                     self.on_restored(kind);
                     smol::Timer::after(self.restore_delay()).await;
                 }
@@ -137,7 +142,7 @@
                 }
                 Err(error) => {
                     failures = failures.saturating_add(1);
-                    self.on_failure(kind, failures, &error);
+                    self.on_failure(kind, failures, called_at, &error);
                     let backoff = async {
                         smol::Timer::after(self.backoff(failures)).await;
                     };
@@ -179,17 +184,22 @@
     }
 
     fn on_success(&self, kind: Kind) {
-        self.update(kind, |cached| cached.is_fresh = true);
+        let now = self.router.now();
+        self.update(kind, |cached| {
+            cached.is_fresh = true;
+            cached.answered_at = Some(now);
+        });
         if kind == Kind::Runners {
-            let now = self.router.now();
             self.router.state().runners_mut().on_store_answer(now);
         }
     }
 
-    fn on_failure(&self, kind: Kind, failures: u32, error: &StoreError) {
+    fn on_failure(&self, kind: Kind, failures: u32, called_at: Instant, error: &StoreError) {
         self.router.metrics.count(Counter::StoreLost);
         if failures == 1 {
-            log::warn!(kind:%, error:%; "the store does not answer; fetching documents from other routers");
+            let waited_ms = self.router.now().since(called_at).as_millis();
+            let silent_ms = self.silent_ms(kind);
+            log::warn!(kind:%, error:%, waited_ms, silent_ms:?; "the store does not answer; fetching documents from other routers");
         }
         self.update(kind, |cached| cached.is_fresh = false);
         if kind == Kind::Runners {
@@ -210,6 +220,12 @@
         }
     }
 
+    /// Time since the store last answered a call for this kind, in milliseconds.
+    fn silent_ms(&self, kind: Kind) -> Option<u128> {
+        let answered_at = self.cached.borrow()[kind as usize].answered_at?;
+        Some(self.router.now().since(answered_at).as_millis())
+    }
+
     /// Random, so that all routers together list at no more than `restore_rate`.
     fn restore_delay(&self) -> time::Duration {
         let listings = (self.router.state().routers() * Kind::COUNT) as f64;
