End watches of the store that may never be answered

Callers were refused (404, 401) under an old configuration for longer than the limit, after an outage of a moment or while one router's connection to the store was dead.

Cause: a change reaches a router through one waiting call for each kind of document, which waits 1.75 times the limit on old configurations and counts as failed 0.7 s later: 4.2 s where the limit is 2 s, 5.95 s where it is 3 s. A call that is lost without a reset hides every change until then. Nothing else told the router: a failure or a new era seen by the call for another kind did not concern it, and routers exchange documents only after a failure, though a comment said that they pass on what a dead watch misses.

Change: a waiting call is ended and made again without a wait when a call for another kind fails or names a later era, and 250 ms after another router has named a newer version. Each router names a new configuration or target version to five others at random. A failed call closes the idle connections to the same server: each would have cost a timeout of its own.

Not covered: the watch of a router that hears from no other router, lost alone.

--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -138,7 +138,8 @@
                     | Datagram::Crash(_)
                     | Datagram::Loaded(_)
                     | Datagram::Silent(_)
-                    | Datagram::Announcement(_),
+                    | Datagram::Announcement(_)
+                    | Datagram::DocumentChanged(_),
                 ) => {
                     log::debug!(from:%; "ignored a datagram that is not meant for an agent");
                 }
--- a/crates/lentil_forward/src/client.rs
+++ b/crates/lentil_forward/src/client.rs
@@ -35,7 +35,13 @@
     /// [`CallError`] when no whole answer arrived.
     pub async fn call(&self, call: &Call<'_>) -> Result<Reply, CallError> {
         let mut connection = self.connect().await?;
-        let reply = call.send_on(&mut connection, self.address).await?;
+        let result = call.send_on(&mut connection, self.address).await;
+        if result.is_err() {
+            // Idle connections may be as dead as this one, and a dead one is found only
+            // after the whole timeout.
+            self.lock().clear();
+        }
+        let reply = result?;
         if reply.head.keep_alive && connection.buffered() == 0 {
             self.keep(connection);
         }
--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -2,9 +2,12 @@
 
 use std::{net, time};
 
-use lentil_policy::forward::{
-    backlog, rollout_pacer,
-    runners::{self, SegmentUpdate},
+use lentil_policy::{
+    forward::{
+        backlog, rollout_pacer,
+        runners::{self, SegmentUpdate},
+    },
+    store::ObjectVersion,
 };
 use lentil_types::{Fingerprint, ModelName, RequestRate, RunnerName, Tokens, WeightsVersion};
 
@@ -87,6 +90,15 @@
     pub is_leaving: bool,
 }
 
+/// A router has a document of the store that is new to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DocumentNotice {
+    /// Kind of the document.
+    pub kind: documents::Kind,
+    /// Its version.
+    pub version: ObjectVersion,
+}
+
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -114,6 +126,8 @@
     Silent(runners::Incarnation),
     /// From a router to every other.
     Announcement(AnnouncementNotice),
+    /// From a router to some others.
+    DocumentChanged(DocumentNotice),
 }
 
 /// A datagram that cannot be decoded or encoded.
@@ -152,6 +166,10 @@
                 born: incarnation.boot_id,
             }),
             Self::Announcement(notice) => generated::Body::Announcement(notice.into()),
+            Self::DocumentChanged(notice) => generated::Body::Changed(generated::Changed {
+                kind: notice.kind as u32,
+                version: notice.version.0,
+            }),
             Self::LongPrompt(prompt) => generated::Body::Sent(generated::Sent {
                 request: prompt.request.0,
                 missing: prompt.uncached.0,
@@ -181,6 +199,11 @@
                 Self::Silent(incarnation(&silent.runner, silent.born)?)
             }
             generated::Body::Announcement(notice) => Self::Announcement(notice.try_into()?),
+            generated::Body::Changed(changed) => Self::DocumentChanged(DocumentNotice {
+                kind: documents::Kind::from_repr(changed.kind as usize)
+                    .ok_or(DatagramError::Field("kind of document"))?,
+                version: ObjectVersion(changed.version),
+            }),
             generated::Body::Sent(sent) => Self::LongPrompt(backlog::LongPrompt {
                 request: backlog::RequestHash(sent.request),
                 uncached: Tokens(sent.missing),
--- a/crates/lentil_forward/src/documents.rs
+++ b/crates/lentil_forward/src/documents.rs
@@ -6,7 +6,18 @@
 use lentil_types::{ModelName, WeightsVersion};
 
 /// A kind of document.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display, strum::EnumIter)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    strum::Display,
+    strum::EnumIter,
+    strum::FromRepr,
+)]
 #[strum(serialize_all = "kebab-case")]
 #[repr(usize)]
 pub enum Kind {
--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -5,14 +5,16 @@
 
 use compact_str::CompactString;
 use lentil_platform::{Change, Changes, Document, KindStore, Listing, StoreError};
-use lentil_policy::store::ObjectVersion;
+use lentil_policy::{forward::watch_doubts::WatchDoubts, store::ObjectVersion};
 use lentil_process::metrics::Counter;
 use lentil_types::{Instant, Table};
 
 use crate::{
+    datagram,
     documents::Kind,
     generated,
     http_call::{Call, CallError},
+    peers,
     router::Router,
 };
 
@@ -71,6 +73,15 @@
     is_fresh: bool,
     /// When the store last answered a call for this kind.
     answered_at: Option<Instant>,
+    doubts: WatchDoubts,
+}
+
+/// How a call to the store ended that has not failed.
+enum Completion {
+    /// The store answered.
+    Answered,
+    /// It was ended, since it may never be answered.
+    Doubted,
 }
 
 /// Keeps a router's documents up to date.
@@ -82,6 +93,11 @@
     cached: cell::RefCell<[CachedDocuments; Kind::COUNT]>,
     /// Addresses at which other routers serve documents, sorted.
     peers: cell::RefCell<Vec<net::SocketAddr>>,
+    /// Notified when a call fails or shows that the store was away: calls that wait on
+    /// other connections may have been lost too.
+    disturbed: event_listener::Event,
+    /// Notified when another router has a newer document.
+    noticed: event_listener::Event,
 }
 
 impl Follower {
@@ -101,9 +117,23 @@
             settings,
             cached: cell::RefCell::default(),
             peers: cell::RefCell::new(seeds),
+            disturbed: event_listener::Event::new(),
+            noticed: event_listener::Event::new(),
         })
     }
 
+    /// Addresses at which other routers may serve documents.
+    pub(crate) fn peers(&self) -> Vec<net::SocketAddr> {
+        self.peers.borrow().clone()
+    }
+
+    /// Another router has a document of this version.
+    pub(crate) fn on_notice(&self, kind: Kind, version: ObjectVersion) {
+        let now = self.router.now();
+        self.update(kind, |cached| cached.doubts.on_notice(now, version));
+        self.noticed.notify(usize::MAX);
+    }
+
     /// Adds a router that serves documents at `address`.
     pub fn on_router(&self, address: net::SocketAddr) {
         let mut peers = self.peers.borrow_mut();
@@ -116,10 +146,16 @@
     pub async fn follow(&self, kind: Kind) {
         let mut failures = 0u32;
         let mut is_compared = false;
+        let mut is_doubted = false;
         loop {
             let called_at = self.router.now();
-            match self.list_or_watch(kind, failures > 0).await {
-                Ok(()) => {
+            let is_probe = failures > 0 || std::mem::take(&mut is_doubted);
+            match self.list_or_watch(kind, is_probe).await {
+                Ok(Completion::Doubted) => {
+                    self.router.metrics.count(Counter::WatchesDoubted);
+                    is_doubted = true;
+                }
+                Ok(Completion::Answered) => {
                     if failures > 0 {
                         let silent_ms = self.silent_ms(kind);
                         log::info!(kind:%, failures, silent_ms:?; "the store answers again");
@@ -157,9 +193,9 @@
         }
     }
 
-    /// Lists or watches the kind. After a failure it does not wait for changes: a
-    /// call that is never answered must fail quickly.
-    async fn list_or_watch(&self, kind: Kind, is_probe: bool) -> Result<(), StoreError> {
+    /// Lists or watches the kind. After a failure or a doubt it does not wait for changes:
+    /// a call that is never answered must fail quickly.
+    async fn list_or_watch(&self, kind: Kind, is_probe: bool) -> Result<Completion, StoreError> {
         let name = self.router.decoder.kind(kind);
         self.router.metrics.count(Counter::StoreCalls);
         let version = self.cached.borrow()[kind as usize].version;
@@ -167,7 +203,7 @@
             self.router.metrics.count(Counter::StoreLists);
             let listing = self.store.list(name).await?;
             self.apply_list(kind, &listing);
-            return Ok(());
+            return Ok(Completion::Answered);
         };
         let wait = match kind {
             _ if is_probe => time::Duration::ZERO,
@@ -175,12 +211,47 @@
             Kind::Routing | Kind::Weights => self.settings.watch_wait,
         };
         self.router.metrics.count(Counter::StoreWatches);
-        let changes = self.store.watch(name, version, wait).await?;
+        let watch = async { Some(self.store.watch(name, version, wait).await) };
+        let doubted = async {
+            self.wait_until_doubted(kind).await;
+            None
+        };
+        let changes = if is_probe {
+            watch.await
+        } else {
+            futures_lite::future::or(watch, doubted).await
+        };
+        let Some(changes) = changes.transpose()? else {
+            return Ok(Completion::Doubted);
+        };
         self.apply_changes(kind, &changes);
         if kind == Kind::Runners && !changes.changes.is_empty() {
             smol::Timer::after(self.settings.batch_delay).await;
         }
-        Ok(())
+        Ok(Completion::Answered)
+    }
+
+    /// Returns when a call that waits for changes may never be answered: another call has
+    /// failed since, or another router has had a newer document for a while.
+    async fn wait_until_doubted(&self, kind: Kind) {
+        let disturbed = self.disturbed.listen();
+        let outdated = async {
+            loop {
+                let noticed = self.noticed.listen();
+                let due_at = self.cached.borrow()[kind as usize].doubts.due_at();
+                let Some(due_at) = due_at else {
+                    noticed.await;
+                    continue;
+                };
+                let now = self.router.now();
+                if now >= due_at {
+                    log::info!(kind:%; "another router has a newer document; calling the store again");
+                    return;
+                }
+                smol::Timer::after(due_at.since(now)).await;
+            }
+        };
+        futures_lite::future::or(disturbed, outdated).await;
     }
 
     fn on_success(&self, kind: Kind) {
@@ -188,6 +259,7 @@
         self.update(kind, |cached| {
             cached.is_fresh = true;
             cached.answered_at = Some(now);
+            cached.doubts.on_answer();
         });
         if kind == Kind::Runners {
             self.router.state().runners_mut().on_store_answer(now);
@@ -200,6 +272,7 @@
             let waited_ms = self.router.now().since(called_at).as_millis();
             let silent_ms = self.silent_ms(kind);
             log::warn!(kind:%, error:%, waited_ms, silent_ms:?; "the store does not answer; fetching documents from other routers");
+            self.disturbed.notify(usize::MAX);
         }
         self.update(kind, |cached| cached.is_fresh = false);
         if kind == Kind::Runners {
@@ -211,6 +284,7 @@
     /// while, as after an outage: the runners write them again.
     fn on_restored(&self, kind: Kind) {
         self.router.metrics.count(Counter::StoreRestored);
+        self.disturbed.notify(usize::MAX);
         self.update(kind, |cached| {
             cached.version = None;
             cached.is_fresh = false;
@@ -252,6 +326,26 @@
                 self.keep_newer(kind, cached, document);
             }
         });
+        self.tell_other_routers(kind);
+    }
+
+    /// Tells some other routers of documents that are new, in case they are not told by the
+    /// store. Registrations change too often for that.
+    fn tell_other_routers(&self, kind: Kind) {
+        if kind == Kind::Runners {
+            return;
+        }
+        let mut all = self.cached.borrow_mut();
+        let cached = &mut all[kind as usize];
+        let documents = cached.documents.values();
+        let newest = documents.map(|document| document.version).max();
+        if let Some(version) = newest.filter(|version| cached.doubts.on_documents(*version)) {
+            let notice = datagram::DocumentNotice { kind, version };
+            let notice = datagram::Datagram::DocumentChanged(notice);
+            self.router
+                .outbox
+                .put(peers::Recipient::SomeRouters, notice);
+        }
     }
 
     /// Keeps a document that is newer than the listed one, which comes from an older
@@ -307,6 +401,7 @@
                 }
             }
         });
+        self.tell_other_routers(kind);
     }
 
     fn update(&self, kind: Kind, change: impl FnOnce(&mut CachedDocuments)) {
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -44,6 +44,8 @@
     Agent(net::IpAddr),
     /// Every other known router.
     Routers,
+    /// A random few of the other routers.
+    SomeRouters,
 }
 
 /// Further datagrams are dropped, as the network may drop them.
@@ -150,6 +152,9 @@
             Datagram::Loaded(loaded) => self.router.on_loaded(&loaded),
             Datagram::Silent(incarnation) => self.on_silent(from, &incarnation),
             Datagram::Announcement(notice) => self.router.on_announcement_notice(&notice),
+            Datagram::DocumentChanged(notice) => {
+                self.follower.on_notice(notice.kind, notice.version);
+            }
             Datagram::Subscribe(_)
             | Datagram::LongPrompt(_)
             | Datagram::StatusRequest(_)
@@ -229,6 +234,21 @@
                 let routers = self.routers.borrow();
                 routers.keys().map(|other| address(other.ip())).collect()
             }
+            Recipient::SomeRouters => {
+                let routers = self.known_routers();
+                let sample = self.router.sample_routers(routers.len()).into_iter();
+                sample.map(|index| address(routers[index].ip())).collect()
+            }
+        }
+    }
+
+    /// Document addresses of the routers that agents report, or else of the seeds.
+    fn known_routers(&self) -> Vec<net::SocketAddr> {
+        let reported: Vec<_> = self.routers.borrow().keys().copied().collect();
+        if reported.is_empty() {
+            self.follower.peers()
+        } else {
+            reported
         }
     }
 
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -20,7 +20,7 @@
 
 use std::{cell, net, rc, time};
 
-use lentil_policy::forward::{placement, runners};
+use lentil_policy::forward::{placement, runners, watch_doubts};
 use lentil_process::{Clock, metrics};
 use lentil_types::{Instant, PlaceName, RunnerName};
 use rand::SeedableRng as _;
@@ -388,6 +388,12 @@
         self.state().runners_mut().due_actions(now, delay)
     }
 
+    /// Indices of a random few of `count` routers, to tell them of a change.
+    pub(crate) fn sample_routers(&self, count: usize) -> Vec<usize> {
+        let settings = watch_doubts::Settings::default();
+        watch_doubts::recipients(&settings, count, &mut *self.rng.borrow_mut())
+    }
+
     /// A random duration of less than `max`.
     pub(crate) fn jitter(&self, max: time::Duration) -> time::Duration {
         use rand::RngExt as _;
--- a/crates/lentil_forward/tests/messages.rs
+++ b/crates/lentil_forward/tests/messages.rs
@@ -4,13 +4,18 @@
 
 use lentil_forward::{
     EventSplitter,
-    datagram::{AnnouncementNotice, Crash, Datagram, Loaded, StatusReport, Subscribe, Turn},
-    documents::WeightsTarget,
+    datagram::{
+        AnnouncementNotice, Crash, Datagram, DocumentNotice, Loaded, StatusReport, Subscribe, Turn,
+    },
+    documents::{Kind, WeightsTarget},
 };
-use lentil_policy::forward::{
-    backlog, rollout_pacer,
-    runners::{Incarnation, SegmentKey, SegmentUpdate, Status},
-    status_schedule,
+use lentil_policy::{
+    forward::{
+        backlog, rollout_pacer,
+        runners::{Incarnation, SegmentKey, SegmentUpdate, Status},
+        status_schedule,
+    },
+    store::ObjectVersion,
 };
 use lentil_types::{Fingerprint, RequestRate, Tokens, WeightsVersion};
 use proptest::prelude::*;
@@ -89,6 +94,10 @@
             },
         }),
         Datagram::Silent(incarnation()),
+        Datagram::DocumentChanged(DocumentNotice {
+            kind: Kind::Weights,
+            version: ObjectVersion(3 << 40 | 17),
+        }),
     ]
 }
 
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -15,6 +15,7 @@
 //! - [`status_schedule`]: when an agent reports its runner's status to the routers.
 //! - [`rollout_pacer`]: how many runners change to new weights at once, and which.
 //! - [`rollout_schedule`]: when a runner changes that no router reaches.
+//! - [`watch_doubts`]: when a call that waits for changes of the store is ended.
 
 pub mod attempt_log;
 pub mod backlog;
@@ -29,4 +30,5 @@
 pub mod status_schedule;
 pub mod target_weights;
 pub mod wait_queue;
+pub mod watch_doubts;
 pub mod weights_update;
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -76,6 +76,8 @@
     StoreLost,
     /// Listings because the store came back from an older copy.
     StoreRestored,
+    /// Waiting store calls that were ended because they may never be answered.
+    WatchesDoubted,
     /// Configurations applied.
     ConfigChanges,
     /// Unusable documents from the store.
