Log the software version of runners and the streams that callers take up

No line named a software version or the request that is taken up. The registration's version is decoded, and lines about answers and failed attempts name it; a request that takes a stream up is always logged.

--- a/crates/lentil_forward/src/names.rs
+++ b/crates/lentil_forward/src/names.rs
@@ -17,6 +17,8 @@
     pub segments: &'static str,
     /// Id of the last event received; the stream resumes after it.
     pub last_event: &'static str,
+    /// Id of the request that brought the first event of the stream that is taken up.
+    pub resumes: &'static str,
     /// The runner's proof that it made the answer.
     pub seal: &'static str,
     /// Set on an answer when the request was not run.
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -5,7 +5,7 @@
 use compact_str::CompactString;
 use lentil_policy::forward::{attempt_log::AttemptOutcome, backlog, placement, runners};
 use lentil_process::metrics::{Counter, Timing};
-use lentil_types::{Instant, Tokens, WeightsVersion};
+use lentil_types::{Instant, SoftwareVersion, Tokens, WeightsVersion};
 
 use super::{
     Router, announcement,
@@ -30,6 +30,8 @@
     pub(super) incarnation: Option<runners::Incarnation>,
     /// Start of the last attempt.
     pub(super) attempted_at: Option<Instant>,
+    /// Software version of that runner.
+    pub(super) software: Option<SoftwareVersion>,
     /// Weights that produced the answer.
     pub(super) weights: Option<WeightsVersion>,
     /// When the first byte of the answer arrived.
@@ -90,6 +92,7 @@
     answer: &mut Answer,
 ) -> AttemptEnd {
     progress.incarnation = Some(choice.incarnation.clone());
+    progress.software = Some(choice.software.clone());
     progress.attempted_at = Some(router.now());
     progress.expected_ms = choice.expected_ms.round();
     progress.status_age = choice.status_age;
--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -22,6 +22,8 @@
 pub(super) struct Plan {
     /// The caller's request id, or a dash.
     pub(super) id: CompactString,
+    /// Id of the request that began the stream, if the caller takes one up again.
+    pub(super) resumes: Option<CompactString>,
     pub(super) routing: rc::Rc<routing::Routing>,
     pub(super) route: routing::Route,
     pub(super) team: Option<routing::Team>,
@@ -73,6 +75,7 @@
         let model = model.and_then(|text| text.parse().ok());
         Self {
             id: headers.text(names.request_id).unwrap_or("-").into(),
+            resumes: headers.text(names.resumes).map(|id| id.trim().into()),
             model,
             segments: segments(headers, names),
             body_bytes: request.body.len(),
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -281,7 +281,7 @@
         let age = router.now().since(plan.received).as_millis();
         log::info!(
             request = plan.id.as_str(), runner:% = choice.incarnation.name, born = choice.incarnation.boot_id,
-            failure:%, age_ms = age, attempts = plan.attempt_log.borrow().sent();
+            software:% = choice.software, failure:%, age_ms = age, attempts = plan.attempt_log.borrow().sent();
             "attempt failed"
         );
     }
@@ -337,7 +337,8 @@
     let segment = placement::shared_prefix(&router.settings.placement, &plan.segments);
     log::info!(
         request = plan.id.as_str(), service:% = plan.service, config = plan.routing.version.0,
-        runner = runner_name(progress), told_ms:% = or_dash(progress.status_age.map(|age| age.as_millis())),
+        runner = runner_name(progress), software:% = or_dash(progress.software.as_ref()),
+        resumes:% = or_dash(plan.resumes.as_ref()), told_ms:% = or_dash(progress.status_age.map(|age| age.as_millis())),
         team:% = or_dash(plan.team.as_ref().map(|team| &team.name)), rank = plan.priority,
         weights:% = or_dash(progress.weights), part:% = or_dash(segment.map(|(id, _)| id.0)),
         missing = progress.uncached.0, reads = progress.prefills, home:% = or_dash(progress.home_rank), source:% = or_dash(progress.source),
@@ -347,14 +348,15 @@
     );
 }
 
-/// Whether an answered request is logged: a sample of those on time, and all others.
+/// Whether an answered request is logged: a sample of those on time, and all others, also
+/// those that take a stream up again.
 /// The sample depends on the id, so that routers and tools agree on it.
 fn is_logged(router: &Router, plan: &Plan, progress: &Progress) -> bool {
     let first_byte = progress.first_byte.map(|at| at.since(plan.received));
     let is_late = first_byte.is_none_or(|wait| wait > plan.route.objective);
     let was_retried = plan.attempt_log.borrow().sent() > 1;
     let is_sampled = xxh3::xxh3_64(plan.id.as_bytes()).is_multiple_of(router.settings.log_sample);
-    is_late || was_retried || is_sampled
+    is_late || was_retried || is_sampled || plan.resumes.is_some()
 }
 
 fn log_own_answer(
@@ -371,7 +373,8 @@
     log::info!(
         request = plan.id.as_str(), service:% = plan.service, config = plan.routing.version.0,
         reason:%, status:% = or_dash(status), verdict:% = plan.attempt_log.borrow().execution_state(),
-        runner = runner_name(progress), told_ms:% = or_dash(progress.status_age.map(|age| age.as_millis())),
+        runner = runner_name(progress), software:% = or_dash(progress.software.as_ref()),
+        resumes:% = or_dash(plan.resumes.as_ref()), told_ms:% = or_dash(progress.status_age.map(|age| age.as_millis())),
         expected_ms = progress.expected_ms, attempts = plan.attempt_log.borrow().sent(),
         last_event:% = or_dash(progress.last_event.as_ref()), retry_ms = retry.as_millis(),
         age_ms = router.now().since(plan.received).as_millis();
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -14,7 +14,8 @@
 use std::{net, time};
 
 use lentil_types::{
-    Instant, ModelName, PlaceName, RunnerName, ServiceName, TeamName, Tokens, WeightsVersion,
+    Instant, ModelName, PlaceName, RunnerName, ServiceName, SoftwareVersion, TeamName, Tokens,
+    WeightsVersion,
 };
 
 use crate::forward::{
@@ -181,6 +182,8 @@
     pub incarnation: Incarnation,
     /// Address that the request is sent to.
     pub address: net::SocketAddr,
+    /// Version of the runner's software.
+    pub software: SoftwareVersion,
     /// Weights that the runner serves; `None` where the request names no model.
     pub version: Option<WeightsVersion>,
     /// Runner or store that holds the shared prefix, or may hold it where `prefills`
@@ -288,6 +291,7 @@
     Ok(Choice {
         incarnation: best.runner.registration.incarnation.clone(),
         address: best.runner.registration.address,
+        software: best.runner.registration.software.clone(),
         version: best.version,
         source: best.source,
         prefills: best.prefills,
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -3,7 +3,7 @@
 use std::{net, time};
 
 use lentil_types::{
-    Instant, ModelName, PlaceName, RunnerName, ServiceName, Tokens, WeightsVersion,
+    Instant, ModelName, PlaceName, RunnerName, ServiceName, SoftwareVersion, Tokens, WeightsVersion,
 };
 
 use super::{announcements::Announcements, health::Health, liveness::Liveness, segments};
@@ -29,6 +29,8 @@
     pub service: ServiceName,
     /// Its data centre.
     pub place: PlaceName,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Whether it is about to leave.
--- a/crates/lentil_policy/tests/forward_announcements.rs
+++ b/crates/lentil_policy/tests/forward_announcements.rs
@@ -3,7 +3,7 @@
 use lentil_policy::forward::runners::{
     Announcement, AnnouncementChange, Incarnation, Registration, Runners, Settings, Share,
 };
-use lentil_types::{Instant, RequestRate};
+use lentil_types::{Instant, RequestRate, SoftwareVersion};
 use rand::{RngExt as _, SeedableRng as _};
 use rstest::rstest;
 
@@ -23,6 +23,7 @@
         address: ([127, 0, 0, 1], name.as_bytes()[0].into()).into(),
         service: "sort".parse().unwrap(),
         place: "here".parse().unwrap(),
+        software: SoftwareVersion::default(),
         slots: 4,
         is_leaving: false,
         weights: Vec::new(),
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -12,8 +12,8 @@
     wait_queue::{Demand, WaitQueue},
 };
 use lentil_types::{
-    Instant, ModelName, PlaceName, RequestRate, RunnerName, ServiceName, TeamName, Tokens,
-    WeightsVersion,
+    Instant, ModelName, PlaceName, RequestRate, RunnerName, ServiceName, SoftwareVersion, TeamName,
+    Tokens, WeightsVersion,
 };
 use rand::SeedableRng as _;
 use rstest::rstest;
@@ -142,6 +142,7 @@
         address: format!("127.0.0.1:{}", 1_000 + number).parse().unwrap(),
         service: "sort".parse().unwrap(),
         place: "here".parse().unwrap(),
+        software: SoftwareVersion::default(),
         slots: 12,
         is_leaving: false,
         weights: vec![("model".parse().unwrap(), WeightsVersion(1))],
--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -4,7 +4,7 @@
     ChangeKind, HealthSignal, Incarnation, LivenessAction, Registration, RequestCost, Runners,
     SaltHash, SegmentId, SegmentKey, Settings, Status, salt,
 };
-use lentil_types::{Instant, ServiceName, Tokens, WeightsVersion};
+use lentil_types::{Instant, ServiceName, SoftwareVersion, Tokens, WeightsVersion};
 use rstest::rstest;
 
 const MODEL: &str = "model";
@@ -23,6 +23,7 @@
         address: ([127, 0, 0, 1], name.as_bytes()[0].into()).into(),
         service: service(),
         place: "here".parse().unwrap(),
+        software: SoftwareVersion::default(),
         slots: 4,
         is_leaving: false,
         weights: vec![(MODEL.parse().unwrap(), WeightsVersion(1))],
--- a/crates/lentil_policy/tests/forward_search.rs
+++ b/crates/lentil_policy/tests/forward_search.rs
@@ -13,7 +13,9 @@
     runners::{HealthSignal, Incarnation, Registration, Runners, SegmentId, Settings, Status},
     weights_update::{self, Order, Report, WeightsUpdater},
 };
-use lentil_types::{Instant, ModelName, RunnerName, ServiceName, Tokens, WeightsVersion};
+use lentil_types::{
+    Instant, ModelName, RunnerName, ServiceName, SoftwareVersion, Tokens, WeightsVersion,
+};
 use rand::{RngExt as _, SeedableRng as _};
 
 /// Seeds of every run, not used for tuning.
@@ -160,6 +162,7 @@
             address: ([10, 0, 0, 1], 100 + index as u16).into(),
             service: service(),
             place: "here".parse().unwrap(),
+            software: SoftwareVersion::default(),
             slots: 4,
             is_leaving: state.is_leaving,
             weights: vec![(model(), WeightsVersion(state.version))],
--- a/crates/lentil_types/src/lib.rs
+++ b/crates/lentil_types/src/lib.rs
@@ -39,4 +39,4 @@
 pub use size::{Bytes, ParseSizeError, Pieces, Tokens};
 pub use table::Table;
 pub use time::Instant;
-pub use version::{ConfigVersion, FencingNumber, WeightsVersion};
+pub use version::{ConfigVersion, FencingNumber, SoftwareVersion, WeightsVersion};
