Keep a stream at the software version that began it

Cause: nothing read the software version of a registration. A stream that broke went on at any runner, within an answer (the router resumes it after a runner was lost) and over a caller's tries (it takes the stream up at another router, after its own was killed).

Change: the runner of the first event that a caller gets binds the stream to its version. A request that takes a stream up is bound to the version that began it: by this router's own memory, or the only version that has served for twice the route's timeout, or by asking the other routers and the agents of the service. While several versions serve, routers note each stream that begins at the agent beside its runner. What nobody knows is refused with 503 and not run.

--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -3,7 +3,8 @@
 use std::{cell, io, net, rc, time};
 
 use lentil_policy::forward::{
-    backlog, rollout_schedule, runners, silence_watch, status_schedule, weights_update,
+    backlog, rollout_schedule, runners, silence_watch, status_schedule, stream_origins,
+    weights_update,
 };
 use lentil_process::{Clock, metrics};
 use lentil_types::{FencingNumber, Instant, Table};
@@ -11,7 +12,7 @@
 use super::{OrderReply, Runner, Settings};
 use crate::{
     cache,
-    datagram::{Datagram, Loaded, StatusReport, Subscribe, Turn},
+    datagram::{Datagram, Loaded, StatusReport, StreamRun, Subscribe, Turn},
     datagram_socket::DatagramSocket,
 };
 
@@ -54,9 +55,23 @@
     cache: cache::SegmentIndex,
     backlog: backlog::Backlog,
     silence: silence_watch::SilenceWatch,
+    /// Requests that the runner has run and that made events.
+    streams: stream_origins::RecentStreams<runners::Incarnation>,
 }
 
 impl State {
+    fn note_stream(
+        &mut self,
+        now: Instant,
+        stream: backlog::RequestHash,
+        incarnation: runners::Incarnation,
+        retention: time::Duration,
+    ) {
+        if self.streams.get(now, stream) != Some(&incarnation) {
+            self.streams.note(now, stream, incarnation, retention);
+        }
+    }
+
     /// The status without segments. `None`: there is no current report, or it is
     /// from another boot than routers expect.
     fn status(&self) -> Option<runners::Status> {
@@ -104,6 +119,7 @@
             cache: cache::SegmentIndex::default(),
             backlog: backlog::Backlog::default(),
             silence: silence_watch::SilenceWatch::new(settings.silence),
+            streams: stream_origins::RecentStreams::default(),
         };
         Ok(rc::Rc::new(Self {
             settings,
@@ -132,6 +148,19 @@
                     self.on_status_request(from, &incarnation).await;
                 }
                 (from, Datagram::Turn(turn)) => self.on_turn(from, turn),
+                (from, Datagram::StreamQuery(stream)) => {
+                    self.on_stream_query(from, stream).await;
+                }
+                (_, Datagram::StreamNoted(run)) => {
+                    let now = self.clock.now();
+                    let retention = self.settings.stream_retention;
+                    self.state.borrow_mut().note_stream(
+                        now,
+                        run.stream,
+                        run.incarnation,
+                        retention,
+                    );
+                }
                 (
                     from,
                     Datagram::StatusReport(_)
@@ -139,7 +168,9 @@
                     | Datagram::Loaded(_)
                     | Datagram::Silent(_)
                     | Datagram::Announcement(_)
-                    | Datagram::DocumentChanged(_),
+                    | Datagram::DocumentChanged(_)
+                    | Datagram::StreamOrigin(_)
+                    | Datagram::StreamSeen(_),
                 ) => {
                     log::debug!(from:%; "ignored a datagram that is not meant for an agent");
                 }
@@ -263,6 +294,19 @@
         }
     }
 
+    /// Answers a router whose caller takes a stream up again, if the runner began it.
+    async fn on_stream_query(&self, from: net::SocketAddr, stream: backlog::RequestHash) {
+        let now = self.clock.now();
+        let incarnation = self.state.borrow().streams.get(now, stream).cloned();
+        if let Some(incarnation) = incarnation {
+            let run = StreamRun {
+                stream,
+                incarnation,
+            };
+            self.socket.send(&[from], Datagram::StreamSeen(run)).await;
+        }
+    }
+
     fn on_subscribe(&self, from: net::SocketAddr, subscribe: Subscribe) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
@@ -360,6 +404,15 @@
                     state.schedule.on_recovered();
                 }
                 state.backlog.on_report(now, &report.runs, report.waiting);
+                let incarnation = state.incarnation.clone();
+                let incarnation = incarnation.filter(|own| own.boot_id == report.boot_id);
+                if let Some(incarnation) = incarnation {
+                    let begun = report.runs.iter().filter(|run| run.events > 0);
+                    for run in begun {
+                        let retention = self.settings.stream_retention;
+                        state.note_stream(now, run.request, incarnation.clone(), retention);
+                    }
+                }
                 state.updater.on_report(now, report);
             }
             Err(error) => log::debug!(error:%; "cannot read the runner's report"),
--- a/crates/lentil_forward/src/agent/mod.rs
+++ b/crates/lentil_forward/src/agent/mod.rs
@@ -91,6 +91,9 @@
     pub routers_interval: time::Duration,
     /// Time after which a subscription expires unless renewed.
     pub subscription_ttl: time::Duration,
+    /// How long a stream that the runner has begun is remembered: longer than its caller
+    /// waits for it.
+    pub stream_retention: time::Duration,
 }
 
 impl Default for Settings {
@@ -108,6 +111,7 @@
             max_segments: 64,
             routers_interval: time::Duration::from_secs(3),
             subscription_ttl: time::Duration::from_secs(15),
+            stream_retention: time::Duration::from_secs(60),
         }
     }
 }
--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -9,7 +9,9 @@
     },
     store::ObjectVersion,
 };
-use lentil_types::{Fingerprint, ModelName, RequestRate, RunnerName, Tokens, WeightsVersion};
+use lentil_types::{
+    Fingerprint, ModelName, RequestRate, RunnerName, SoftwareVersion, Tokens, WeightsVersion,
+};
 
 use crate::{documents, generated};
 
@@ -99,6 +101,24 @@
     pub version: ObjectVersion,
 }
 
+/// A router has passed on events of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamOrigin {
+    /// The stream.
+    pub stream: backlog::RequestHash,
+    /// Software version that made them.
+    pub software: SoftwareVersion,
+}
+
+/// A runner ran the request that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamRun {
+    /// The stream.
+    pub stream: backlog::RequestHash,
+    /// The runner.
+    pub incarnation: runners::Incarnation,
+}
+
 /// One datagram.
 #[derive(Clone, Debug, PartialEq, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -128,6 +148,15 @@
     Announcement(AnnouncementNotice),
     /// From a router to some others.
     DocumentChanged(DocumentNotice),
+    /// From a router to the others and to agents: asks which software version began a
+    /// stream.
+    StreamQuery(backlog::RequestHash),
+    /// Answer of a router to a [`Self::StreamQuery`].
+    StreamOrigin(StreamOrigin),
+    /// Answer of an agent to a [`Self::StreamQuery`].
+    StreamSeen(StreamRun),
+    /// From a router to the agent of the runner that has begun a stream.
+    StreamNoted(StreamRun),
 }
 
 /// A datagram that cannot be decoded or encoded.
@@ -170,6 +199,23 @@
                 kind: notice.kind as u32,
                 version: notice.version.0,
             }),
+            Self::StreamQuery(stream) => {
+                generated::Body::StreamAsked(generated::StreamAsked { stream: stream.0 })
+            }
+            Self::StreamOrigin(origin) => generated::Body::StreamBegun(generated::StreamBegun {
+                stream: origin.stream.0,
+                software: origin.software.to_string(),
+            }),
+            Self::StreamSeen(run) => generated::Body::StreamSeen(generated::StreamSeen {
+                stream: run.stream.0,
+                runner: run.incarnation.name.to_string(),
+                born: run.incarnation.boot_id,
+            }),
+            Self::StreamNoted(run) => generated::Body::StreamNoted(generated::StreamNoted {
+                stream: run.stream.0,
+                runner: run.incarnation.name.to_string(),
+                born: run.incarnation.boot_id,
+            }),
             Self::LongPrompt(prompt) => generated::Body::Sent(generated::Sent {
                 request: prompt.request.0,
                 missing: prompt.uncached.0,
@@ -204,6 +250,21 @@
                     .ok_or(DatagramError::Field("kind of document"))?,
                 version: ObjectVersion(changed.version),
             }),
+            generated::Body::StreamAsked(asked) => {
+                Self::StreamQuery(backlog::RequestHash(asked.stream))
+            }
+            generated::Body::StreamBegun(begun) => Self::StreamOrigin(StreamOrigin {
+                stream: backlog::RequestHash(begun.stream),
+                software: SoftwareVersion(begun.software.into()),
+            }),
+            generated::Body::StreamSeen(seen) => Self::StreamSeen(StreamRun {
+                stream: backlog::RequestHash(seen.stream),
+                incarnation: incarnation(&seen.runner, seen.born)?,
+            }),
+            generated::Body::StreamNoted(noted) => Self::StreamNoted(StreamRun {
+                stream: backlog::RequestHash(noted.stream),
+                incarnation: incarnation(&noted.runner, noted.born)?,
+            }),
             generated::Body::Sent(sent) => Self::LongPrompt(backlog::LongPrompt {
                 request: backlog::RequestHash(sent.request),
                 uncached: Tokens(sent.missing),
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -2,11 +2,11 @@
 
 use std::{cell, io, net, rc, time};
 
-use lentil_policy::forward::{rollout_schedule, runners};
+use lentil_policy::forward::{backlog, rollout_schedule, runners};
 use lentil_types::{Instant, ServiceName, Table, WeightsVersion};
 
 use crate::{
-    datagram::{Datagram, Subscribe},
+    datagram::{Datagram, StreamOrigin, Subscribe},
     datagram_socket::DatagramSocket,
     documents::WeightsTarget,
     follow::Follower,
@@ -38,7 +38,7 @@
 }
 
 /// Recipient of a datagram.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Recipient {
     /// The agent on the instance with this address.
     Agent(net::IpAddr),
@@ -46,6 +46,10 @@
     Routers,
     /// A random few of the other routers.
     SomeRouters,
+    /// The router on the instance with this address.
+    Router(net::IpAddr),
+    /// The agents beside all runners of a service.
+    AgentsOf(ServiceName),
 }
 
 /// Further datagrams are dropped, as the network may drop them.
@@ -155,9 +159,13 @@
             Datagram::DocumentChanged(notice) => {
                 self.follower.on_notice(notice.kind, notice.version);
             }
+            Datagram::StreamQuery(stream) => self.on_stream_query(from, stream),
+            Datagram::StreamOrigin(origin) => self.router.on_stream_origin(origin),
+            Datagram::StreamSeen(run) => self.router.on_stream_seen(&run),
             Datagram::Subscribe(_)
             | Datagram::LongPrompt(_)
             | Datagram::StatusRequest(_)
+            | Datagram::StreamNoted(_)
             | Datagram::Turn(_) => {
                 log::debug!("ignored a datagram that is not meant for a router");
             }
@@ -174,6 +182,14 @@
         }
     }
 
+    fn on_stream_query(&self, from: net::SocketAddr, stream: backlog::RequestHash) {
+        if let Some(software) = self.router.stream_software(stream) {
+            let origin = Datagram::StreamOrigin(StreamOrigin { stream, software });
+            let recipient = Recipient::Router(from.ip());
+            self.router.outbox.put(recipient, origin);
+        }
+    }
+
     fn on_router(&self, address: net::SocketAddr) {
         if address != self.documents_address {
             self.follower.on_router(address);
@@ -229,10 +245,21 @@
     fn addresses(&self, to: Recipient) -> Vec<net::SocketAddr> {
         let address = |ip| net::SocketAddr::new(ip, self.port);
         match to {
-            Recipient::Agent(ip) => vec![address(ip)],
+            Recipient::Agent(ip) | Recipient::Router(ip) => vec![address(ip)],
             Recipient::Routers => {
-                let routers = self.routers.borrow();
-                routers.keys().map(|other| address(other.ip())).collect()
+                let routers = self.known_routers().into_iter();
+                routers.map(|other| address(other.ip())).collect()
+            }
+            Recipient::AgentsOf(service) => {
+                let state = self.router.state();
+                let runners = state.runners().iter();
+                let has_agent = |runner: &&runners::Runner| {
+                    runner.registration.service == service && runner.has_agent()
+                };
+                let ips = runners
+                    .filter(has_agent)
+                    .map(|runner| runner.registration.address.ip());
+                ips.map(address).collect()
             }
             Recipient::SomeRouters => {
                 let routers = self.known_routers();
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -13,7 +13,7 @@
     connect,
     in_flight::InFlight,
     plan::{Plan, Request},
-    upstream,
+    stream_origin, upstream,
 };
 use crate::{datagram::Datagram, events::EventSplitter, h1, peers::Recipient};
 
@@ -501,6 +501,7 @@
             return answer.write_events(events).await;
         }
         self.plan.is_answering.set(true);
+        stream_origin::note(self.router, self.plan, self.choice);
         let headers = upstream::answer_headers(&self.router.names, &head.headers);
         answer
             .begin_stream(head.status, &head.reason, &headers, events)
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -15,6 +15,7 @@
 mod rollout;
 mod settings;
 mod state;
+mod stream_origin;
 mod updates;
 mod upstream;
 
@@ -53,6 +54,8 @@
     pub(crate) availability_changed: event_listener::Event,
     /// Notified when a model has new target weights.
     pub(crate) target_changed: event_listener::Event,
+    /// Notified when a router or an agent said which software version began a stream.
+    pub(crate) origin_received: event_listener::Event,
     /// Notified when an agent sent a status report.
     pub(crate) status_received: event_listener::Event,
     /// Datagrams to be sent.
@@ -87,6 +90,7 @@
             clock: Clock::start(),
             availability_changed: event_listener::Event::new(),
             target_changed: event_listener::Event::new(),
+            origin_received: event_listener::Event::new(),
             status_received: event_listener::Event::new(),
             outbox: Outbox::new(),
             stopping: event_listener::Event::new(),
@@ -318,6 +322,7 @@
         let service = plan.routing.services.get(&*plan.service);
         let model = plan.model.as_ref();
         let stores = state.stores(&plan.routing);
+        let software = plan.software.borrow();
         let requirements = placement::Requirements {
             service: &plan.service,
             model,
@@ -331,6 +336,7 @@
             max_status_age: None,
             runs_once: !plan.route.repeat.is_repeatable(),
             only_runner,
+            software: software.as_ref(),
         };
         let context = placement::Context {
             now,
--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -4,8 +4,10 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use lentil_policy::forward::{attempt_log, routing, runners::SegmentId};
-use lentil_types::{Fingerprint, Instant, ModelName, ServiceName, TeamName, Tokens};
+use lentil_policy::forward::{attempt_log, backlog, routing, runners::SegmentId};
+use lentil_types::{
+    Fingerprint, Instant, ModelName, ServiceName, SoftwareVersion, TeamName, Tokens,
+};
 use xxhash_rust::xxh3;
 
 use crate::{h1, names};
@@ -24,6 +26,9 @@
     pub(super) id: CompactString,
     /// Id of the request that began the stream, if the caller takes one up again.
     pub(super) resumes: Option<CompactString>,
+    /// The only software version that may run the request, once the caller has events of
+    /// the stream.
+    pub(super) software: cell::RefCell<Option<SoftwareVersion>>,
     pub(super) routing: rc::Rc<routing::Routing>,
     pub(super) route: routing::Route,
     pub(super) team: Option<routing::Team>,
@@ -76,6 +81,7 @@
         Self {
             id: headers.text(names.request_id).unwrap_or("-").into(),
             resumes: headers.text(names.resumes).map(|id| id.trim().into()),
+            software: cell::RefCell::default(),
             model,
             segments: segments(headers, names),
             body_bytes: request.body.len(),
@@ -119,6 +125,11 @@
         self.route.repeat.is_repeatable() && self.attempt_log.borrow().may_send(&self.route)
     }
 
+    /// The stream that the request begins or takes up.
+    pub(super) fn stream(&self) -> backlog::RequestHash {
+        backlog::RequestHash::of(self.resumes.as_ref().unwrap_or(&self.id))
+    }
+
     /// The team if it shares no cache with others.
     pub(super) fn isolated_team(&self) -> Option<&TeamName> {
         let isolated = self.team.as_ref().filter(|team| team.isolated);
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -14,6 +14,7 @@
     attempt::{self, Failure, Progress},
     pick,
     plan::{Plan, Request},
+    stream_origin,
 };
 
 /// Runners tried without getting a connection before the request fails.
@@ -44,6 +45,8 @@
     Poison,
     /// No runner can take the request now.
     NoRunner,
+    /// Nobody knows which software version began the stream that is taken up.
+    UnknownOrigin,
     /// Every runner has had as many requests as it allows.
     Limited,
     /// Every runner is expected to answer too late.
@@ -66,6 +69,7 @@
             Self::UnknownKey => Counter::OwnUnknownKey,
             Self::Poison => Counter::OwnPoison,
             Self::NoRunner => Counter::OwnNoRunner,
+            Self::UnknownOrigin => Counter::OwnUnknownOrigin,
             Self::Limited => Counter::OwnLimited,
             Self::TooLate => Counter::OwnTooLate,
             Self::Refused => Counter::OwnRefused,
@@ -182,6 +186,9 @@
     progress: &mut Progress,
     answer: &mut Answer,
 ) -> RequestEnd {
+    if let Err(stream_origin::Unknown) = stream_origin::resolve(router, plan).await {
+        return RequestEnd::OwnAnswer(Reason::UnknownOrigin, router.settings.retry_after);
+    }
     let mut exclude = Vec::new();
     // A stream that has started is not given up after a refusal: the runner that
     // refused to resume it is retried.
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -4,14 +4,15 @@
 
 use lentil_policy::{
     forward::{
-        placement, retries, rollout_pacer, routing,
+        backlog, placement, retries, rollout_pacer, routing,
         runners::{self, SegmentKey},
-        save_budget, target_weights, wait_queue,
+        save_budget, stream_origins, target_weights, wait_queue,
     },
     poison,
 };
 use lentil_types::{
-    ConfigVersion, Fingerprint, Instant, ModelName, ServiceName, Table, Tokens, WeightsVersion,
+    ConfigVersion, Fingerprint, Instant, ModelName, ServiceName, SoftwareVersion, Table, Tokens,
+    WeightsVersion,
 };
 
 use super::Settings;
@@ -39,6 +40,10 @@
     /// Requests whose connection broke, until it is known whether the runner died.
     broken: Vec<(Instant, runners::Incarnation, Fingerprint)>,
     suspects: poison::Suspects,
+    /// Software version of the events that callers got of recent streams.
+    pub streams: stream_origins::RecentStreams<SoftwareVersion>,
+    /// Questions for the origin of a stream that are being asked.
+    pub lookups: Table<backlog::RequestHash, stream_origins::OriginLookup>,
 }
 
 /// Most fingerprints and broken requests kept.
@@ -69,6 +74,8 @@
             crashes: Table::new(),
             broken: Vec::new(),
             suspects: poison::Suspects::default(),
+            streams: stream_origins::RecentStreams::default(),
+            lookups: Table::new(),
         }
     }
 
--- a/crates/lentil_forward/tests/messages.rs
+++ b/crates/lentil_forward/tests/messages.rs
@@ -5,7 +5,8 @@
 use lentil_forward::{
     EventSplitter,
     datagram::{
-        AnnouncementNotice, Crash, Datagram, DocumentNotice, Loaded, StatusReport, Subscribe, Turn,
+        AnnouncementNotice, Crash, Datagram, DocumentNotice, Loaded, StatusReport, StreamOrigin,
+        StreamRun, Subscribe, Turn,
     },
     documents::{Kind, WeightsTarget},
 };
@@ -98,6 +99,19 @@
             kind: Kind::Weights,
             version: ObjectVersion(3 << 40 | 17),
         }),
+        Datagram::StreamQuery(backlog::RequestHash(u64::MAX)),
+        Datagram::StreamOrigin(StreamOrigin {
+            stream: backlog::RequestHash(5),
+            software: "v1.1".parse().unwrap(),
+        }),
+        Datagram::StreamSeen(StreamRun {
+            stream: backlog::RequestHash(5),
+            incarnation: incarnation(),
+        }),
+        Datagram::StreamNoted(StreamRun {
+            stream: backlog::RequestHash(5),
+            incarnation: incarnation(),
+        }),
     ]
 }
 
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -15,6 +15,7 @@
 //! - [`status_schedule`]: when an agent reports its runner's status to the routers.
 //! - [`rollout_pacer`]: how many runners change to new weights at once, and which.
 //! - [`rollout_schedule`]: when a runner changes that no router reaches.
+//! - [`stream_origins`]: which software version began a stream.
 //! - [`watch_doubts`]: when a call that waits for changes of the store is ended.
 
 pub mod attempt_log;
@@ -28,6 +29,7 @@
 pub mod save_budget;
 pub mod silence_watch;
 pub mod status_schedule;
+pub mod stream_origins;
 pub mod target_weights;
 pub mod wait_queue;
 pub mod watch_doubts;
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -144,6 +144,9 @@
     pub runs_once: bool,
     /// The only permitted runner; `None` for any.
     pub only_runner: Option<&'a RunnerName>,
+    /// The only permitted software version; `None` for any. A stream stays at the one that
+    /// began it.
+    pub software: Option<&'a SoftwareVersion>,
 }
 
 /// A cache store and what this router knows of it.
@@ -367,6 +370,10 @@
                 .only_runner
                 .is_none_or(|only| runner.registration.incarnation.name == *only)
         })
+        .filter(|runner| {
+            let software = &runner.registration.software;
+            requirements.software.is_none_or(|only| only == software)
+        })
         .filter(|runner| {
             let max_age = requirements.max_status_age;
             let age = runner.status_age(now);
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -9,7 +9,9 @@
 
 use std::time;
 
-use lentil_types::{Instant, RunnerName, ServiceName, Table};
+use lentil_types::{Instant, RunnerName, ServiceName, SoftwareVersion, Table};
+
+use crate::forward::stream_origins::SoftwareHistory;
 
 use announcements::Announcements;
 pub use announcements::{
@@ -97,6 +99,7 @@
     /// What incarnations that are not registered any more said of themselves, oldest
     /// first. A registration may come back.
     removed: Vec<(Incarnation, Announcements)>,
+    software: SoftwareHistory,
     /// Whether the next list is that of an older copy of the store.
     is_restored: bool,
 }
@@ -113,6 +116,7 @@
             store: StoreAvailability::Available,
             share: Share::UNKNOWN,
             removed: Vec::new(),
+            software: SoftwareHistory::default(),
             is_restored: false,
         }
     }
@@ -167,6 +171,8 @@
         mut registration: Registration,
     ) -> Option<MembershipChange> {
         self.mark_replaced(&registration);
+        self.software
+            .on_registered(now, &registration.service, &registration.software);
         let name = registration.incarnation.name.clone();
         let change = |kind| {
             Some(MembershipChange {
@@ -192,7 +198,7 @@
             return change(kind);
         };
         if runner.registration.incarnation != registration.incarnation {
-            self.remove(&name);
+            self.remove(now, &name);
             let announcements = self.take_removed(&registration.incarnation);
             let mut runner = Runner::new(now, registration);
             runner.announcements = announcements;
@@ -249,10 +255,18 @@
     }
 
     /// Removes a runner from the table.
-    fn remove(&mut self, name: &str) {
+    fn remove(&mut self, now: Instant, name: &str) {
         let Some(mut runner) = self.table.remove(name) else {
             return;
         };
+        let Registration {
+            service,
+            incarnation,
+            software,
+            ..
+        } = &runner.registration;
+        self.software
+            .on_departed(now, service, incarnation, software);
         if runner.registration.is_leaving {
             runner.announcements.on_leaving();
         }
@@ -299,7 +313,7 @@
             runner.lapsed = Some(now);
             ChangeKind::Lapsed
         } else {
-            self.remove(name);
+            self.remove(now, name);
             ChangeKind::Gone
         };
         Some(MembershipChange {
@@ -323,7 +337,7 @@
             .filter(|(_, runner)| runner.lapsed.is_some());
         let gone: Vec<_> = lapsed.map(|(name, _)| name.clone()).collect();
         let change = |name: RunnerName| {
-            self.remove(&name);
+            self.remove(now, &name);
             MembershipChange {
                 name,
                 kind: ChangeKind::Gone,
@@ -357,6 +371,41 @@
         !was_silent
     }
 
+    /// Software version of a runner that is registered or has left.
+    pub fn software(&self, incarnation: &Incarnation) -> Option<&SoftwareVersion> {
+        let registered = self.get(incarnation);
+        let registered = registered.map(|runner| &runner.registration.software);
+        registered.or_else(|| self.software.departed(incarnation))
+    }
+
+    /// Software versions that runners of a service have had within `span`.
+    pub fn recent_software(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        span: time::Duration,
+    ) -> Vec<&SoftwareVersion> {
+        let of_service = self.table.values();
+        let of_service = of_service.filter(|runner| runner.registration.service == *service);
+        let registered = of_service.map(|runner| &runner.registration.software);
+        self.software.recent(now, service, registered, span)
+    }
+
+    /// The only software version that runners of a service have had within `span`. `None`
+    /// if there were several, or the service has not been known for so long.
+    pub fn sole_software(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        span: time::Duration,
+    ) -> Option<&SoftwareVersion> {
+        let versions = self.recent_software(now, service, span);
+        match versions[..] {
+            [sole] if self.software.covers(now, service, span) => Some(sole),
+            _ => None,
+        }
+    }
+
     /// Current incarnation of the runner with this name.
     pub fn incarnation(&self, name: &str) -> Option<&Incarnation> {
         self.table
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -249,9 +249,14 @@
         }
     }
 
-    /// Whether it is checked when it owes an answer. Only runners of models have an
-    /// agent or answer questions besides requests.
+    /// Whether it is checked when it owes an answer. Only runners of models answer
+    /// questions besides requests.
     pub(super) fn is_checked(&self) -> bool {
+        self.has_agent()
+    }
+
+    /// Whether an agent is beside it: only runners of models have one.
+    pub fn has_agent(&self) -> bool {
         !self.registration.weights.is_empty()
     }
 
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -90,6 +90,7 @@
             max_status_age: self.max_status_age,
             runs_once: self.runs_once,
             only_runner: None,
+            software: None,
         };
         placement::choose(
             Context {
--- a/crates/lentil_policy/tests/forward_search.rs
+++ b/crates/lentil_policy/tests/forward_search.rs
@@ -295,6 +295,7 @@
             max_status_age: None,
             runs_once: true,
             only_runner: None,
+            software: None,
         };
         let chosen = placement::choose(
             placement::Context {
--- /dev/null
+++ b/crates/lentil_policy/tests/forward_stream_origins.rs
@@ -0,0 +1,100 @@
+//! Which software version began a stream.
+
+use std::time;
+
+use lentil_policy::forward::{
+    backlog::RequestHash,
+    runners::{Incarnation, Registration, Runners, Settings},
+    stream_origins::{OriginLookup, RecentStreams},
+};
+use lentil_types::{Instant, ServiceName, SoftwareVersion};
+
+const SPAN: time::Duration = time::Duration::from_secs(6);
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn version(text: &str) -> SoftwareVersion {
+    text.parse().unwrap()
+}
+
+fn service() -> ServiceName {
+    "sort".parse().unwrap()
+}
+
+fn registration(name: &str, software: &str) -> Registration {
+    Registration {
+        incarnation: Incarnation {
+            name: name.parse().unwrap(),
+            boot_id: 1,
+        },
+        address: format!("10.0.0.{}:80", name.len()).parse().unwrap(),
+        service: service(),
+        place: "here".parse().unwrap(),
+        software: version(software),
+        slots: 4,
+        is_leaving: false,
+        weights: Vec::new(),
+        revision: 1,
+    }
+}
+
+#[test]
+fn streams_are_remembered_for_a_limited_time() {
+    let mut streams = RecentStreams::default();
+    let stream = RequestHash(7);
+    streams.note(at(0), stream, version("v1"), SPAN);
+    assert_eq!(streams.get(at(5_900), stream), Some(&version("v1")));
+    assert_eq!(streams.get(at(6_100), stream), None);
+    // Noted again, it is remembered from then on.
+    streams.note(at(5_000), stream, version("v1"), SPAN);
+    streams.note(at(7_000), RequestHash(8), version("v1"), SPAN);
+    assert_eq!(streams.get(at(7_000), stream), Some(&version("v1")));
+}
+
+#[test]
+fn the_memory_of_streams_is_bounded() {
+    let mut streams = RecentStreams::default();
+    for number in 0..20_000 {
+        streams.note(at(number), RequestHash(number), (), SPAN);
+    }
+    assert_eq!(streams.get(at(20_000), RequestHash(19_999)), Some(&()));
+    assert_eq!(streams.get(at(20_000), RequestHash(14_500)), None);
+}
+
+#[test]
+fn a_service_has_a_sole_version_only_once_no_other_may_have_begun_a_stream() {
+    let mut runners = Runners::new(Settings::default());
+    let sole = |runners: &Runners, now| runners.sole_software(now, &service(), SPAN).cloned();
+    runners.on_registration(at(0), registration("a", "v1"));
+    assert_eq!(sole(&runners, at(1_000)), None, "known too shortly");
+    assert_eq!(sole(&runners, at(6_000)), Some(version("v1")));
+    runners.on_registration(at(7_000), registration("bb", "v2"));
+    assert_eq!(sole(&runners, at(20_000)), None);
+    runners.on_removed(at(21_000), "a");
+    assert_eq!(sole(&runners, at(26_000)), None, "v1 has just left");
+    assert_eq!(sole(&runners, at(27_100)), Some(version("v2")));
+    let departed = registration("a", "v1").incarnation;
+    assert_eq!(runners.software(&departed), Some(&version("v1")));
+}
+
+#[test]
+fn an_unknown_service_has_no_sole_version() {
+    let runners = Runners::new(Settings::default());
+    assert_eq!(runners.sole_software(at(60_000), &service(), SPAN), None);
+}
+
+#[test]
+fn agents_decide_only_if_they_agree_and_a_router_always() {
+    let mut lookup = OriginLookup::default();
+    assert!(!lookup.has_answer());
+    lookup.on_agent(version("v1"));
+    lookup.on_agent(version("v1"));
+    assert_eq!(lookup.clone().into_version(), Some(version("v1")));
+    lookup.on_agent(version("v2"));
+    assert_eq!(lookup.clone().into_version(), None);
+    lookup.on_router(version("v2"));
+    assert!(lookup.is_confirmed());
+    assert_eq!(lookup.into_version(), Some(version("v2")));
+}
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -88,6 +88,8 @@
     AttemptsFailed,
     /// Requests refused by a runner and proven not to have run.
     RunnerRefusals,
+    /// Streams that callers took up again and whose software version was found.
+    StreamsTakenUp,
     /// Streams that ended before their last event.
     StreamsCut,
     /// Connections opened to runners.
@@ -121,6 +123,8 @@
     OwnPoison,
     /// Router's own errors: no runner may take requests.
     OwnNoRunner,
+    /// Router's own errors: nobody knows which software version began the stream.
+    OwnUnknownOrigin,
     /// Router's own errors: every runner has had as many requests as it allows.
     OwnLimited,
     /// Router's own errors: every runner would answer too late.
