Keep a stream at its service when its caller takes it up

Cause: the same as for software versions, the place where a stream began was not remembered. The origin of a stream is its service and software version now, and a request that takes it up goes to that service, or is refused where the route no longer leads there.

--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -6,11 +6,13 @@
     forward::{
         backlog, rollout_pacer,
         runners::{self, SegmentUpdate},
+        stream_origins,
     },
     store::ObjectVersion,
 };
 use lentil_types::{
-    Fingerprint, ModelName, RequestRate, RunnerName, SoftwareVersion, Tokens, WeightsVersion,
+    Fingerprint, ModelName, RequestRate, RunnerName, ServiceName, SoftwareVersion, Tokens,
+    WeightsVersion,
 };
 
 use crate::{documents, generated};
@@ -106,8 +108,8 @@
 pub struct StreamOrigin {
     /// The stream.
     pub stream: backlog::RequestHash,
-    /// Software version that made them.
-    pub software: SoftwareVersion,
+    /// What made them.
+    pub origin: stream_origins::Origin,
 }
 
 /// A runner ran the request that began a stream.
@@ -148,8 +150,7 @@
     Announcement(AnnouncementNotice),
     /// From a router to some others.
     DocumentChanged(DocumentNotice),
-    /// From a router to the others and to agents: asks which software version began a
-    /// stream.
+    /// From a router to the others and to agents: asks where a stream began.
     StreamQuery(backlog::RequestHash),
     /// Answer of a router to a [`Self::StreamQuery`].
     StreamOrigin(StreamOrigin),
@@ -204,7 +205,8 @@
             }
             Self::StreamOrigin(origin) => generated::Body::StreamBegun(generated::StreamBegun {
                 stream: origin.stream.0,
-                software: origin.software.to_string(),
+                service: origin.origin.service.to_string(),
+                software: origin.origin.software.to_string(),
             }),
             Self::StreamSeen(run) => generated::Body::StreamSeen(generated::StreamSeen {
                 stream: run.stream.0,
@@ -255,7 +257,11 @@
             }
             generated::Body::StreamBegun(begun) => Self::StreamOrigin(StreamOrigin {
                 stream: backlog::RequestHash(begun.stream),
-                software: SoftwareVersion(begun.software.into()),
+                origin: stream_origins::Origin {
+                    service: ServiceName::new(&begun.service)
+                        .map_err(|_| DatagramError::Field("service"))?,
+                    software: SoftwareVersion(begun.software.into()),
+                },
             }),
             generated::Body::StreamSeen(seen) => Self::StreamSeen(StreamRun {
                 stream: backlog::RequestHash(seen.stream),
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -183,8 +183,8 @@
     }
 
     fn on_stream_query(&self, from: net::SocketAddr, stream: backlog::RequestHash) {
-        if let Some(software) = self.router.stream_software(stream) {
-            let origin = Datagram::StreamOrigin(StreamOrigin { stream, software });
+        if let Some(origin) = self.router.stream_origin(stream) {
+            let origin = Datagram::StreamOrigin(StreamOrigin { stream, origin });
             let recipient = Recipient::Router(from.ip());
             self.router.outbox.put(recipient, origin);
         }
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -54,7 +54,7 @@
     pub(crate) availability_changed: event_listener::Event,
     /// Notified when a model has new target weights.
     pub(crate) target_changed: event_listener::Event,
-    /// Notified when a router or an agent said which software version began a stream.
+    /// Notified when a router or an agent said where a stream began.
     pub(crate) origin_received: event_listener::Event,
     /// Notified when an agent sent a status report.
     pub(crate) status_received: event_listener::Event,
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -45,7 +45,8 @@
     Poison,
     /// No runner can take the request now.
     NoRunner,
-    /// Nobody knows which software version began the stream that is taken up.
+    /// Nobody knows where the stream that is taken up began, or the route no longer
+    /// leads there.
     UnknownOrigin,
     /// Every runner has had as many requests as it allows.
     Limited,
@@ -91,12 +92,16 @@
 
 pub(super) async fn serve(router: &rc::Rc<Router>, request: &Request, answer: &mut Answer) {
     router.metrics.count(Counter::Requests);
-    let plan = match plan(router, request) {
+    let mut plan = match plan(router, request) {
         Ok(plan) => plan,
         Err((status, reason)) => return reject(router, request, answer, status, reason).await,
     };
-    router.state().on_request(plan.received, &plan.service);
     let mut progress = Progress::default();
+    if let Err(stream_origin::Unknown) = stream_origin::bind(router, &mut plan).await {
+        let end = RequestEnd::OwnAnswer(Reason::UnknownOrigin, router.settings.retry_after);
+        return finish(router, &plan, &progress, answer, end).await;
+    }
+    router.state().on_request(plan.received, &plan.service);
     let end = {
         let run = run(router, &plan, request, &mut progress, answer);
         let timeout = async {
@@ -186,9 +191,6 @@
     progress: &mut Progress,
     answer: &mut Answer,
 ) -> RequestEnd {
-    if let Err(stream_origin::Unknown) = stream_origin::resolve(router, plan).await {
-        return RequestEnd::OwnAnswer(Reason::UnknownOrigin, router.settings.retry_after);
-    }
     let mut exclude = Vec::new();
     // A stream that has started is not given up after a refusal: the runner that
     // refused to resume it is retried.
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -11,8 +11,7 @@
     poison,
 };
 use lentil_types::{
-    ConfigVersion, Fingerprint, Instant, ModelName, ServiceName, SoftwareVersion, Table, Tokens,
-    WeightsVersion,
+    ConfigVersion, Fingerprint, Instant, ModelName, ServiceName, Table, Tokens, WeightsVersion,
 };
 
 use super::Settings;
@@ -40,8 +39,8 @@
     /// Requests whose connection broke, until it is known whether the runner died.
     broken: Vec<(Instant, runners::Incarnation, Fingerprint)>,
     suspects: poison::Suspects,
-    /// Software version of the events that callers got of recent streams.
-    pub streams: stream_origins::RecentStreams<SoftwareVersion>,
+    /// Where recent streams began of which callers got events.
+    pub streams: stream_origins::RecentStreams<stream_origins::Origin>,
     /// Questions for the origin of a stream that are being asked.
     pub lookups: Table<backlog::RequestHash, stream_origins::OriginLookup>,
 }
--- a/crates/lentil_forward/src/router/stream_origin.rs
+++ b/crates/lentil_forward/src/router/stream_origin.rs
@@ -1,11 +1,13 @@
-//! Keeps a stream at the software version that began it, also when its caller takes it up
-//! at another router.
+//! Keeps a stream at the service and software version that began it, also when its caller
+//! takes it up at another router.
 
 use std::{rc, time};
 
-use lentil_policy::forward::{backlog, placement, routing, stream_origins};
+use lentil_policy::forward::{
+    backlog, placement, routing,
+    stream_origins::{Origin, OriginLookup},
+};
 use lentil_process::metrics::Counter;
-use lentil_types::SoftwareVersion;
 
 use super::{Router, plan::Plan};
 use crate::{
@@ -13,7 +15,7 @@
     peers::Recipient,
 };
 
-/// Nobody knows which software version began the stream.
+/// Nobody knows where the stream began, or the route no longer leads there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Unknown;
 
@@ -25,54 +27,63 @@
     plan.route.timeout.saturating_mul(RETENTION_TIMEOUTS)
 }
 
-/// Binds a request that takes a stream up again to the software version that began it.
-pub(super) async fn resolve(router: &rc::Rc<Router>, plan: &Plan) -> Result<(), Unknown> {
+/// Binds a request that takes a stream up again to the stream's origin.
+pub(super) async fn bind(router: &rc::Rc<Router>, plan: &mut Plan) -> Result<(), Unknown> {
     if plan.resumes.is_none() || !plan.route.repeat.is_stream() {
         return Ok(());
     }
-    let known = known_origin(router, plan);
-    let software = match known {
-        Some(software) => software,
+    let origin = match known_origin(router, plan) {
+        Some(origin) => origin,
         None => ask(router, plan).await.ok_or(Unknown)?,
     };
+    let mut targets = plan.route.targets.iter();
+    if !targets.any(|target| target.service == origin.service && target.weight > 0) {
+        return Err(Unknown);
+    }
     router.metrics.count(Counter::StreamsTakenUp);
     let now = router.now();
     let mut state = router.state();
     state
         .streams
-        .note(now, plan.stream(), software.clone(), retention(plan));
-    *plan.software.borrow_mut() = Some(software);
+        .note(now, plan.stream(), origin.clone(), retention(plan));
+    plan.service = origin.service;
+    plan.software.replace(Some(origin.software));
     Ok(())
 }
 
-/// The version that this router knows to have begun the stream, or the only one that may
-/// have.
-fn known_origin(router: &Router, plan: &Plan) -> Option<SoftwareVersion> {
+/// The origin as this router knows it, or the only one that there may be.
+fn known_origin(router: &Router, plan: &Plan) -> Option<Origin> {
     let now = router.now();
     let state = router.state();
-    let noted = state.streams.get(now, plan.stream());
-    let sole = || {
-        let runners = state.runners();
-        runners.sole_software(now, &plan.service, retention(plan))
+    if let Some(noted) = state.streams.get(now, plan.stream()) {
+        return Some(noted.clone());
+    }
+    let [target] = &plan.route.targets[..] else {
+        return None;
     };
-    noted.or_else(sole).cloned()
+    let runners = state.runners();
+    let software = runners.sole_software(now, &target.service, retention(plan))?;
+    Some(Origin {
+        service: target.service.clone(),
+        software: software.clone(),
+    })
 }
 
-/// Asks the other routers and the agents of the service.
-async fn ask(router: &rc::Rc<Router>, plan: &Plan) -> Option<SoftwareVersion> {
+/// Asks the other routers and the agents of the route's services.
+async fn ask(router: &rc::Rc<Router>, plan: &Plan) -> Option<Origin> {
     let stream = plan.stream();
     let lookup = Lookup::start(router.clone(), stream);
-    for recipient in [
-        Recipient::Routers,
-        Recipient::AgentsOf(plan.service.clone()),
-    ] {
+    let targets = plan.route.targets.iter();
+    let agents = targets.map(|target| Recipient::AgentsOf(target.service.clone()));
+    for recipient in std::iter::once(Recipient::Routers).chain(agents) {
         router.outbox.put(recipient, Datagram::StreamQuery(stream));
     }
     let settings = &router.settings;
-    let first = lookup.wait_until(stream_origins::OriginLookup::has_answer);
-    within(settings.probe_timeout, first).await;
+    let time_left = plan.time_to_start(router.now(), settings.answer_margin);
+    let first = lookup.wait_until(OriginLookup::has_answer);
+    within(settings.probe_timeout.min(time_left), first).await;
     // Agents of several versions may answer, and a router knows better.
-    let confirmed = lookup.wait_until(stream_origins::OriginLookup::is_confirmed);
+    let confirmed = lookup.wait_until(OriginLookup::is_confirmed);
     within(settings.ask_timeout, confirmed).await;
     lookup.finish()
 }
@@ -95,11 +106,11 @@
         router
             .state()
             .lookups
-            .get_or_insert_with(stream, stream_origins::OriginLookup::default);
+            .get_or_insert_with(stream, OriginLookup::default);
         Self { router, stream }
     }
 
-    async fn wait_until(&self, holds: impl Fn(&stream_origins::OriginLookup) -> bool) {
+    async fn wait_until(&self, holds: impl Fn(&OriginLookup) -> bool) {
         loop {
             let received = self.router.origin_received.listen();
             if self
@@ -115,11 +126,11 @@
         }
     }
 
-    fn finish(self) -> Option<SoftwareVersion> {
+    fn finish(self) -> Option<Origin> {
         let lookup = self.router.state().lookups.get(&self.stream).cloned();
-        let version = lookup.and_then(stream_origins::OriginLookup::into_version);
+        let origin = lookup.and_then(OriginLookup::into_origin);
         // Another request that took up the same stream may have ended the question.
-        version.or_else(|| self.router.stream_software(self.stream))
+        origin.or_else(|| self.router.stream_origin(self.stream))
     }
 }
 
@@ -129,24 +140,27 @@
     }
 }
 
-/// Remembers which software version began a stream, before its caller gets the first event.
-/// While several versions serve, the agent of the runner remembers it too, in case this
-/// router is gone when the caller comes back.
+/// Remembers where a stream began, before its caller gets the first event. While several
+/// versions serve, the agent of the runner remembers it too, in case this router is gone
+/// when the caller comes back.
 pub(super) fn note(router: &Router, plan: &Plan, choice: &placement::Choice) {
-    *plan.software.borrow_mut() = Some(choice.software.clone());
+    plan.software.replace(Some(choice.software.clone()));
     if plan.route.repeat != routing::Repeat::Resumable {
         return;
     }
     let now = router.now();
     let (stream, retention) = (plan.stream(), retention(plan));
+    let origin = Origin {
+        service: plan.service.clone(),
+        software: choice.software.clone(),
+    };
     let mut state = router.state();
-    state
-        .streams
-        .note(now, stream, choice.software.clone(), retention);
+    state.streams.note(now, stream, origin, retention);
     let versions = state
         .runners()
         .recent_software(now, &plan.service, retention);
-    if versions.len() > 1 && choice.version.is_some() {
+    let is_ambiguous = versions.len() > 1 || plan.route.targets.len() > 1;
+    if is_ambiguous && choice.version.is_some() {
         let run = StreamRun {
             stream,
             incarnation: choice.incarnation.clone(),
@@ -157,16 +171,16 @@
 }
 
 impl Router {
-    /// Software version whose events a caller got of a recent stream.
-    pub(crate) fn stream_software(&self, stream: backlog::RequestHash) -> Option<SoftwareVersion> {
+    /// Where a recent stream began of which this router passed on events.
+    pub(crate) fn stream_origin(&self, stream: backlog::RequestHash) -> Option<Origin> {
         let now = self.now();
         self.state().streams.get(now, stream).cloned()
     }
 
-    /// Another router knows which software version began a stream.
-    pub(crate) fn on_stream_origin(&self, origin: StreamOrigin) {
-        if let Some(lookup) = self.state().lookups.get_mut(&origin.stream) {
-            lookup.on_router(origin.software);
+    /// Another router knows where a stream began.
+    pub(crate) fn on_stream_origin(&self, known: StreamOrigin) {
+        if let Some(lookup) = self.state().lookups.get_mut(&known.stream) {
+            lookup.on_router(known.origin);
         }
         self.origin_received.notify(usize::MAX);
     }
@@ -174,10 +188,10 @@
     /// An agent's runner ran the request that began a stream.
     pub(crate) fn on_stream_seen(&self, run: &StreamRun) {
         let mut state = self.state();
-        let software = state.runners().software(&run.incarnation).cloned();
+        let origin = state.runners().origin(&run.incarnation);
         let lookup = state.lookups.get_mut(&run.stream);
-        if let (Some(lookup), Some(software)) = (lookup, software) {
-            lookup.on_agent(software);
+        if let (Some(lookup), Some(origin)) = (lookup, origin) {
+            lookup.on_agent(origin);
         }
         drop(state);
         self.origin_received.notify(usize::MAX);
--- a/crates/lentil_forward/tests/messages.rs
+++ b/crates/lentil_forward/tests/messages.rs
@@ -14,7 +14,7 @@
     forward::{
         backlog, rollout_pacer,
         runners::{Incarnation, SegmentKey, SegmentUpdate, Status},
-        status_schedule,
+        status_schedule, stream_origins,
     },
     store::ObjectVersion,
 };
@@ -102,7 +102,10 @@
         Datagram::StreamQuery(backlog::RequestHash(u64::MAX)),
         Datagram::StreamOrigin(StreamOrigin {
             stream: backlog::RequestHash(5),
-            software: "v1.1".parse().unwrap(),
+            origin: stream_origins::Origin {
+                service: "sort".parse().unwrap(),
+                software: "v1.1".parse().unwrap(),
+            },
         }),
         Datagram::StreamSeen(StreamRun {
             stream: backlog::RequestHash(5),
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -11,7 +11,7 @@
 
 use lentil_types::{Instant, RunnerName, ServiceName, SoftwareVersion, Table};
 
-use crate::forward::stream_origins::SoftwareHistory;
+use crate::forward::stream_origins::{Origin, SoftwareHistory};
 
 use announcements::Announcements;
 pub use announcements::{
@@ -371,11 +371,13 @@
         !was_silent
     }
 
-    /// Software version of a runner that is registered or has left.
-    pub fn software(&self, incarnation: &Incarnation) -> Option<&SoftwareVersion> {
-        let registered = self.get(incarnation);
-        let registered = registered.map(|runner| &runner.registration.software);
-        registered.or_else(|| self.software.departed(incarnation))
+    /// Service and software of a runner that is registered or has left.
+    pub fn origin(&self, incarnation: &Incarnation) -> Option<Origin> {
+        let registered = self.get(incarnation).map(|runner| Origin {
+            service: runner.registration.service.clone(),
+            software: runner.registration.software.clone(),
+        });
+        registered.or_else(|| self.software.departed(incarnation).cloned())
     }
 
     /// Software versions that runners of a service have had within `span`.
--- a/crates/lentil_policy/src/forward/stream_origins.rs
+++ b/crates/lentil_policy/src/forward/stream_origins.rs
@@ -1,4 +1,4 @@
-//! Which software version of a service began a stream.
+//! Which service, and which version of its software, began a stream.
 //!
 //! What two versions write does not fit together, and runners do not check it, so a stream
 //! continues only at the version that began it. Routers and agents remember streams for a
@@ -18,6 +18,15 @@
 /// Most incarnations remembered that have left.
 const MAX_DEPARTED: usize = 256;
 
+/// Where a stream began. It goes on only there.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Origin {
+    /// The service. A route may be split between several.
+    pub service: ServiceName,
+    /// Version of the software.
+    pub software: SoftwareVersion,
+}
+
 /// What is known of recent streams, by the request that began each.
 #[derive(Clone, Debug)]
 pub struct RecentStreams<T> {
@@ -78,7 +87,7 @@
 pub struct SoftwareHistory {
     services: Table<ServiceName, ServiceHistory>,
     /// Runners that have left, oldest first.
-    departed: Vec<(Incarnation, SoftwareVersion)>,
+    departed: Vec<(Incarnation, Origin)>,
 }
 
 impl SoftwareHistory {
@@ -115,14 +124,18 @@
         if self.departed.len() >= MAX_DEPARTED {
             self.departed.remove(0);
         }
-        self.departed.push((incarnation.clone(), software.clone()));
+        let origin = Origin {
+            service: service.clone(),
+            software: software.clone(),
+        };
+        self.departed.push((incarnation.clone(), origin));
     }
 
-    /// Software version of a runner that has left.
-    pub fn departed(&self, incarnation: &Incarnation) -> Option<&SoftwareVersion> {
+    /// Service and software of a runner that has left.
+    pub fn departed(&self, incarnation: &Incarnation) -> Option<&Origin> {
         let mut departed = self.departed.iter().rev();
         let found = departed.find(|(other, _)| other == incarnation);
-        found.map(|(_, software)| software)
+        found.map(|(_, origin)| origin)
     }
 
     /// Versions that runners of a service have had within `span`: `registered` now, and
@@ -153,25 +166,25 @@
     }
 }
 
-/// Answers to the question which software version began a stream.
+/// Answers to the question where a stream began.
 #[derive(Clone, Debug, Default)]
 pub struct OriginLookup {
     /// By a router that sent the caller events of the stream.
-    confirmed: Option<SoftwareVersion>,
+    confirmed: Option<Origin>,
     /// By agents whose runners ran its first request. More than one may have.
-    candidates: Vec<SoftwareVersion>,
+    candidates: Vec<Origin>,
 }
 
 impl OriginLookup {
-    /// A router knows the version.
-    pub fn on_router(&mut self, software: SoftwareVersion) {
-        self.confirmed = Some(software);
+    /// A router knows the origin.
+    pub fn on_router(&mut self, origin: Origin) {
+        self.confirmed = Some(origin);
     }
 
-    /// A runner of this version ran the request that began the stream.
-    pub fn on_agent(&mut self, software: SoftwareVersion) {
-        if let Err(index) = self.candidates.binary_search(&software) {
-            self.candidates.insert(index, software);
+    /// A runner of this origin ran the request that began the stream.
+    pub fn on_agent(&mut self, origin: Origin) {
+        if let Err(index) = self.candidates.binary_search(&origin) {
+            self.candidates.insert(index, origin);
         }
     }
 
@@ -185,9 +198,9 @@
         self.is_confirmed() || !self.candidates.is_empty()
     }
 
-    /// The version that began the stream. `None` if it is not known, or runners of several
-    /// versions ran its first request.
-    pub fn into_version(mut self) -> Option<SoftwareVersion> {
+    /// Where the stream began. `None` if it is not known, or runners of several origins ran
+    /// its first request.
+    pub fn into_origin(mut self) -> Option<Origin> {
         let sole = if self.candidates.len() == 1 {
             self.candidates.pop()
         } else {
--- a/crates/lentil_policy/tests/forward_stream_origins.rs
+++ b/crates/lentil_policy/tests/forward_stream_origins.rs
@@ -5,7 +5,7 @@
 use lentil_policy::forward::{
     backlog::RequestHash,
     runners::{Incarnation, Registration, Runners, Settings},
-    stream_origins::{OriginLookup, RecentStreams},
+    stream_origins::{Origin, OriginLookup, RecentStreams},
 };
 use lentil_types::{Instant, ServiceName, SoftwareVersion};
 
@@ -23,6 +23,13 @@
     "sort".parse().unwrap()
 }
 
+fn origin(software: &str) -> Origin {
+    Origin {
+        service: service(),
+        software: version(software),
+    }
+}
+
 fn registration(name: &str, software: &str) -> Registration {
     Registration {
         incarnation: Incarnation {
@@ -76,7 +83,7 @@
     assert_eq!(sole(&runners, at(26_000)), None, "v1 has just left");
     assert_eq!(sole(&runners, at(27_100)), Some(version("v2")));
     let departed = registration("a", "v1").incarnation;
-    assert_eq!(runners.software(&departed), Some(&version("v1")));
+    assert_eq!(runners.origin(&departed), Some(origin("v1")));
 }
 
 #[test]
@@ -89,12 +96,12 @@
 fn agents_decide_only_if_they_agree_and_a_router_always() {
     let mut lookup = OriginLookup::default();
     assert!(!lookup.has_answer());
-    lookup.on_agent(version("v1"));
-    lookup.on_agent(version("v1"));
-    assert_eq!(lookup.clone().into_version(), Some(version("v1")));
-    lookup.on_agent(version("v2"));
-    assert_eq!(lookup.clone().into_version(), None);
-    lookup.on_router(version("v2"));
+    lookup.on_agent(origin("v1"));
+    lookup.on_agent(origin("v1"));
+    assert_eq!(lookup.clone().into_origin(), Some(origin("v1")));
+    lookup.on_agent(origin("v2"));
+    assert_eq!(lookup.clone().into_origin(), None);
+    lookup.on_router(origin("v2"));
     assert!(lookup.is_confirmed());
-    assert_eq!(lookup.into_version(), Some(version("v2")));
+    assert_eq!(lookup.into_origin(), Some(origin("v2")));
 }
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -88,7 +88,7 @@
     AttemptsFailed,
     /// Requests refused by a runner and proven not to have run.
     RunnerRefusals,
-    /// Streams that callers took up again and whose software version was found.
+    /// Streams that callers took up again and whose origin was found.
     StreamsTakenUp,
     /// Streams that ended before their last event.
     StreamsCut,
@@ -123,7 +123,7 @@
     OwnPoison,
     /// Router's own errors: no runner may take requests.
     OwnNoRunner,
-    /// Router's own errors: nobody knows which software version began the stream.
+    /// Router's own errors: nobody knows where the stream began that is taken up.
     OwnUnknownOrigin,
     /// Router's own errors: every runner has had as many requests as it allows.
     OwnLimited,
