Bound the memory of answers that are not complete

New on the platform: a runner in trouble may send bytes without end, in a head or a body, until the router closes the connection.

Seen: heads, chunk lines, events and bodies without end already failed soon, with the connection closed (two tests that passed at once). But each unfinished answer may take 4 MiB, each unfinished event 1 MiB, and nothing bounded their sum: unfinished_answers_take_a_bounded_part_of_the_memory failed before the change with 40 of 40 answers of 1 MiB held by a router that is allowed 64 MiB. A few sick runners could have ended a router of 88 MiB.

Change: unfinished answers reserve memory like the bodies of requests do, with a limit of their own, an eighth of the process's memory; one that does not fit is given up like an invalid answer, but does not count against its runner. Bodies that are skipped (refusals, answers to other requests) are dropped as they are read.

--- a/crates/lentil_forward/src/events.rs
+++ b/crates/lentil_forward/src/events.rs
@@ -53,6 +53,11 @@
         self.rest.split().freeze()
     }
 
+    /// Bytes kept of an event that is not whole yet.
+    pub fn unfinished_bytes(&self) -> usize {
+        self.rest.len()
+    }
+
     /// Whether no bytes follow the last whole event.
     pub fn is_whole(&self) -> bool {
         self.rest.is_empty()
--- a/crates/lentil_forward/src/router/answer.rs
+++ b/crates/lentil_forward/src/router/answer.rs
@@ -6,15 +6,17 @@
 use futures_lite::AsyncWriteExt as _;
 use smol::net::TcpStream;
 
+use super::body_memory::BodyReservation;
 use crate::h1;
 
 /// A complete answer of a runner or the router.
-#[derive(Clone, Debug)]
 pub(super) struct CompleteAnswer {
     pub(super) status: u16,
     pub(super) reason: compact_str::CompactString,
     pub(super) headers: h1::Headers,
     pub(super) body: Bytes,
+    /// Memory of the body; `None` for an answer of the router itself.
+    pub(super) _reservation: Option<BodyReservation>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,6 +88,7 @@
             reason: reason_phrase(status).into(),
             headers,
             body: Bytes::new(),
+            _reservation: None,
         };
         self.write_complete(&complete).await
     }
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -10,6 +10,7 @@
 use super::{
     Router, announcement,
     answer::{Answer, CompleteAnswer},
+    body_memory::{BodyKind, BodyReservation},
     connect,
     in_flight::InFlight,
     plan::{Plan, Request},
@@ -68,6 +69,8 @@
     Silent,
     /// The answer belongs to another request or violates the protocol.
     BadAnswer,
+    /// The unfinished answers of all runners take too much memory.
+    OutOfMemory,
 }
 
 /// How an attempt ended.
@@ -213,7 +216,9 @@
     plan.attempt_log.borrow_mut().settle(outcome);
     let signal = match end {
         AttemptEnd::Answered | AttemptEnd::Complete(_) => runners::HealthSignal::Success,
-        AttemptEnd::CallerLost | AttemptEnd::Failed(Failure::Refused) => return,
+        AttemptEnd::CallerLost | AttemptEnd::Failed(Failure::Refused | Failure::OutOfMemory) => {
+            return;
+        }
         AttemptEnd::Failed(Failure::Unreachable) => runners::HealthSignal::Unreachable,
         AttemptEnd::Failed(_) => runners::HealthSignal::Failure,
     };
@@ -338,16 +343,57 @@
             if head.framing == h1::Framing::UntilClose {
                 return Err(Failure::BadAnswer);
             }
-            let limit = self.router.settings.answer_bytes;
-            let mut reader = h1::BodyReader::new(head.framing);
-            reader
-                .all(&mut self.connection, limit)
-                .await
-                .map_err(|error| read_failure(&error))?;
+            self.skip_body(&mut h1::BodyReader::new(head.framing))
+                .await?;
         }
         Err(Failure::BadAnswer)
     }
 
+    /// Reads the rest of a body and drops it. One larger than the largest answer may have
+    /// no end.
+    async fn skip_body(&mut self, reader: &mut h1::BodyReader) -> Result<(), Failure> {
+        let mut skipped = 0;
+        while let Some(bytes) = self.read_bytes(reader).await? {
+            skipped += bytes.len();
+            if skipped > self.router.settings.answer_bytes {
+                return Err(Failure::BadAnswer);
+            }
+        }
+        Ok(())
+    }
+
+    /// The next bytes of a body, `None` at its end.
+    async fn read_bytes(
+        &mut self,
+        reader: &mut h1::BodyReader,
+    ) -> Result<Option<bytes::Bytes>, Failure> {
+        let bytes = reader.next(&mut self.connection).await;
+        bytes.map_err(|error| read_failure(&error))
+    }
+
+    /// Reads a whole body within the limit of one answer and of all buffered bodies.
+    async fn read_body(
+        &mut self,
+        reader: &mut h1::BodyReader,
+    ) -> Result<(bytes::Bytes, BodyReservation), Failure> {
+        let mut reservation = BodyReservation::new(self.router, BodyKind::Answer);
+        let mut body = bytes::BytesMut::new();
+        while let Some(bytes) = self.read_bytes(reader).await? {
+            let size = body.len() + bytes.len();
+            if size > self.router.settings.answer_bytes {
+                return Err(Failure::BadAnswer);
+            }
+            if !reservation.try_resize(size) {
+                return Err(Failure::OutOfMemory);
+            }
+            if body.is_empty() && reader.is_done() {
+                return Ok((bytes, reservation));
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok((body.freeze(), reservation))
+    }
+
     fn on_head(&mut self, head: &h1::ResponseHead, progress: &mut Progress) {
         let now = self.router.now();
         let names = &self.router.names;
@@ -421,8 +467,7 @@
             state.runners_mut().on_replaced(&self.choice.incarnation);
         }
         let mut reader = h1::BodyReader::new(head.framing);
-        let limit = self.router.settings.answer_bytes;
-        if reader.all(&mut self.connection, limit).await.is_ok() {
+        if self.skip_body(&mut reader).await.is_ok() {
             self.return_connection(head, &reader);
         }
         AttemptEnd::Failed(Failure::Refused)
@@ -431,10 +476,9 @@
     /// Reads an answer that is sent to the caller only when complete.
     async fn read_complete(&mut self, head: &h1::ResponseHead) -> AttemptEnd {
         let mut reader = h1::BodyReader::new(head.framing);
-        let limit = self.router.settings.answer_bytes;
-        let body = match reader.all(&mut self.connection, limit).await {
-            Ok(body) => body,
-            Err(error) => return AttemptEnd::Failed(read_failure(&error)),
+        let (body, reservation) = match self.read_body(&mut reader).await {
+            Ok(end) => end,
+            Err(failure) => return AttemptEnd::Failed(failure),
         };
         self.in_flight.on_bytes();
         self.return_connection(head, &reader);
@@ -443,6 +487,7 @@
             reason: head.reason.clone(),
             headers: upstream::answer_headers(&self.router.names, &head.headers),
             body,
+            _reservation: Some(reservation),
         })
     }
 
@@ -455,6 +500,7 @@
     ) -> AttemptEnd {
         let mut reader = h1::BodyReader::new(head.framing);
         let mut events = EventSplitter::after(progress.last_event.clone());
+        let mut reservation = BodyReservation::new(self.router, BodyKind::Answer);
         loop {
             let bytes = match self.next_bytes(&mut reader).await {
                 Ok(Some(bytes)) => bytes,
@@ -465,6 +511,9 @@
             let Ok(complete) = events.push(&bytes) else {
                 return AttemptEnd::Failed(Failure::BadAnswer);
             };
+            if !reservation.try_resize(events.unfinished_bytes()) {
+                return AttemptEnd::Failed(Failure::OutOfMemory);
+            }
             if complete.is_empty() {
                 continue;
             }
--- a/crates/lentil_forward/src/router/caller.rs
+++ b/crates/lentil_forward/src/router/caller.rs
@@ -109,7 +109,7 @@
         Err(None) => return ReadResult::Rejected(408),
         Err(Some(error)) => return rejection(&error),
     };
-    let Some(reservation) = BodyReservation::try_new(router, body_size(&head, &limits)) else {
+    let Some(reservation) = BodyReservation::for_request(router, body_size(&head, &limits)) else {
         return ReadResult::Rejected(503);
     };
     match read_body(connection, &head, &limits).await {
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -64,8 +64,8 @@
     pub(crate) stopping: event_listener::Event,
     stopping_since: cell::Cell<Option<Instant>>,
     callers: cell::Cell<usize>,
-    /// Bytes of all body reservations.
-    reserved_bytes: cell::Cell<usize>,
+    /// Bytes of all body reservations of each kind.
+    reserved_bytes: [cell::Cell<usize>; body_memory::BodyKind::COUNT],
 }
 
 impl Router {
@@ -96,7 +96,7 @@
             stopping: event_listener::Event::new(),
             stopping_since: cell::Cell::new(None),
             callers: cell::Cell::new(0),
-            reserved_bytes: cell::Cell::new(0),
+            reserved_bytes: Default::default(),
         })
     }
 
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -415,7 +415,9 @@
     match failure {
         Failure::Unreachable => Reason::Unreachable,
         Failure::Refused => Reason::Refused,
-        Failure::Broken | Failure::Silent | Failure::BadAnswer => Reason::RunnerFailed,
+        Failure::Broken | Failure::Silent | Failure::BadAnswer | Failure::OutOfMemory => {
+            Reason::RunnerFailed
+        }
     }
 }
 
