--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -151,16 +151,7 @@
                 (from, Datagram::StreamQuery(stream)) => {
                     self.on_stream_query(from, stream).await;
                 }
-                (_, Datagram::StreamNoted(run)) => {
-                    let now = self.clock.now();
-                    let retention = self.settings.stream_retention;
-                    self.state.borrow_mut().note_stream(
-                        now,
-                        run.stream,
-                        run.incarnation,
-                        retention,
-                    );
-                }
+                (_, Datagram::StreamNoted(run)) => self.on_stream_noted(run),
                 (
                     from,
                     Datagram::StatusReport(_)
@@ -294,6 +285,13 @@
         }
     }
 
+    fn on_stream_noted(&self, run: StreamRun) {
+        let now = self.clock.now();
+        let retention = self.settings.stream_retention;
+        let mut state = self.state.borrow_mut();
+        state.note_stream(now, run.stream, run.incarnation, retention);
+    }
+
     /// Answers a router whose caller takes a stream up again, if the runner began it.
     async fn on_stream_query(&self, from: net::SocketAddr, stream: backlog::RequestHash) {
         let now = self.clock.now();
--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -93,8 +93,8 @@
     cached: cell::RefCell<[CachedDocuments; Kind::COUNT]>,
     /// Addresses at which other routers serve documents, sorted.
     peers: cell::RefCell<Vec<net::SocketAddr>>,
-    /// Notified when a call fails or shows that the store was away: calls that wait on
-    /// other connections may have been lost too.
+    /// Notified when the store stops answering a kind of call, answers again, or has come
+    /// back from a copy: calls that wait on other connections may have been lost too.
     disturbed: event_listener::Event,
     /// Notified when another router has a newer document.
     noticed: event_listener::Event,
@@ -159,6 +159,7 @@
                     if failures > 0 {
                         let silent_ms = self.silent_ms(kind);
                         log::info!(kind:%, failures, silent_ms:?; "the store answers again");
+                        self.disturbed.notify(usize::MAX);
                     }
                     failures = 0;
                     self.on_success(kind);
@@ -231,8 +232,9 @@
         Ok(Completion::Answered)
     }
 
-    /// Returns when a call that waits for changes may never be answered: another call has
-    /// failed since, or another router has had a newer document for a while.
+    /// Returns when a call that waits for changes may never be answered: calls for another
+    /// kind have failed or recovered since, or another router has had a newer document for
+    /// a while.
     async fn wait_until_doubted(&self, kind: Kind) {
         let disturbed = self.disturbed.listen();
         let outdated = async {
--- a/crates/lentil_policy/src/forward/stream_origins.rs
+++ b/crates/lentil_policy/src/forward/stream_origins.rs
@@ -150,12 +150,14 @@
         let history = self.services.get(service);
         let left = history.into_iter().flat_map(|history| &history.versions);
         let left = left.filter(|(_, seen_at)| now.since(*seen_at) < span);
-        let mut versions: Vec<_> = left
-            .map(|(software, _)| software)
-            .chain(registered)
-            .collect();
-        versions.sort_unstable();
-        versions.dedup();
+        let left = left.map(|(software, _)| software);
+        // There are many runners and few versions.
+        let mut versions = Vec::new();
+        for software in left.chain(registered) {
+            if !versions.contains(&software) {
+                versions.push(software);
+            }
+        }
         versions
     }
 
