--- a/crates/lentil_forward/src/router/settings.rs
+++ b/crates/lentil_forward/src/router/settings.rs
@@ -81,9 +81,9 @@
     pub linger: time::Duration,
     /// Most open connections of callers.
     pub max_callers: usize,
-    /// Most bytes of request bodies buffered at once, and twice those of answers that are
-    /// not complete. A request whose body does not fit is rejected before the body is read;
-    /// an answer that does not fit is given up.
+    /// Most bytes of request bodies buffered at once. A request whose body does not fit is
+    /// rejected before the body is read. Answers that are not complete have half as much
+    /// for themselves; one that does not fit is given up.
     pub body_memory: usize,
 }
 
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -15,7 +15,7 @@
 //! - [`status_schedule`]: when an agent reports its runner's status to the routers.
 //! - [`rollout_pacer`]: how many runners change to new weights at once, and which.
 //! - [`rollout_schedule`]: when a runner changes that no router reaches.
-//! - [`stream_origins`]: which software version began a stream.
+//! - [`stream_origins`]: which service and software version began a stream.
 //! - [`watch_doubts`]: when a call that waits for changes of the store is ended.
 
 pub mod attempt_log;
