Log what ran when a runner died, and how its death was found

Change: one line for each death and router: the sign, the delay, the number of requests, and the segments with how many requests had each. A request keeps a line of its own from its second crash on. No change of what is refused.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -14,7 +14,10 @@
     connect,
     in_flight::InFlight,
     plan::{Plan, Request},
-    stream_origin, upstream,
+    state::BrokenRequest,
+    stream_origin,
+    updates::DeathSign,
+    upstream,
 };
 use crate::{datagram::Datagram, events::EventSplitter, h1, peers::Recipient};
 
@@ -222,18 +225,23 @@
         AttemptEnd::Failed(Failure::Unreachable) => runners::HealthSignal::Unreachable,
         AttemptEnd::Failed(_) => runners::HealthSignal::Failure,
     };
-    let now = router.now();
     router.on_health_signal(&choice.incarnation, signal);
     match end {
         AttemptEnd::Answered | AttemptEnd::Complete(_) => {
             router.state().on_survived(plan.fingerprint);
         }
         AttemptEnd::Failed(Failure::Broken) => {
-            router
-                .state()
-                .on_broken(now, &choice.incarnation, plan.fingerprint);
+            let broken = BrokenRequest {
+                broken_at: router.now(),
+                incarnation: choice.incarnation.clone(),
+                fingerprint: plan.fingerprint,
+                segments: plan.shared_segments().collect(),
+            };
+            router.state().on_broken(broken);
+        }
+        AttemptEnd::Failed(Failure::Unreachable) => {
+            router.on_dead(&choice.incarnation, DeathSign::Unreachable);
         }
-        AttemptEnd::Failed(Failure::Unreachable) => router.on_dead(&choice.incarnation),
         _ => {}
     }
 }
--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -120,6 +120,12 @@
         self.segments.iter().map(|(_, tokens)| *tokens).sum()
     }
 
+    /// Segments that other requests may have in common with this one: all but the last.
+    pub(super) fn shared_segments(&self) -> impl Iterator<Item = SegmentId> {
+        let last = self.segments.len().saturating_sub(1);
+        self.segments[..last].iter().map(|(id, _)| *id)
+    }
+
     /// Whether the request may be sent again even if an attempt has run it.
     pub(super) fn can_repeat(&self) -> bool {
         self.route.repeat.is_repeatable() && self.attempt_log.borrow().may_send(&self.route)
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -37,7 +37,7 @@
     pacing: rollout_pacer::Settings,
     crashes: Table<Fingerprint, Vec<runners::Incarnation>>,
     /// Requests whose connection broke, until it is known whether the runner died.
-    broken: Vec<(Instant, runners::Incarnation, Fingerprint)>,
+    broken: Vec<BrokenRequest>,
     suspects: poison::Suspects,
     /// Where recent streams began of which callers got events.
     pub streams: stream_origins::RecentStreams<stream_origins::Origin>,
@@ -54,6 +54,16 @@
 /// requests that merely ran on the same runner are counted too.
 const FATAL_CRASHES: usize = 3;
 
+/// A request whose connection to a runner broke before its answer was complete.
+#[derive(Clone, Debug)]
+pub(super) struct BrokenRequest {
+    pub(super) broken_at: Instant,
+    pub(super) incarnation: runners::Incarnation,
+    pub(super) fingerprint: Fingerprint,
+    /// Segments that it may share with other requests.
+    pub(super) segments: Vec<runners::SegmentId>,
+}
+
 impl State {
     pub(super) fn new(settings: &Settings) -> Self {
         Self {
@@ -225,30 +235,27 @@
     }
 
     /// Records that a request's connection to a runner broke.
-    pub fn on_broken(
-        &mut self,
-        now: Instant,
-        incarnation: &runners::Incarnation,
-        fingerprint: Fingerprint,
-    ) {
-        let is_recent = |at: &Instant| now.since(*at) <= BROKEN_RETENTION;
-        self.broken.retain(|(at, ..)| is_recent(at));
+    pub(super) fn on_broken(&mut self, request: BrokenRequest) {
+        let now = request.broken_at;
+        self.broken
+            .retain(|other| now.since(other.broken_at) <= BROKEN_RETENTION);
         if self.broken.len() < MAX_CRASHES {
-            self.broken.push((now, incarnation.clone(), fingerprint));
+            self.broken.push(request);
         }
     }
 
-    /// Returns the requests whose connection to a dead runner broke recently.
-    pub fn on_dead(
+    /// Returns the requests whose connection to a dead runner broke recently, oldest
+    /// first.
+    pub(super) fn on_dead(
         &mut self,
         now: Instant,
         incarnation: &runners::Incarnation,
-    ) -> Vec<Fingerprint> {
+    ) -> Vec<BrokenRequest> {
         let own = self
             .broken
-            .extract_if(.., |(_, other, _)| other == incarnation);
-        let recent = own.filter(|(at, ..)| now.since(*at) <= BROKEN_RETENTION);
-        recent.map(|(_, _, fingerprint)| fingerprint).collect()
+            .extract_if(.., |request| request.incarnation == *incarnation);
+        own.filter(|request| now.since(request.broken_at) <= BROKEN_RETENTION)
+            .collect()
     }
 
     /// Records a request that was running when a runner died. Returns its number of
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -1,13 +1,13 @@
 //! Applies documents, status reports and crash notices.
 
-use std::time;
+use std::{cmp, time};
 
 use lentil_platform::{Change, Changes, Document, Listing};
 use lentil_policy::forward::runners;
 use lentil_process::metrics::{Counter, Gauge};
-use lentil_types::Instant;
+use lentil_types::{Instant, Table};
 
-use super::Router;
+use super::{Router, state::BrokenRequest};
 use crate::{
     datagram::{self, Datagram},
     documents::Kind,
@@ -18,6 +18,37 @@
 /// may be older than the report that shows it.
 const DROPPED_STATUSES: u32 = 2;
 
+/// How a router learns that a runner has died.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum DeathSign {
+    /// A connection could not be opened.
+    Unreachable,
+    /// Another incarnation is registered under its name.
+    Restarted,
+    /// Its registration was removed.
+    Expired,
+}
+
+/// Most segments named in a line about a runner's death.
+const MAX_LOGGED_SEGMENTS: usize = 16;
+
+/// The segments of these requests, each with the number of requests that have it, the
+/// most frequent first.
+fn segment_counts(requests: &[BrokenRequest]) -> String {
+    let mut counts: Table<runners::SegmentId, usize> = Table::new();
+    for segment in requests.iter().flat_map(|request| &request.segments) {
+        *counts.get_or_insert_with(*segment, || 0) += 1;
+    }
+    let mut counts: Vec<_> = counts.iter().collect();
+    counts.sort_by_key(|(_, count)| cmp::Reverse(**count));
+    counts.truncate(MAX_LOGGED_SEGMENTS);
+    let words = counts
+        .iter()
+        .map(|(segment, count)| format!("{}x{count}", segment.0));
+    words.collect::<Vec<_>>().join(" ")
+}
+
 impl Router {
     /// Applies a complete listing of one kind of document.
     pub fn on_list(&self, kind: Kind, listing: &Listing) {
@@ -142,7 +173,7 @@
         if let (Some(old), Some(runners::ChangeKind::Restarted)) =
             (old, change.as_ref().map(|c| c.kind))
         {
-            self.on_dead(&old);
+            self.on_dead(&old, DeathSign::Restarted);
         }
         self.log_changes(change.as_slice());
         self.availability_changed.notify(usize::MAX);
@@ -155,7 +186,7 @@
         self.log_changes(change.as_slice());
         let is_gone = change.is_some_and(|change| change.kind == runners::ChangeKind::Gone);
         if let Some(old) = old.filter(|_| is_gone) {
-            self.on_dead(&old);
+            self.on_dead(&old, DeathSign::Expired);
         }
     }
 
@@ -259,12 +290,21 @@
     }
 
     /// Reports to all routers the requests that may have killed this runner.
-    pub(crate) fn on_dead(&self, incarnation: &runners::Incarnation) {
+    pub(crate) fn on_dead(&self, incarnation: &runners::Incarnation, sign: DeathSign) {
         let now = self.now();
-        let fingerprints = self.state().on_dead(now, incarnation);
-        for fingerprint in fingerprints {
+        let requests = self.state().on_dead(now, incarnation);
+        let Some(first) = requests.first() else {
+            return;
+        };
+        let after = now.since(first.broken_at).as_millis();
+        log::info!(
+            runner:% = incarnation.name, born = incarnation.boot_id, sign:%, after_ms = after,
+            requests = requests.len(), segments = segment_counts(&requests);
+            "a runner died while requests were running"
+        );
+        for request in requests {
             let crash = datagram::Crash {
-                fingerprint,
+                fingerprint: request.fingerprint,
                 incarnation: incarnation.clone(),
             };
             self.on_crash(&crash);
@@ -279,7 +319,10 @@
             .state()
             .on_crash(now, crash.fingerprint, crash.incarnation.clone());
         self.metrics.count(Counter::CrashNotices);
-        log::info!(fingerprint:% = crash.fingerprint, runner:% = crash.incarnation.name, born = crash.incarnation.boot_id, crashes = count; "request was running when a runner died");
+        // A first crash is in the line about the runner.
+        if count > 1 {
+            log::info!(fingerprint:% = crash.fingerprint, runner:% = crash.incarnation.name, born = crash.incarnation.boot_id, crashes = count; "request was running when a runner died");
+        }
     }
 
     /// An agent reports that its runner does not answer.
