Refuse segments of prompts that crash runners

Callers saw runner after runner end under requests with one segment in common: their own requests answered 502, and streams of others that ran beside them cut.

Cause: a router blamed whole requests, by a hash of method, path, key and body. Besides, a death was noticed when a connection was refused or the registration expired, up to 3.6 s late.

Change: crash_blame, a pure policy. A crash is evidence against every segment, but the last, of the requests that ran; a whole answer that began after it acquits its segments. The segment that explains most is refused after three crashes (four if others explain as many; two fifths of the crashes since its first one; five in any case), after a question to the other routers for whole answers. What it explains doesn't count against others. Below five crashes one request at a time tries it again. A death is also noticed by the agent's report that its runner is silent, and by another router's notice. Requests that wait for an answer when their segment is refused are ended.

Ruled out: lost notices between routers (the counts hardly differ), requests that waited at runners (the cases arrived 2 and 16 ms after they were sent).

--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -156,6 +156,10 @@
                     from,
                     Datagram::StatusReport(_)
                     | Datagram::Crash(_)
+                    | Datagram::CrashEvidence(_)
+                    | Datagram::SurvivalQuery(_)
+                    | Datagram::SegmentSurvived(_)
+                    | Datagram::SegmentRefused(_)
                     | Datagram::Loaded(_)
                     | Datagram::Silent(_)
                     | Datagram::Announcement(_)
--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -65,6 +65,38 @@
     pub incarnation: runners::Incarnation,
 }
 
+/// Segments of requests that were running when a runner died, each of which may have
+/// killed it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashEvidence {
+    /// The runner.
+    pub incarnation: runners::Incarnation,
+    /// Time since it died.
+    pub age: time::Duration,
+    /// Segments that other requests may share.
+    pub segments: Vec<runners::SegmentId>,
+}
+
+/// A segment, and the time since something happened with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SegmentAge {
+    /// The segment.
+    pub segment: runners::SegmentId,
+    /// Time since then.
+    pub age: time::Duration,
+}
+
+/// A router refuses requests with a segment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SegmentRefusal {
+    /// The segment, and the time since the first crash that it may have caused.
+    pub suspicion: SegmentAge,
+    /// How much longer it is refused.
+    pub remaining: time::Duration,
+    /// Runners that it may have crashed.
+    pub crashes: u32,
+}
+
 /// A router grants a runner its turn to change to new weights.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Turn {
@@ -158,6 +190,15 @@
     StreamSeen(StreamRun),
     /// From a router to the agent of the runner that has begun a stream.
     StreamNoted(StreamRun),
+    /// From a router to every other.
+    CrashEvidence(CrashEvidence),
+    /// From a router to every other: asks for whole answers with a segment that have begun
+    /// since the first crash that it may have caused.
+    SurvivalQuery(SegmentAge),
+    /// From a router to one or every other: when a whole answer with a segment began.
+    SegmentSurvived(SegmentAge),
+    /// From a router to every other.
+    SegmentRefused(SegmentRefusal),
 }
 
 /// A datagram that cannot be decoded or encoded.
@@ -218,6 +259,21 @@
                 runner: run.incarnation.name.to_string(),
                 born: run.incarnation.boot_id,
             }),
+            Self::CrashEvidence(evidence) => generated::Body::Died(evidence.into()),
+            Self::SurvivalQuery(query) => generated::Body::Suspected(generated::Suspected {
+                part: query.segment.0,
+                age_ms: whole_millis(query.age),
+            }),
+            Self::SegmentSurvived(survived) => generated::Body::Survived(generated::Survived {
+                part: survived.segment.0,
+                age_ms: whole_millis(survived.age),
+            }),
+            Self::SegmentRefused(refusal) => generated::Body::Refused(generated::Refused {
+                part: refusal.suspicion.segment.0,
+                age_ms: whole_millis(refusal.suspicion.age),
+                left_ms: whole_millis(refusal.remaining),
+                crashes: refusal.crashes,
+            }),
             Self::LongPrompt(prompt) => generated::Body::Sent(generated::Sent {
                 request: prompt.request.0,
                 missing: prompt.uncached.0,
@@ -271,6 +327,18 @@
                 stream: backlog::RequestHash(noted.stream),
                 incarnation: incarnation(&noted.runner, noted.born)?,
             }),
+            generated::Body::Died(died) => Self::CrashEvidence(died.try_into()?),
+            generated::Body::Suspected(suspected) => {
+                Self::SurvivalQuery(segment_age(suspected.part, suspected.age_ms))
+            }
+            generated::Body::Survived(survived) => {
+                Self::SegmentSurvived(segment_age(survived.part, survived.age_ms))
+            }
+            generated::Body::Refused(refused) => Self::SegmentRefused(SegmentRefusal {
+                suspicion: segment_age(refused.part, refused.age_ms),
+                remaining: time::Duration::from_millis(refused.left_ms.into()),
+                crashes: refused.crashes,
+            }),
             generated::Body::Sent(sent) => Self::LongPrompt(backlog::LongPrompt {
                 request: backlog::RequestHash(sent.request),
                 uncached: Tokens(sent.missing),
@@ -450,6 +518,29 @@
     }
 }
 
+impl From<CrashEvidence> for generated::Died {
+    fn from(from: CrashEvidence) -> Self {
+        Self {
+            runner: from.incarnation.name.to_string(),
+            born: from.incarnation.boot_id,
+            age_ms: whole_millis(from.age),
+            parts: from.segments.iter().map(|segment| segment.0).collect(),
+        }
+    }
+}
+
+impl TryFrom<generated::Died> for CrashEvidence {
+    type Error = DatagramError;
+
+    fn try_from(from: generated::Died) -> Result<Self, DatagramError> {
+        Ok(Self {
+            incarnation: incarnation(&from.runner, from.born)?,
+            age: time::Duration::from_millis(from.age_ms.into()),
+            segments: from.parts.into_iter().map(runners::SegmentId).collect(),
+        })
+    }
+}
+
 impl From<Turn> for generated::Turn {
     fn from(from: Turn) -> Self {
         Self {
@@ -500,6 +591,13 @@
     }
 }
 
+fn segment_age(part: u64, age_ms: u32) -> SegmentAge {
+    SegmentAge {
+        segment: runners::SegmentId(part),
+        age: time::Duration::from_millis(age_ms.into()),
+    }
+}
+
 fn whole_millis(duration: time::Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -153,6 +153,16 @@
                 self.router.on_status_report(report);
             }
             Datagram::Crash(crash) => self.router.on_crash(&crash),
+            Datagram::CrashEvidence(evidence) => self.router.on_crash_evidence(&evidence),
+            Datagram::SurvivalQuery(query) => {
+                self.router
+                    .on_survival_query(Recipient::Router(from.ip()), query);
+            }
+            Datagram::SegmentSurvived(survived) => self.router.on_survival_notice(survived),
+            Datagram::SegmentRefused(refusal) => {
+                self.router
+                    .on_refusal_notice(Recipient::Router(from.ip()), &refusal);
+            }
             Datagram::Loaded(loaded) => self.router.on_loaded(&loaded),
             Datagram::Silent(incarnation) => self.on_silent(from, &incarnation),
             Datagram::Announcement(notice) => self.router.on_announcement_notice(&notice),
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -12,12 +12,11 @@
     answer::{Answer, CompleteAnswer},
     body_memory::{BodyKind, BodyReservation},
     connect,
+    crashes::DeathSign,
     in_flight::InFlight,
     plan::{Plan, Request},
     state::BrokenRequest,
-    stream_origin,
-    updates::DeathSign,
-    upstream,
+    stream_origin, upstream,
 };
 use crate::{datagram::Datagram, events::EventSplitter, h1, peers::Recipient};
 
@@ -74,6 +73,8 @@
     BadAnswer,
     /// The unfinished answers of all runners take too much memory.
     OutOfMemory,
+    /// The request was found to crash runners before its answer began.
+    Withdrawn,
 }
 
 /// How an attempt ended.
@@ -115,6 +116,7 @@
             .on_sent(now, &plan.service, choice.request_cost.uncached);
     }
     let mut abandonment = Abandonment::new(router, plan, choice);
+    let mut began_at = None;
     let end = match connect::connect(router, plan, choice, permit).await {
         None => AttemptEnd::Failed(Failure::Unreachable),
         Some(connection) => {
@@ -128,12 +130,18 @@
                 in_flight,
                 sent_at: router.now(),
                 written: rc::Rc::new(cell::Cell::new(false)),
+                began_at: None,
             };
-            attempt.exchange(request, progress, answer).await
+            let end = attempt.exchange(request, progress, answer).await;
+            began_at = attempt.began_at;
+            end
         }
     };
     abandonment.has_ended = true;
     record_end(router, plan, choice, &end);
+    if let Some(began_at) = began_at.filter(|_| is_success(&end)) {
+        router.on_survived(plan, began_at);
+    }
     end
 }
 
@@ -209,6 +217,15 @@
     Some(runners::SegmentKey::new(id, runners::SaltHash::of(&salt)))
 }
 
+/// Whether the runner gave a whole answer that is no error.
+fn is_success(end: &AttemptEnd) -> bool {
+    match end {
+        AttemptEnd::Answered => true,
+        AttemptEnd::Complete(complete) => (200..300).contains(&complete.status),
+        AttemptEnd::CallerLost | AttemptEnd::Failed(_) => false,
+    }
+}
+
 /// Records the end of an attempt for the request and the runner's health.
 fn record_end(router: &Router, plan: &Plan, choice: &placement::Choice, end: &AttemptEnd) {
     let outcome = match end {
@@ -219,7 +236,8 @@
     plan.attempt_log.borrow_mut().settle(outcome);
     let signal = match end {
         AttemptEnd::Answered | AttemptEnd::Complete(_) => runners::HealthSignal::Success,
-        AttemptEnd::CallerLost | AttemptEnd::Failed(Failure::Refused | Failure::OutOfMemory) => {
+        AttemptEnd::CallerLost
+        | AttemptEnd::Failed(Failure::Refused | Failure::OutOfMemory | Failure::Withdrawn) => {
             return;
         }
         AttemptEnd::Failed(Failure::Unreachable) => runners::HealthSignal::Unreachable,
@@ -227,9 +245,6 @@
     };
     router.on_health_signal(&choice.incarnation, signal);
     match end {
-        AttemptEnd::Answered | AttemptEnd::Complete(_) => {
-            router.state().on_survived(plan.fingerprint);
-        }
         AttemptEnd::Failed(Failure::Broken) => {
             let broken = BrokenRequest {
                 broken_at: router.now(),
@@ -237,7 +252,7 @@
                 fingerprint: plan.fingerprint,
                 segments: plan.shared_segments().collect(),
             };
-            router.state().on_broken(broken);
+            router.on_broken(broken);
         }
         AttemptEnd::Failed(Failure::Unreachable) => {
             router.on_dead(&choice.incarnation, DeathSign::Unreachable);
@@ -255,6 +270,8 @@
     sent_at: Instant,
     /// Whether the request was written completely.
     written: rc::Rc<cell::Cell<bool>>,
+    /// When the answer began.
+    began_at: Option<Instant>,
 }
 
 impl Attempt<'_> {
@@ -324,7 +341,12 @@
         let (router, choice) = (self.router.clone(), self.choice);
         let can_repeat = self.plan.can_repeat();
         let silent = answer_timeout(&router, self.plan, choice, self.sent_at, can_repeat);
-        let wait = futures_lite::future::or(write, silent);
+        let plan = self.plan;
+        let withdrawn = async {
+            router.until_refused(plan).await;
+            Err(Failure::Withdrawn)
+        };
+        let wait = futures_lite::future::or(write, futures_lite::future::or(silent, withdrawn));
         futures_lite::future::or(self.matching_head(request), wait).await
     }
 
@@ -433,6 +455,7 @@
         self.on_announcement(head);
         self.in_flight.release_cost();
         if was_run {
+            self.began_at = Some(now);
             progress.weights = weights;
             if progress.first_byte.is_none() {
                 progress.first_byte = Some(now);
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -6,6 +6,7 @@
 mod body_memory;
 mod caller;
 mod connect;
+mod crashes;
 mod in_flight;
 mod listener;
 mod pick;
@@ -56,6 +57,8 @@
     pub(crate) target_changed: event_listener::Event,
     /// Notified when a router or an agent said where a stream began.
     pub(crate) origin_received: event_listener::Event,
+    /// Notified when a segment is refused that was not before.
+    refusals_changed: event_listener::Event,
     /// Notified when an agent sent a status report.
     pub(crate) status_received: event_listener::Event,
     /// Datagrams to be sent.
@@ -91,6 +94,7 @@
             availability_changed: event_listener::Event::new(),
             target_changed: event_listener::Event::new(),
             origin_received: event_listener::Event::new(),
+            refusals_changed: event_listener::Event::new(),
             status_received: event_listener::Event::new(),
             outbox: Outbox::new(),
             stopping: event_listener::Event::new(),
@@ -174,6 +178,7 @@
             .gauge(metrics::Gauge::InFlight, self.callers.get() as u64);
         drop(state);
         self.grant_turns();
+        self.conclude();
         self.log_dropped_lines();
     }
 
--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -50,6 +50,8 @@
     pub(super) attempt_log: cell::RefCell<attempt_log::AttemptLog>,
     /// Whether an answer is being written.
     pub(super) is_answering: cell::Cell<bool>,
+    /// Whether the request tries a refused segment.
+    pub(super) is_trial: cell::Cell<bool>,
 }
 
 /// Upper bound of a caller's deadline, in milliseconds; prevents overflow.
@@ -93,6 +95,7 @@
             fingerprint: fingerprint(request, names),
             attempt_log: cell::RefCell::default(),
             is_answering: cell::Cell::new(false),
+            is_trial: cell::Cell::new(false),
             routing,
             route,
             team,
@@ -126,6 +129,11 @@
         self.segments[..last].iter().map(|(id, _)| *id)
     }
 
+    /// Whether the request was sent to a runner.
+    pub(super) fn has_attempts(&self) -> bool {
+        self.attempt_log.borrow().sent() > 0
+    }
+
     /// Whether the request may be sent again even if an attempt has run it.
     pub(super) fn can_repeat(&self) -> bool {
         self.route.repeat.is_repeatable() && self.attempt_log.borrow().may_send(&self.route)
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -94,7 +94,7 @@
     router.metrics.count(Counter::Requests);
     let mut plan = match plan(router, request) {
         Ok(plan) => plan,
-        Err((status, reason)) => return reject(router, request, answer, status, reason).await,
+        Err(rejection) => return reject(router, request, answer, rejection).await,
     };
     let mut progress = Progress::default();
     if let Err(stream_origin::Unknown) = stream_origin::bind(router, &mut plan).await {
@@ -117,23 +117,42 @@
     finish(router, &plan, &progress, answer, end).await;
 }
 
-/// Resolves route, team and service, or returns the status to reject with.
-fn plan(router: &Router, request: &Request) -> Result<Plan, (u16, Reason)> {
-    let state = router.state();
-    let routing = state
-        .routing()
-        .ok_or((503, Reason::NoConfiguration))?
-        .clone();
+/// Why and how a request is answered without being sent to any runner.
+struct Rejection {
+    status: u16,
+    reason: Reason,
+    retry: time::Duration,
+}
+
+/// Resolves route, team and service, or returns how to reject the request.
+fn plan(router: &Router, request: &Request) -> Result<Plan, Rejection> {
+    let rejection = |status, reason| Rejection {
+        status,
+        reason,
+        retry: router.settings.retry_after,
+    };
+    let routing = router.state().routing().cloned();
+    let routing = routing.ok_or_else(|| rejection(503, Reason::NoConfiguration))?;
     let head = &request.head;
     let route = routing.route(head.host().unwrap_or_default(), head.path());
-    let route = route.ok_or((404, Reason::NoRoute))?.clone();
+    let route = route
+        .ok_or_else(|| rejection(404, Reason::NoRoute))?
+        .clone();
     let key = head.headers.text(router.names.key).map(str::trim);
     let team = routing.team(&route, key);
-    let team = team.map_err(|_| (401, Reason::UnknownKey))?.cloned();
+    let team = team
+        .map_err(|_| rejection(401, Reason::UnknownKey))?
+        .cloned();
     let service = choose_service(router, &routing, &route);
     let plan = Plan::new(&router.names, routing, route, team, service, request);
-    if state.is_poison(request.received, plan.fingerprint) {
-        return Err((503, Reason::Poison));
+    if router.state().is_poison(request.received, plan.fingerprint) {
+        return Err(rejection(503, Reason::Poison));
+    }
+    if let Some(retry) = router.refusal(&plan) {
+        return Err(Rejection {
+            retry,
+            ..rejection(503, Reason::Poison)
+        });
     }
     Ok(plan)
 }
@@ -149,13 +168,12 @@
 }
 
 /// Answers a request that is not sent to any runner.
-async fn reject(
-    router: &Router,
-    request: &Request,
-    answer: &mut Answer,
-    status: u16,
-    reason: Reason,
-) {
+async fn reject(router: &Router, request: &Request, answer: &mut Answer, rejection: Rejection) {
+    let Rejection {
+        status,
+        reason,
+        retry,
+    } = rejection;
     router.metrics.count(Counter::RequestsRefused);
     router.metrics.count(reason.counter());
     if router.log_quota.try_take(router.now()) {
@@ -167,11 +185,11 @@
         let host = request.head.host().unwrap_or_default().to_owned();
         log::info!(
             request = id.unwrap_or("-"), reason:%, status, config = version,
-            host, path = request.head.path();
+            retry_ms = retry.as_millis(), host, path = request.head.path();
             "request rejected"
         );
     }
-    send_own_answer(router, answer, status, router.settings.retry_after).await;
+    send_own_answer(router, answer, status, retry).await;
 }
 
 /// Answers for the router itself. Only status 503 carries a retry delay: it means
@@ -209,6 +227,10 @@
                 break;
             }
         };
+        if let Some(refused_for) = router.refusal(plan) {
+            (reason, retry) = (Reason::Poison, refused_for);
+            break;
+        }
         if plan.attempt_log.borrow().sent() > 0 && !may_retry(router, plan) {
             break;
         }
@@ -415,6 +437,7 @@
     match failure {
         Failure::Unreachable => Reason::Unreachable,
         Failure::Refused => Reason::Refused,
+        Failure::Withdrawn => Reason::Poison,
         Failure::Broken | Failure::Silent | Failure::BadAnswer | Failure::OutOfMemory => {
             Reason::RunnerFailed
         }
--- a/crates/lentil_forward/src/router/settings.rs
+++ b/crates/lentil_forward/src/router/settings.rs
@@ -2,7 +2,9 @@
 
 use std::time;
 
-use lentil_policy::forward::{placement, retries, rollout_pacer, runners, save_budget};
+use lentil_policy::forward::{
+    crash_blame, placement, retries, rollout_pacer, runners, save_budget,
+};
 use lentil_process::logs;
 
 use super::pool;
@@ -14,6 +16,8 @@
     pub placement: placement::Settings,
     /// Membership and health of runners.
     pub runners: runners::Settings,
+    /// Which segments are refused because they crash runners.
+    pub blame: crash_blame::Settings,
     /// Saves of segments to the cache store.
     pub saves: save_budget::Settings,
     /// Pace of the change to new weights.
@@ -92,6 +96,7 @@
         Self {
             placement: placement::Settings::default(),
             runners: runners::Settings::default(),
+            blame: crash_blame::Settings::default(),
             saves: save_budget::Settings::default(),
             pacing: rollout_pacer::Settings::default(),
             retries: retries::Settings::default(),
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -4,7 +4,7 @@
 
 use lentil_policy::{
     forward::{
-        backlog, placement, retries, rollout_pacer, routing,
+        backlog, crash_blame, placement, retries, rollout_pacer, routing,
         runners::{self, SegmentKey},
         save_budget, stream_origins, target_weights, wait_queue,
     },
@@ -39,6 +39,10 @@
     /// Requests whose connection broke, until it is known whether the runner died.
     broken: Vec<BrokenRequest>,
     suspects: poison::Suspects,
+    /// Runners found dead lately.
+    dead: Vec<(Instant, runners::Incarnation)>,
+    /// Segments that crash runners.
+    pub blame: crash_blame::CrashBlame,
     /// Where recent streams began of which callers got events.
     pub streams: stream_origins::RecentStreams<stream_origins::Origin>,
     /// Questions for the origin of a stream that are being asked.
@@ -83,6 +87,8 @@
             crashes: Table::new(),
             broken: Vec::new(),
             suspects: poison::Suspects::default(),
+            dead: Vec::new(),
+            blame: crash_blame::CrashBlame::new(settings.blame),
             streams: stream_origins::RecentStreams::default(),
             lookups: Table::new(),
         }
@@ -234,14 +240,20 @@
         self.retry_budget(service).try_take(now, routers)
     }
 
-    /// Records that a request's connection to a runner broke.
-    pub(super) fn on_broken(&mut self, request: BrokenRequest) {
+    /// Records that a request's connection to a runner broke. Returns whether the runner
+    /// is known to be dead.
+    pub(super) fn on_broken(&mut self, request: BrokenRequest) -> bool {
         let now = request.broken_at;
+        let is_dead = self
+            .dead
+            .iter()
+            .any(|(_, dead)| *dead == request.incarnation);
         self.broken
             .retain(|other| now.since(other.broken_at) <= BROKEN_RETENTION);
         if self.broken.len() < MAX_CRASHES {
             self.broken.push(request);
         }
+        is_dead
     }
 
     /// Returns the requests whose connection to a dead runner broke recently, oldest
@@ -251,6 +263,11 @@
         now: Instant,
         incarnation: &runners::Incarnation,
     ) -> Vec<BrokenRequest> {
+        self.dead
+            .retain(|(at, dead)| now.since(*at) <= BROKEN_RETENTION && dead != incarnation);
+        if self.dead.len() < MAX_CRASHES {
+            self.dead.push((now, incarnation.clone()));
+        }
         let own = self
             .broken
             .extract_if(.., |request| request.incarnation == *incarnation);
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -1,13 +1,13 @@
-//! Applies documents, status reports and crash notices.
+//! Applies documents, status reports and what runners say of themselves.
 
-use std::{cmp, time};
+use std::time;
 
 use lentil_platform::{Change, Changes, Document, Listing};
 use lentil_policy::forward::runners;
 use lentil_process::metrics::{Counter, Gauge};
-use lentil_types::{Instant, Table};
+use lentil_types::Instant;
 
-use super::{Router, state::BrokenRequest};
+use super::{Router, crashes::DeathSign};
 use crate::{
     datagram::{self, Datagram},
     documents::Kind,
@@ -18,37 +18,6 @@
 /// may be older than the report that shows it.
 const DROPPED_STATUSES: u32 = 2;
 
-/// How a router learns that a runner has died.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "kebab-case")]
-pub(crate) enum DeathSign {
-    /// A connection could not be opened.
-    Unreachable,
-    /// Another incarnation is registered under its name.
-    Restarted,
-    /// Its registration was removed.
-    Expired,
-}
-
-/// Most segments named in a line about a runner's death.
-const MAX_LOGGED_SEGMENTS: usize = 16;
-
-/// The segments of these requests, each with the number of requests that have it, the
-/// most frequent first.
-fn segment_counts(requests: &[BrokenRequest]) -> String {
-    let mut counts: Table<runners::SegmentId, usize> = Table::new();
-    for segment in requests.iter().flat_map(|request| &request.segments) {
-        *counts.get_or_insert_with(*segment, || 0) += 1;
-    }
-    let mut counts: Vec<_> = counts.iter().collect();
-    counts.sort_by_key(|(_, count)| cmp::Reverse(**count));
-    counts.truncate(MAX_LOGGED_SEGMENTS);
-    let words = counts
-        .iter()
-        .map(|(segment, count)| format!("{}x{count}", segment.0));
-    words.collect::<Vec<_>>().join(" ")
-}
-
 impl Router {
     /// Applies a complete listing of one kind of document.
     pub fn on_list(&self, kind: Kind, listing: &Listing) {
@@ -289,42 +258,6 @@
         }
     }
 
-    /// Reports to all routers the requests that may have killed this runner.
-    pub(crate) fn on_dead(&self, incarnation: &runners::Incarnation, sign: DeathSign) {
-        let now = self.now();
-        let requests = self.state().on_dead(now, incarnation);
-        let Some(first) = requests.first() else {
-            return;
-        };
-        let after = now.since(first.broken_at).as_millis();
-        log::info!(
-            runner:% = incarnation.name, born = incarnation.boot_id, sign:%, after_ms = after,
-            requests = requests.len(), segments = segment_counts(&requests);
-            "a runner died while requests were running"
-        );
-        for request in requests {
-            let crash = datagram::Crash {
-                fingerprint: request.fingerprint,
-                incarnation: incarnation.clone(),
-            };
-            self.on_crash(&crash);
-            self.outbox.put(Recipient::Routers, Datagram::Crash(crash));
-        }
-    }
-
-    /// Counts a crash that this or another router noticed.
-    pub(crate) fn on_crash(&self, crash: &datagram::Crash) {
-        let now = self.now();
-        let count = self
-            .state()
-            .on_crash(now, crash.fingerprint, crash.incarnation.clone());
-        self.metrics.count(Counter::CrashNotices);
-        // A first crash is in the line about the runner.
-        if count > 1 {
-            log::info!(fingerprint:% = crash.fingerprint, runner:% = crash.incarnation.name, born = crash.incarnation.boot_id, crashes = count; "request was running when a runner died");
-        }
-    }
-
     /// An agent reports that its runner does not answer.
     pub(crate) fn on_silent(&self, incarnation: &runners::Incarnation) {
         let now = self.now();
@@ -332,6 +265,7 @@
         if is_new {
             log::info!(runner:% = incarnation.name, born = incarnation.boot_id; "a runner does not answer its agent");
         }
+        self.on_dead(incarnation, DeathSign::Silent);
     }
 
     /// A runner sent something.
--- a/crates/lentil_forward/tests/messages.rs
+++ b/crates/lentil_forward/tests/messages.rs
@@ -5,15 +5,15 @@
 use lentil_forward::{
     EventSplitter,
     datagram::{
-        AnnouncementNotice, Crash, Datagram, DocumentNotice, Loaded, StatusReport, StreamOrigin,
-        StreamRun, Subscribe, Turn,
+        AnnouncementNotice, Crash, CrashEvidence, Datagram, DocumentNotice, Loaded, SegmentAge,
+        SegmentRefusal, StatusReport, StreamOrigin, StreamRun, Subscribe, Turn,
     },
     documents::{Kind, WeightsTarget},
 };
 use lentil_policy::{
     forward::{
         backlog, rollout_pacer,
-        runners::{Incarnation, SegmentKey, SegmentUpdate, Status},
+        runners::{Incarnation, SegmentId, SegmentKey, SegmentUpdate, Status},
         status_schedule, stream_origins,
     },
     store::ObjectVersion,
@@ -28,6 +28,13 @@
     }
 }
 
+fn segment_age() -> SegmentAge {
+    SegmentAge {
+        segment: SegmentId(7),
+        age: time::Duration::from_millis(1_200),
+    }
+}
+
 fn datagrams() -> Vec<Datagram> {
     let model: lentil_types::ModelName = "model".parse().unwrap();
     let target = WeightsTarget {
@@ -95,6 +102,18 @@
             },
         }),
         Datagram::Silent(incarnation()),
+        Datagram::CrashEvidence(CrashEvidence {
+            incarnation: incarnation(),
+            age: time::Duration::from_millis(410),
+            segments: vec![SegmentId(7), SegmentId(u64::MAX)],
+        }),
+        Datagram::SurvivalQuery(segment_age()),
+        Datagram::SegmentSurvived(segment_age()),
+        Datagram::SegmentRefused(SegmentRefusal {
+            suspicion: segment_age(),
+            remaining: time::Duration::from_secs(600),
+            crashes: 3,
+        }),
         Datagram::DocumentChanged(DocumentNotice {
             kind: Kind::Weights,
             version: ObjectVersion(3 << 40 | 17),
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -11,6 +11,7 @@
 //! - [`backlog`]: prompts that a runner still has to compute, of all routers.
 //! - [`weights_update`]: how an agent changes its runner's weights.
 //! - [`save_budget`]: the limit on saves to the cache store.
+//! - [`crash_blame`]: which segments of prompts crash runners and are refused.
 //! - [`silence_watch`]: when an agent reports that its runner does not answer.
 //! - [`status_schedule`]: when an agent reports its runner's status to the routers.
 //! - [`rollout_pacer`]: how many runners change to new weights at once, and which.
@@ -20,6 +21,7 @@
 
 pub mod attempt_log;
 pub mod backlog;
+pub mod crash_blame;
 pub mod placement;
 pub mod retries;
 pub mod rollout_pacer;
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -62,6 +62,8 @@
     EngineCrashes,
     /// Sidecars' notices of a fingerprint that ran when an engine crashed.
     CrashNotices,
+    /// Segments refused because requests with them crash runners.
+    SegmentsRefused,
     /// Gaps in the numbers of cache events.
     CacheGaps,
     /// Peers refused in the handshake, e.g. without the fleet key.
