Frame answers to HEAD requests, and those with status 204 and 304, without a body

A HEAD request got no answer before the route's timeout: the router waited for the body that the length of the head names. If the runner's answer came a second time, the first bytes of the second copy were taken for that body and sent to the caller ("HTTP" after the head), whose next answer began after them. A 204 on a stream route ended with the last chunk of a body that it has not (0 CR LF CR LF), which the caller reads as the beginning of its next answer. A 204 named a length, a 304 the wrong one.

Cause: the head of an answer was parsed without the method of its request, and written as if every answer had a body.

Change: the method is an argument of the parser; the length that the head names is kept beside the framing, and is forwarded where no body follows. A stream that has begun is not continued by an answer without a body.

--- a/crates/lentil_forward/src/h1/connection.rs
+++ b/crates/lentil_forward/src/h1/connection.rs
@@ -119,14 +119,15 @@
         }
     }
 
-    /// Reads a final response head, skipping informational ones.
+    /// Reads the final head of the answer to a request with `method`, skipping
+    /// informational ones.
     ///
     /// # Errors
     /// [`ReadError`] when the head is truncated, invalid or too large.
-    pub async fn response_head(&mut self) -> Result<ResponseHead, ReadError> {
+    pub async fn response_head(&mut self, method: &str) -> Result<ResponseHead, ReadError> {
         for _ in 0..=MAX_INFORMATIONAL {
             let head = self.head(MAX_RESPONSE_HEAD_BYTES).await?;
-            let head = ResponseHead::parse(&head)?;
+            let head = ResponseHead::parse(&head, method)?;
             if head.status >= 200 {
                 return Ok(head);
             }
--- a/crates/lentil_forward/src/h1/head.rs
+++ b/crates/lentil_forward/src/h1/head.rs
@@ -44,6 +44,8 @@
     pub headers: Headers,
     /// How the body is framed.
     pub framing: Framing,
+    /// Length that the head names, which may be that of a body that does not follow.
+    pub length: Option<u64>,
 }
 
 impl RequestHead {
@@ -98,11 +100,12 @@
 }
 
 impl ResponseHead {
-    /// Parses a whole head, including the empty line.
+    /// Parses the whole head of an answer to a request with `method`, including the
+    /// empty line.
     ///
     /// # Errors
     /// [`BadHead`] when it is invalid or parsers could read it differently.
-    pub fn parse(head: &Bytes) -> Result<Self, BadHead> {
+    pub fn parse(head: &Bytes, method: &str) -> Result<Self, BadHead> {
         check_lines(head)?;
         let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut response = httparse::Response::new(&mut fields);
@@ -113,17 +116,24 @@
         let version = response.version.ok_or(BadHead::Syntax)?;
         let status = response.code.ok_or(BadHead::Syntax)?;
         let headers = to_headers(head, response.headers);
-        let framing = match (status, body_framing(&headers)?) {
+        let named = body_framing(&headers)?;
+        let framing = match (status, named) {
             (204 | 304, _) => Framing::Empty,
+            _ if method == "HEAD" => Framing::Empty,
             (_, Some(framing)) => framing,
             (_, None) => Framing::UntilClose,
         };
+        let length = match named {
+            Some(Framing::Length(length)) if status != 204 => Some(length),
+            _ => None,
+        };
         Ok(Self {
             status,
             reason: response.reason.unwrap_or_default().into(),
             keep_alive: keeps_alive(version, &headers) && framing != Framing::UntilClose,
             headers,
             framing,
+            length,
         })
     }
 
--- a/crates/lentil_forward/src/http_call.rs
+++ b/crates/lentil_forward/src/http_call.rs
@@ -98,7 +98,7 @@
     ) -> Result<Reply, CallError> {
         let bytes = self.encode(address);
         connection.write(&bytes).await.map_err(ReadError::Broken)?;
-        let head = connection.response_head().await?;
+        let head = connection.response_head(self.method).await?;
         let mut reader = BodyReader::new(head.framing);
         let body = reader.all(connection, self.limit).await?;
         Ok(Reply { head, body })
--- a/crates/lentil_forward/src/router/answer.rs
+++ b/crates/lentil_forward/src/router/answer.rs
@@ -14,6 +14,9 @@
     pub(super) status: u16,
     pub(super) reason: compact_str::CompactString,
     pub(super) headers: h1::Headers,
+    /// Length that the head names. An answer to a HEAD request, or with status 304, names
+    /// that of a body which does not follow.
+    pub(super) length: Option<u64>,
     pub(super) body: Bytes,
     /// Memory of the body; `None` for an answer of the router itself.
     pub(super) _reservation: Option<BodyReservation>,
@@ -65,7 +68,10 @@
 
     pub(super) async fn write_complete(&mut self, complete: &CompleteAnswer) -> io::Result<()> {
         let mut bytes = self.head_bytes(complete.status, &complete.reason, &complete.headers);
-        let _ = write!(bytes, "Content-Length: {}\r\n\r\n", complete.body.len());
+        if let Some(length) = complete.length {
+            let _ = write!(bytes, "Content-Length: {length}\r\n");
+        }
+        bytes.put_slice(b"\r\n");
         bytes.put_slice(&complete.body);
         self.stage = Stage::Incomplete;
         self.stream.write_all(&bytes).await?;
@@ -87,6 +93,7 @@
             status,
             reason: reason_phrase(status).into(),
             headers,
+            length: Some(0),
             body: Bytes::new(),
             _reservation: None,
         };
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -296,10 +296,11 @@
         if !has_seal || (is_success && !has_id) {
             return AttemptEnd::Failed(Failure::BadAnswer);
         }
-        if answer.has_started() && !is_success {
+        let has_body = head.framing != h1::Framing::Empty;
+        if answer.has_started() && !(is_success && has_body) {
             return AttemptEnd::Failed(Failure::BadAnswer);
         }
-        if self.plan.route.repeat.is_stream() && is_success {
+        if self.plan.route.repeat.is_stream() && is_success && has_body {
             return self.relay(&head, progress, answer).await;
         }
         self.read_complete(&head).await
@@ -354,11 +355,12 @@
     /// request id.
     async fn matching_head(&mut self, request: &Request) -> Result<h1::ResponseHead, Failure> {
         let id_name = self.router.names.request_id;
+        let method = &request.head.method;
         let id = request.head.headers.get(id_name);
         for _ in 0..=MAX_UNMATCHED_ANSWERS {
             let head = self
                 .connection
-                .response_head()
+                .response_head(method)
                 .await
                 .map_err(|error| read_failure(&error))?;
             self.in_flight.on_bytes();
@@ -517,6 +519,10 @@
             status: head.status,
             reason: head.reason.clone(),
             headers: upstream::answer_headers(&self.router.names, &head.headers),
+            length: match head.framing {
+                h1::Framing::Empty => head.length,
+                _ => Some(body.len() as u64),
+            },
             body,
             _reservation: Some(reservation),
         })
--- a/crates/lentil_forward/tests/h1.rs
+++ b/crates/lentil_forward/tests/h1.rs
@@ -83,7 +83,8 @@
 
 #[test]
 fn a_response_head_gives_framing_and_keep_alive() {
-    let parse = |text: &str| ResponseHead::parse(&Bytes::copy_from_slice(text.as_bytes())).unwrap();
+    let parse =
+        |text: &str| ResponseHead::parse(&Bytes::copy_from_slice(text.as_bytes()), "GET").unwrap();
     let head = parse("HTTP/1.1 200 OK\r\nX: 1\r\n\r\n");
     assert_eq!(
         (head.framing, head.keep_alive),
@@ -187,7 +188,7 @@
     smol::block_on(async {
         let bytes = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
         let mut connection = connection(bytes).await;
-        assert_eq!(connection.response_head().await.unwrap().status, 200);
+        assert_eq!(connection.response_head("GET").await.unwrap().status, 200);
     });
 }
 
@@ -211,7 +212,7 @@
     fn parsers_do_not_panic_on_random_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
         let head = Bytes::from(bytes);
         let _ = RequestHead::parse(&head);
-        let _ = ResponseHead::parse(&head);
+        let _ = ResponseHead::parse(&head, "GET");
     }
 
     #[test]
