Contain panics in the request or task in which they happen

A panic while a request was handled ended its connection without an answer. One while a document was applied, or a datagram handled, ended that task for good and silently: the router stayed ready with the configuration, the runners or the statuses of that moment. The executor keeps the panic of a detached task for whoever awaits it, and nobody does.

Change: a request whose handling panics is answered 502, which promises nothing, or its stream is left incomplete, and its connection is closed. A change of a document or a datagram whose handling panics is skipped and logged, like an invalid one. Each panic is logged with its place and a backtrace, and counted (panics).

--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -3,6 +3,7 @@
 use std::{cell, io, net, rc, time};
 
 use lentil_policy::forward::{backlog, rollout_schedule, runners};
+use lentil_process::panics;
 use lentil_types::{Instant, ServiceName, Table, WeightsVersion};
 
 use crate::{
@@ -122,7 +123,10 @@
     pub async fn receive(&self) {
         loop {
             let (from, datagram) = self.socket.receive().await;
-            self.on_datagram(from, datagram);
+            let handle = || self.on_datagram(from, datagram);
+            if let Err(error) = panics::contain_call(&self.router.metrics, handle) {
+                log::error!(from:%, error:%; "cannot handle a datagram; dropping it");
+            }
         }
     }
 
--- a/crates/lentil_forward/src/router/answer.rs
+++ b/crates/lentil_forward/src/router/answer.rs
@@ -142,6 +142,11 @@
         self.close = true;
     }
 
+    /// Has the connection closed after the answer.
+    pub(super) fn close(&mut self) {
+        self.close = true;
+    }
+
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         let written = self.stream.write_all(bytes).await;
         if written.is_err() {
--- a/crates/lentil_forward/src/router/caller.rs
+++ b/crates/lentil_forward/src/router/caller.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use lentil_policy::forward::routing;
-use lentil_process::metrics::Counter;
+use lentil_process::{
+    metrics::Counter,
+    panics::{self, Panicked},
+};
 use smol::net::TcpStream;
 
 use super::{Router, answer::Answer, body_memory::BodyReservation, plan::Request, request};
@@ -44,7 +47,10 @@
         let close = !request.head.keep_alive || router.stopping_since().is_some();
         let mut answer = Answer::new(connection.stream(), request.head.chunked, close);
         let serve = async {
-            request::serve(&router, &request, &mut answer).await;
+            let served = request::serve(&router, &request, &mut answer);
+            if let Err(panicked) = panics::contain(&router.metrics, served).await {
+                on_panic(&router, &request, &mut answer, panicked).await;
+            }
             true
         };
         let is_connected = futures_lite::future::or(serve, disconnected(&mut connection)).await;
@@ -63,6 +69,18 @@
     }
 }
 
+/// Ends the answer to a request whose handling has panicked. Nobody knows any more whether
+/// it has run, so the status promises nothing.
+async fn on_panic(router: &Router, request: &Request, answer: &mut Answer, error: Panicked) {
+    let id = request.head.headers.text(router.names.request_id);
+    log::error!(id, error:%; "a request has failed");
+    if !answer.has_started() && answer.write_own(502, None).await.is_ok() {
+        answer.close();
+    } else {
+        answer.abort();
+    }
+}
+
 fn log_disconnect(router: &Router, request: &Request) {
     if !router.log_quota.try_take(router.now()) {
         return;
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -4,7 +4,10 @@
 
 use lentil_platform::{Change, Changes, Document, Listing};
 use lentil_policy::forward::runners;
-use lentil_process::metrics::{Counter, Gauge};
+use lentil_process::{
+    metrics::{Counter, Gauge},
+    panics,
+};
 use lentil_types::Instant;
 
 use super::{Router, crashes::DeathSign};
@@ -33,7 +36,10 @@
             }
             Kind::Routing | Kind::Weights => {
                 for document in &listing.documents {
-                    self.on_document(kind, document);
+                    let apply = || self.on_document(kind, document);
+                    if let Err(error) = panics::contain_call(&self.metrics, apply) {
+                        log::error!(kind:%, name = document.name.as_str(), error:%; "cannot apply a document; skipping it");
+                    }
                 }
             }
         }
@@ -42,12 +48,19 @@
     /// Applies changes to documents of one kind, in order.
     pub fn on_changes(&self, kind: Kind, changes: &Changes) {
         for change in &changes.changes {
-            match (kind, change) {
-                (_, Change::Changed(document)) => self.on_document(kind, document),
-                (Kind::Runners, Change::Removed(name)) => self.on_runner_removed(name),
-                (Kind::Routing | Kind::Weights, Change::Removed(name)) => {
-                    log::warn!(kind:%, name = name.as_str(); "a document was removed; keeping its last contents");
-                }
+            let applied = panics::contain_call(&self.metrics, || self.on_change(kind, change));
+            if let Err(error) = applied {
+                log::error!(kind:%, error:%; "cannot apply a change; skipping it");
+            }
+        }
+    }
+
+    fn on_change(&self, kind: Kind, change: &Change) {
+        match (kind, change) {
+            (_, Change::Changed(document)) => self.on_document(kind, document),
+            (Kind::Runners, Change::Removed(name)) => self.on_runner_removed(name),
+            (Kind::Routing | Kind::Weights, Change::Removed(name)) => {
+                log::warn!(kind:%, name = name.as_str(); "a document was removed; keeping its last contents");
             }
         }
     }
--- a/crates/lentil_process/src/lib.rs
+++ b/crates/lentil_process/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`admin`]: health, readiness, state dump and drain over HTTP.
 //! - [`metrics`]: counters and timings, sent to StatsD.
 //! - [`logs`]: text or JSON lines on standard error or standard output.
+//! - [`panics`]: a panic ends a task, not the process.
 //! - [`signals`]: Unix signals that stop or reload a process.
 //! - [`Clock`]: monotonic time for the policies.
 
@@ -11,6 +12,7 @@
 mod clock;
 pub mod logs;
 pub mod metrics;
+pub mod panics;
 mod secret;
 pub mod settings;
 pub mod signals;
--- a/crates/lentil_process/src/logs.rs
+++ b/crates/lentil_process/src/logs.rs
@@ -4,6 +4,8 @@
 
 use logforth::{append, layout};
 
+use crate::panics;
+
 pub use quota::{Quota, QuotaSettings};
 
 /// Lines that may wait for standard output. Further ones are dropped, so that a
@@ -129,6 +131,7 @@
     };
     builder.try_apply().map_err(|_| AlreadyStarted)?;
     log::set_max_level(settings.level.into());
+    panics::log_panics();
     Ok(())
 }
 
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -139,6 +139,8 @@
     OwnRunnerFailed,
     /// Router's own errors: the deadline passed.
     OwnTimedOut,
+    /// Panics that ended a request or a task.
+    Panics,
     /// Log lines dropped by the rate limit.
     LinesDropped,
 }
