Count answers that end with their connection as whole only if the runner lives on

A runner that a segment crashes right after an event, in an answer without length and chunks, leaves what looks like a whole answer.

Change: such an answer is held for a second. If its runner is found dead in this time, and the connection ended together with the last one there, the request is evidence; else its segments are acquitted. Routers' reports of one crash differ in time if some of them only had answers that had ended by themselves: the latest report counts.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -116,7 +116,7 @@
             .on_sent(now, &plan.service, choice.request_cost.uncached);
     }
     let mut abandonment = Abandonment::new(router, plan, choice);
-    let mut began_at = None;
+    let mut head = None;
     let end = match connect::connect(router, plan, choice, permit).await {
         None => AttemptEnd::Failed(Failure::Unreachable),
         Some(connection) => {
@@ -130,17 +130,28 @@
                 in_flight,
                 sent_at: router.now(),
                 written: rc::Rc::new(cell::Cell::new(false)),
-                began_at: None,
+                answer_head: None,
             };
             let end = attempt.exchange(request, progress, answer).await;
-            began_at = attempt.began_at;
+            head = attempt.answer_head;
             end
         }
     };
     abandonment.has_ended = true;
     record_end(router, plan, choice, &end);
-    if let Some(began_at) = began_at.filter(|_| is_success(&end)) {
-        router.on_survived(plan, began_at);
+    match head.filter(|_| is_success(&end)) {
+        Some((began_at, h1::Framing::UntilClose)) => {
+            let request = broken_request(router, plan, choice);
+            router.on_broken(BrokenRequest {
+                unproven_since: Some(began_at),
+                ..request
+            });
+        }
+        Some((began_at, _)) => {
+            let segments = plan.shared_segments();
+            router.on_survived(plan.fingerprint, segments, began_at);
+        }
+        None => {}
     }
     end
 }
@@ -246,13 +257,7 @@
     router.on_health_signal(&choice.incarnation, signal);
     match end {
         AttemptEnd::Failed(Failure::Broken) => {
-            let broken = BrokenRequest {
-                broken_at: router.now(),
-                incarnation: choice.incarnation.clone(),
-                fingerprint: plan.fingerprint,
-                segments: plan.shared_segments().collect(),
-            };
-            router.on_broken(broken);
+            router.on_broken(broken_request(router, plan, choice));
         }
         AttemptEnd::Failed(Failure::Unreachable) => {
             router.on_dead(&choice.incarnation, DeathSign::Unreachable);
@@ -261,6 +266,17 @@
     }
 }
 
+/// A request whose connection to its runner has ended now.
+fn broken_request(router: &Router, plan: &Plan, choice: &placement::Choice) -> BrokenRequest {
+    BrokenRequest {
+        broken_at: router.now(),
+        incarnation: choice.incarnation.clone(),
+        fingerprint: plan.fingerprint,
+        segments: plan.shared_segments().collect(),
+        unproven_since: None,
+    }
+}
+
 struct Attempt<'a> {
     router: &'a rc::Rc<Router>,
     plan: &'a Plan,
@@ -270,8 +286,8 @@
     sent_at: Instant,
     /// Whether the request was written completely.
     written: rc::Rc<cell::Cell<bool>>,
-    /// When the answer began.
-    began_at: Option<Instant>,
+    /// When the answer began, and how its body is framed.
+    answer_head: Option<(Instant, h1::Framing)>,
 }
 
 impl Attempt<'_> {
@@ -457,7 +473,7 @@
         self.on_announcement(head);
         self.in_flight.release_cost();
         if was_run {
-            self.began_at = Some(now);
+            self.answer_head = Some((now, head.framing));
             progress.weights = weights;
             if progress.first_byte.is_none() {
                 progress.first_byte = Some(now);
--- a/crates/lentil_forward/src/router/crashes.rs
+++ b/crates/lentil_forward/src/router/crashes.rs
@@ -7,7 +7,7 @@
     runners::{self, SegmentId},
 };
 use lentil_process::metrics::Counter;
-use lentil_types::{Instant, Table};
+use lentil_types::{Fingerprint, Instant, Table};
 
 use super::{Router, plan::Plan, state::BrokenRequest};
 use crate::{
@@ -39,7 +39,8 @@
 const MAX_LOGGED_SEGMENTS: usize = 16;
 
 impl Router {
-    /// A request's connection to a runner broke before its answer was complete.
+    /// A request's connection to a runner ended before its answer was complete, or may
+    /// have.
     pub(super) fn on_broken(&self, request: BrokenRequest) {
         let (now, incarnation) = (request.broken_at, request.incarnation.clone());
         let is_dead = self.state().on_broken(request);
@@ -55,7 +56,8 @@
     }
 
     fn on_dead_at(&self, now: Instant, incarnation: &runners::Incarnation, sign: DeathSign) {
-        let requests = self.state().on_dead(now, incarnation);
+        let (requests, whole) = self.state().on_dead(now, incarnation);
+        self.note_whole(whole);
         let Some(first) = requests.first() else {
             return;
         };
@@ -127,10 +129,15 @@
     }
 
     /// A request of this router was answered completely; the answer began at `began_at`.
-    pub(super) fn on_survived(&self, plan: &Plan, began_at: Instant) {
+    pub(super) fn on_survived(
+        &self,
+        fingerprint: Fingerprint,
+        segments: impl IntoIterator<Item = SegmentId>,
+        began_at: Instant,
+    ) {
         let mut state = self.state();
-        state.on_survived(plan.fingerprint);
-        let allowed = state.blame.on_survived(began_at, plan.shared_segments());
+        state.on_survived(fingerprint);
+        let allowed = state.blame.on_survived(began_at, segments);
         drop(state);
         for segment in allowed {
             let age = self.now().since(began_at);
@@ -140,6 +147,20 @@
         }
     }
 
+    /// Notes the answers that have proved whole since they ended with their connection.
+    pub(super) fn note_proven(&self) {
+        let proven = self.state().proven(self.now());
+        self.note_whole(proven);
+    }
+
+    fn note_whole(&self, requests: Vec<BrokenRequest>) {
+        for request in requests {
+            if let Some(began_at) = request.unproven_since {
+                self.on_survived(request.fingerprint, request.segments, began_at);
+            }
+        }
+    }
+
     /// Another router had a whole answer with a segment.
     pub(crate) fn on_survival_notice(&self, survived: datagram::SegmentAge) {
         let began_at = before(self.now(), survived.age);
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -178,6 +178,7 @@
             .gauge(metrics::Gauge::InFlight, self.callers.get() as u64);
         drop(state);
         self.grant_turns();
+        self.note_proven();
         self.conclude();
         self.log_dropped_lines();
     }
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -54,11 +54,17 @@
 /// A request may have killed its runner if the runner is found dead within this
 /// time after their connection broke.
 const BROKEN_RETENTION: time::Duration = time::Duration::from_secs(5);
+/// An answer that ended with its connection counts as whole if its runner is not found dead
+/// in this time; agents report a dead one within half of it.
+const PROOF_TIME: time::Duration = time::Duration::from_secs(1);
+/// Connections that end within this time may have ended together.
+const SAME_MOMENT: time::Duration = time::Duration::from_millis(50);
 /// Crashes after which a request is rejected as poison. Two are not enough:
 /// requests that merely ran on the same runner are counted too.
 const FATAL_CRASHES: usize = 3;
 
-/// A request whose connection to a runner broke before its answer was complete.
+/// A request whose connection to a runner ended before its answer was complete, or may
+/// have.
 #[derive(Clone, Debug)]
 pub(super) struct BrokenRequest {
     pub(super) broken_at: Instant,
@@ -66,6 +72,8 @@
     pub(super) fingerprint: Fingerprint,
     /// Segments that it may share with other requests.
     pub(super) segments: Vec<runners::SegmentId>,
+    /// When its answer began, if that ended where a whole one may, with the connection.
+    pub(super) unproven_since: Option<Instant>,
 }
 
 impl State {
@@ -256,13 +264,23 @@
         is_dead
     }
 
-    /// Returns the requests whose connection to a dead runner broke recently, oldest
-    /// first.
+    /// Returns the requests whose answers have proved whole: they ended with their
+    /// connection, and the runner was not found dead since.
+    pub(super) fn proven(&mut self, now: Instant) -> Vec<BrokenRequest> {
+        let is_proven = |request: &mut BrokenRequest| {
+            let age = now.since(request.broken_at);
+            request.unproven_since.is_some() && age >= PROOF_TIME
+        };
+        self.broken.extract_if(.., is_proven).collect()
+    }
+
+    /// Returns the requests that ran when a runner died, oldest first, and those whose
+    /// answers had ended before and were whole.
     pub(super) fn on_dead(
         &mut self,
         now: Instant,
         incarnation: &runners::Incarnation,
-    ) -> Vec<BrokenRequest> {
+    ) -> (Vec<BrokenRequest>, Vec<BrokenRequest>) {
         self.dead
             .retain(|(at, dead)| now.since(*at) <= BROKEN_RETENTION && dead != incarnation);
         if self.dead.len() < MAX_CRASHES {
@@ -271,8 +289,15 @@
         let own = self
             .broken
             .extract_if(.., |request| request.incarnation == *incarnation);
-        own.filter(|request| now.since(request.broken_at) <= BROKEN_RETENTION)
-            .collect()
+        let recent: Vec<_> = own
+            .filter(|request| now.since(request.broken_at) <= BROKEN_RETENTION)
+            .collect();
+        // All connections that are open end with the runner.
+        let died_at = recent.iter().map(|request| request.broken_at).max();
+        recent.into_iter().partition(|request| {
+            let age = died_at.unwrap_or_default().since(request.broken_at);
+            request.unproven_since.is_none() || age <= SAME_MOMENT
+        })
     }
 
     /// Records a request that was running when a runner died. Returns its number of
--- a/crates/lentil_policy/src/forward/crash_blame.rs
+++ b/crates/lentil_policy/src/forward/crash_blame.rs
@@ -143,7 +143,8 @@
     }
 
     /// A runner died at `crashed_at` while requests with these segments ran. Several
-    /// routers may report one crash, each with the segments of its own requests.
+    /// routers may report one crash, each with the segments of its own requests. The latest
+    /// report is right about the time: what ended before it had ended by itself.
     pub fn on_crash(
         &mut self,
         incarnation: &Incarnation,
@@ -154,8 +155,15 @@
         let mut known = known.map(|crash| &crash.incarnation);
         let index = known.position(|known| known == incarnation);
         let index = index.unwrap_or_else(|| self.insert_crash(incarnation, crashed_at));
+        let window = self.settings.crash_window;
         let crash = &mut self.crashes[index];
         self.has_news = true;
+        if crashed_at.since(crash.crashed_at) > window {
+            crash.crashed_at = crashed_at;
+            crash.segments.clear();
+        } else if crash.crashed_at.since(crashed_at) > window {
+            return;
+        }
         for segment in segments {
             let is_known = crash.segments.binary_search(&segment).is_ok();
             if let Some(refusal) = self.refused.get_mut(&segment).filter(|_| !is_known) {
--- a/crates/lentil_policy/tests/forward_crash_blame.rs
+++ b/crates/lentil_policy/tests/forward_crash_blame.rs
@@ -401,6 +401,29 @@
     assert_eq!(blame.refusal(at(3_000), [BAD]), None);
 }
 
+#[test]
+fn a_request_that_ended_before_its_runner_died_is_not_blamed() {
+    let mut blame = CrashBlame::new(Settings::default());
+    let sound = SegmentId(7);
+    for number in 0..4 {
+        let died_at = 1_000 * (number + 1);
+        let runner = incarnation(number);
+        // Another router's answers had ended with their connections shortly before.
+        let (ended, died) = (at(died_at - 600), at(died_at));
+        if number % 2 == 0 {
+            blame.on_crash(&runner, ended, [sound]);
+            blame.on_crash(&runner, died, [BAD]);
+        } else {
+            blame.on_crash(&runner, died, [BAD]);
+            blame.on_crash(&runner, ended, [sound]);
+        }
+    }
+    blame.conclude(at(4_100));
+    blame.conclude(at(4_400));
+    assert_eq!(blame.refusal(at(4_400), [sound]), None);
+    assert!(blame.refusal(at(4_400), [BAD]).is_some());
+}
+
 #[test]
 fn a_whole_answer_that_began_before_the_crashes_is_no_evidence() {
     let mut blame = blame_after_crashes(&[1_000, 2_000, 3_000]);
