Date a runner's death by the last of its connections that ended

A router reported the time at which the first of its connections to a dead runner had broken, up to five seconds earlier if an answer had broken off for other reasons. Other routers, which compare the times since, then dropped its evidence.

Change: the last connection that ended counts. check_refusal, in place of refusal, says that it does more than look something up.

--- a/crates/lentil_forward/src/router/crashes.rs
+++ b/crates/lentil_forward/src/router/crashes.rs
@@ -58,11 +58,11 @@
     fn on_dead_at(&self, now: Instant, incarnation: &runners::Incarnation, sign: DeathSign) {
         let (requests, whole) = self.state().on_dead(now, incarnation);
         self.note_whole(whole);
-        let Some(first) = requests.first() else {
+        // Connections that broke earlier did so for other reasons, or a little before.
+        let Some(died_at) = requests.iter().map(|request| request.broken_at).max() else {
             return;
         };
-        let broken_at = first.broken_at;
-        let after = now.since(broken_at).as_millis();
+        let after = now.since(died_at).as_millis();
         log::info!(
             runner:% = incarnation.name, born = incarnation.boot_id, sign:%, after_ms = after,
             requests = requests.len(), segments = segment_counts(&requests);
@@ -85,14 +85,14 @@
         for segments in segments.chunks(SEGMENTS_PER_DATAGRAM) {
             let evidence = datagram::CrashEvidence {
                 incarnation: incarnation.clone(),
-                age: now.since(broken_at),
+                age: now.since(died_at),
                 segments: segments.to_vec(),
             };
             let evidence = Datagram::CrashEvidence(evidence);
             self.outbox.put(Recipient::Routers, evidence);
         }
         let mut state = self.state();
-        state.blame.on_crash(incarnation, broken_at, segments);
+        state.blame.on_crash(incarnation, died_at, segments);
         drop(state);
         self.conclude();
     }
@@ -246,9 +246,9 @@
         }
     }
 
-    /// How long requests with the segments of this one are refused. `None` for one that
-    /// tries a refused segment.
-    pub(super) fn refusal(&self, plan: &Plan) -> Option<time::Duration> {
+    /// How long requests with the segments of this one are refused. `None` for one that may
+    /// try a refused segment. Tells other routers of the refusal from time to time.
+    pub(super) fn check_refusal(&self, plan: &Plan) -> Option<time::Duration> {
         if plan.is_trial.get() {
             return None;
         }
@@ -274,7 +274,7 @@
     pub(super) async fn until_refused(&self, plan: &Plan) {
         loop {
             let changed = self.refusals_changed.listen();
-            if self.refusal(plan).is_some() {
+            if self.check_refusal(plan).is_some() {
                 return;
             }
             changed.await;
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -148,7 +148,7 @@
     if router.state().is_poison(request.received, plan.fingerprint) {
         return Err(rejection(503, Reason::Poison));
     }
-    if let Some(retry) = router.refusal(&plan) {
+    if let Some(retry) = router.check_refusal(&plan) {
         return Err(Rejection {
             retry,
             ..rejection(503, Reason::Poison)
@@ -227,7 +227,7 @@
                 break;
             }
         };
-        if let Some(refused_for) = router.refusal(plan) {
+        if let Some(refused_for) = router.check_refusal(plan) {
             (reason, retry) = (Reason::Poison, refused_for);
             break;
         }
