Give a silent stream up only if another runner may continue it

A resumable stream that paused for longer than four times its route's gap, at a runner without an agent, was left incomplete also where it was the only runner of its service: the caller, who waits longer, lost a sound stream.

Change: while no other runner exists that may take the request, the router goes on waiting, until the route's timeout at the latest, and asks again after each further pause.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -610,9 +610,9 @@
             .await
     }
 
-    /// The next bytes of a stream. Fails a repeatable one when it stalls and neither
-    /// the runner nor its agent sends anything: a pause alone may mean that the
-    /// runner is busy.
+    /// The next bytes of a stream. Fails a repeatable one when it stalls, neither the
+    /// runner nor its agent sends anything, and another runner can continue it: a pause
+    /// alone may mean that the runner is busy.
     async fn next_bytes(
         &mut self,
         reader: &mut h1::BodyReader,
@@ -623,15 +623,19 @@
             .route
             .max_gap
             .mul_f64(self.router.settings.stall_factor);
-        let (router, incarnation) = (self.router.clone(), &self.choice.incarnation);
+        let (router, plan) = (self.router.clone(), self.plan);
+        let incarnation = &self.choice.incarnation;
         let stalled = async {
             if !can_repeat {
                 std::future::pending::<()>().await;
             }
-            router
-                .wait_until_silent(incarnation, router.now(), stall)
-                .await;
-            Err(Failure::Silent)
+            loop {
+                let since = router.now();
+                router.wait_until_silent(incarnation, since, stall).await;
+                if router.has_other_runner(plan, incarnation) {
+                    return Err(Failure::Silent);
+                }
+            }
         };
         let next = async {
             reader
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -203,6 +203,13 @@
         })
     }
 
+    /// Whether a runner other than this one may take the request, perhaps after a wait.
+    fn has_other_runner(&self, plan: &plan::Plan, incarnation: &runners::Incarnation) -> bool {
+        let exclude = std::slice::from_ref(&incarnation.name);
+        let choice = self.choose(plan, exclude, None);
+        !matches!(choice, Err(placement::Refusal::NoRunner))
+    }
+
     /// Chooses a runner for a long prompt. Asks the agents of the best candidates for
     /// a status report until the chosen runner's status is recent: periodic reports
     /// are too old for this.
