Decode limits of teams and their bounds

Nothing read the fields rate_per_s, burst, unit and uncached_tokens of a team, nor the bounds of quota in the settings.

--- a/crates/lentil_forward/src/names.rs
+++ b/crates/lentil_forward/src/names.rs
@@ -13,6 +13,8 @@
     pub team: &'static str,
     /// Requested model.
     pub model: &'static str,
+    /// Tokens of the prompt and of its longest output, separated by a comma.
+    pub tokens: &'static str,
     /// Segments of the prompt in order.
     pub segments: &'static str,
     /// Id of the last event received; the stream resumes after it.
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //!   final answer that allows.
 //! - [`wait_queue`]: requests that wait at a router for a runner.
 //! - [`target_weights`]: the weights that models are to be served with.
+//! - [`team_limits`]: limits of teams, kept by all routers together.
 //! - [`retries`]: this router's share of the fleet's retry budget.
 //! - [`runners`]: the known runners, their status and cached segments.
 //! - [`placement`]: the choice of a runner for a request.
@@ -33,6 +34,7 @@
 pub mod status_schedule;
 pub mod stream_origins;
 pub mod target_weights;
+pub mod team_limits;
 pub mod wait_queue;
 pub mod watch_doubts;
 pub mod weights_update;
--- a/crates/lentil_policy/src/forward/routing.rs
+++ b/crates/lentil_policy/src/forward/routing.rs
@@ -3,7 +3,9 @@
 use std::{net, time};
 
 use compact_str::CompactString;
-use lentil_types::{ConfigVersion, ModelName, PlaceName, ServiceName, Table, TeamName, Tokens};
+use lentil_types::{
+    ConfigVersion, ModelName, PlaceName, ServiceName, Table, TeamName, Tokens, UnitRate, Units,
+};
 
 /// Whether a request may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -68,8 +70,53 @@
     pub public: bool,
 }
 
+/// What a limit of a team counts.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    strum::Display,
+    strum::EnumString,
+    strum::VariantNames,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum LimitUnit {
+    /// Each request counts as one unit.
+    #[default]
+    Requests,
+    /// Each request counts as the tokens of its prompt and its longest output.
+    Tokens,
+}
+
+/// How much a team may ask of all routers together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TeamLimit {
+    /// What is counted.
+    pub unit: LimitUnit,
+    /// Units per second.
+    pub rate: UnitRate,
+    /// Units that it may use at once beyond the rate.
+    pub burst: Units,
+    /// Units of a request that names no tokens, where tokens are counted.
+    pub uncounted: Units,
+}
+
+impl TeamLimit {
+    /// Units of a request with `tokens`, `None` if it names none.
+    pub fn cost(&self, tokens: Option<Tokens>) -> Units {
+        match (self.unit, tokens) {
+            (LimitUnit::Requests, _) => Units(1),
+            (LimitUnit::Tokens, Some(tokens)) => Units(tokens.0),
+            (LimitUnit::Tokens, None) => self.uncounted,
+        }
+    }
+}
+
 /// A team of callers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Team {
     /// Name of the team.
     pub name: TeamName,
@@ -77,6 +124,8 @@
     pub priority: Option<u8>,
     /// Whether it shares no cache with other teams.
     pub isolated: bool,
+    /// How much it may ask; `None` for any amount.
+    pub limit: Option<TeamLimit>,
 }
 
 /// Properties of a service.
--- a/crates/lentil_policy/tests/forward_routing.rs
+++ b/crates/lentil_policy/tests/forward_routing.rs
@@ -34,6 +34,7 @@
         name: name.parse().unwrap(),
         priority,
         isolated: false,
+        limit: None,
     }
 }
 
--- a/crates/lentil_types/src/lib.rs
+++ b/crates/lentil_types/src/lib.rs
@@ -34,9 +34,9 @@
 pub use outcome::{FailReason, Outcome};
 pub use piece::{PIECE_TOKENS, PieceHash, PieceSeed};
 pub use prompt::PromptPieces;
-pub use rate::{ParseRateError, RequestRate, TokenRate};
+pub use rate::{ParseRateError, RequestRate, TokenRate, UnitRate};
 pub use runner_state::RunnerState;
-pub use size::{Bytes, ParseSizeError, Pieces, Tokens};
+pub use size::{Bytes, ParseSizeError, Pieces, Tokens, Units};
 pub use table::Table;
 pub use time::Instant;
 pub use version::{ConfigVersion, FencingNumber, SoftwareVersion, WeightsVersion};
--- a/crates/lentil_types/src/rate.rs
+++ b/crates/lentil_types/src/rate.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, str, time};
 
-use crate::Tokens;
+use crate::{Tokens, Units};
 
 /// A string is not a positive, finite number per second.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -62,6 +62,33 @@
     }
 }
 
+/// A rate in units of a limit per second.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct UnitRate(pub f64);
+
+impl UnitRate {
+    /// Time for `units` at this rate, at most [`time::Duration::MAX`].
+    pub fn time_for(self, units: Units) -> time::Duration {
+        let seconds = units.0 as f64 / self.0.max(f64::MIN_POSITIVE);
+        time::Duration::try_from_secs_f64(seconds).unwrap_or(time::Duration::MAX)
+    }
+}
+
+impl fmt::Display for UnitRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} units/s", self.0)
+    }
+}
+
+impl str::FromStr for UnitRate {
+    type Err = ParseRateError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        parse(s, "units/s").map(Self)
+    }
+}
+
 fn parse(s: &str, unit: &str) -> Result<f64, ParseRateError> {
     let number = s.strip_suffix(unit).unwrap_or(s).trim();
     match number.parse::<f64>() {
--- a/crates/lentil_types/src/size.rs
+++ b/crates/lentil_types/src/size.rs
@@ -76,6 +76,10 @@
     /// A count of model tokens.
     Tokens, "tokens"
 }
+size! {
+    /// What a limit of a team counts: requests or tokens.
+    Units, "units"
+}
 size! {
     /// A count of cache pieces.
     Pieces, "pieces"
