Add datagrams with which routers ask each other for units of teams' limits

Routers had no message to lend parts of a team's limit to each other. LimitAsk and LimitGrant are appended to the body of a datagram, each with up to 32 entries, which fit one packet. Tests hold the numbers of the other kinds, so that an older build still decodes them; nothing sends the new ones yet.

--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -160,6 +160,8 @@
                     | Datagram::SurvivalQuery(_)
                     | Datagram::SegmentSurvived(_)
                     | Datagram::SegmentRefused(_)
+                    | Datagram::LimitAsk(_)
+                    | Datagram::LimitGrant(_)
                     | Datagram::Loaded(_)
                     | Datagram::Silent(_)
                     | Datagram::Announcement(_)
--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -6,12 +6,12 @@
     forward::{
         backlog, rollout_pacer,
         runners::{self, SegmentUpdate},
-        stream_origins,
+        stream_origins, team_limits,
     },
     store::ObjectVersion,
 };
 use lentil_types::{
-    Fingerprint, ModelName, RequestRate, RunnerName, ServiceName, SoftwareVersion, Tokens,
+    Fingerprint, ModelName, RequestRate, RunnerName, ServiceName, SoftwareVersion, Tokens, Units,
     WeightsVersion,
 };
 
@@ -24,6 +24,10 @@
 /// Fits one packet.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
+/// Most entries of a [`Datagram::LimitAsk`] or [`Datagram::LimitGrant`]: with the largest
+/// numbers an entry takes 36 bytes.
+pub const MAX_LIMIT_ENTRIES: usize = 32;
+
 const BINCODE_CONFIG: bincode::config::Configuration<
     bincode::config::LittleEndian,
     bincode::config::Varint,
@@ -199,6 +203,11 @@
     SegmentSurvived(SegmentAge),
     /// From a router to every other.
     SegmentRefused(SegmentRefusal),
+    /// From a router to another: asks for units of teams' limits; at most
+    /// [`MAX_LIMIT_ENTRIES`].
+    LimitAsk(Vec<team_limits::Ask>),
+    /// Answer to a [`Self::LimitAsk`].
+    LimitGrant(Vec<team_limits::Grant>),
 }
 
 /// A datagram that cannot be decoded or encoded.
@@ -274,6 +283,12 @@
                 left_ms: whole_millis(refusal.remaining),
                 crashes: refusal.crashes,
             }),
+            Self::LimitAsk(asks) => generated::Body::LimitAsk(generated::LimitAsk {
+                asks: asks.into_iter().map(Into::into).collect(),
+            }),
+            Self::LimitGrant(grants) => generated::Body::LimitGrant(generated::LimitGrant {
+                grants: grants.into_iter().map(Into::into).collect(),
+            }),
             Self::LongPrompt(prompt) => generated::Body::Sent(generated::Sent {
                 request: prompt.request.0,
                 missing: prompt.uncached.0,
@@ -339,6 +354,12 @@
                 remaining: time::Duration::from_millis(refused.left_ms.into()),
                 crashes: refused.crashes,
             }),
+            generated::Body::LimitAsk(ask) => {
+                Self::LimitAsk(ask.asks.into_iter().map(Into::into).collect())
+            }
+            generated::Body::LimitGrant(grant) => {
+                Self::LimitGrant(grant.grants.into_iter().map(Into::into).collect())
+            }
             generated::Body::Sent(sent) => Self::LongPrompt(backlog::LongPrompt {
                 request: backlog::RequestHash(sent.request),
                 uncached: Tokens(sent.missing),
@@ -591,6 +612,50 @@
     }
 }
 
+impl From<team_limits::Ask> for generated::UnitsAsked {
+    fn from(from: team_limits::Ask) -> Self {
+        Self {
+            nonce: from.nonce,
+            team: from.team.0,
+            units: from.units.0,
+            urgent: from.is_urgent,
+        }
+    }
+}
+
+impl From<generated::UnitsAsked> for team_limits::Ask {
+    fn from(from: generated::UnitsAsked) -> Self {
+        Self {
+            nonce: from.nonce,
+            team: team_limits::TeamHash(from.team),
+            units: Units(from.units),
+            is_urgent: from.urgent,
+        }
+    }
+}
+
+impl From<team_limits::Grant> for generated::UnitsLent {
+    fn from(from: team_limits::Grant) -> Self {
+        Self {
+            nonce: from.nonce,
+            team: from.team.0,
+            units: from.units.0,
+            remaining: from.left.0,
+        }
+    }
+}
+
+impl From<generated::UnitsLent> for team_limits::Grant {
+    fn from(from: generated::UnitsLent) -> Self {
+        Self {
+            nonce: from.nonce,
+            team: team_limits::TeamHash(from.team),
+            units: Units(from.units),
+            left: Units(from.remaining),
+        }
+    }
+}
+
 fn segment_age(part: u64, age_ms: u32) -> SegmentAge {
     SegmentAge {
         segment: runners::SegmentId(part),
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -180,6 +180,8 @@
             | Datagram::LongPrompt(_)
             | Datagram::StatusRequest(_)
             | Datagram::StreamNoted(_)
+            | Datagram::LimitAsk(_)
+            | Datagram::LimitGrant(_)
             | Datagram::Turn(_) => {
                 log::debug!("ignored a datagram that is not meant for a router");
             }
--- a/crates/lentil_forward/tests/messages.rs
+++ b/crates/lentil_forward/tests/messages.rs
@@ -5,8 +5,9 @@
 use lentil_forward::{
     EventSplitter,
     datagram::{
-        AnnouncementNotice, Crash, CrashEvidence, Datagram, DocumentNotice, Loaded, SegmentAge,
-        SegmentRefusal, StatusReport, StreamOrigin, StreamRun, Subscribe, Turn,
+        AnnouncementNotice, Crash, CrashEvidence, Datagram, DocumentNotice, Loaded,
+        MAX_LIMIT_ENTRIES, SegmentAge, SegmentRefusal, StatusReport, StreamOrigin, StreamRun,
+        Subscribe, Turn,
     },
     documents::{Kind, WeightsTarget},
 };
@@ -14,11 +15,11 @@
     forward::{
         backlog, rollout_pacer,
         runners::{Incarnation, SegmentId, SegmentKey, SegmentUpdate, Status},
-        status_schedule, stream_origins,
+        status_schedule, stream_origins, team_limits,
     },
     store::ObjectVersion,
 };
-use lentil_types::{Fingerprint, RequestRate, Tokens, WeightsVersion};
+use lentil_types::{Fingerprint, RequestRate, Tokens, Units, WeightsVersion};
 use proptest::prelude::*;
 
 fn incarnation() -> Incarnation {
@@ -35,6 +36,24 @@
     }
 }
 
+fn limit_ask(nonce: u64) -> team_limits::Ask {
+    team_limits::Ask {
+        nonce,
+        team: team_limits::TeamHash::of(&"red".parse().unwrap()),
+        units: Units(60_000),
+        is_urgent: true,
+    }
+}
+
+fn limit_grant(nonce: u64) -> team_limits::Grant {
+    team_limits::Grant {
+        nonce,
+        team: team_limits::TeamHash(u64::MAX),
+        units: Units(12_000),
+        left: Units(7),
+    }
+}
+
 fn datagrams() -> Vec<Datagram> {
     let model: lentil_types::ModelName = "model".parse().unwrap();
     let target = WeightsTarget {
@@ -134,6 +153,8 @@
             stream: backlog::RequestHash(5),
             incarnation: incarnation(),
         }),
+        Datagram::LimitAsk(vec![limit_ask(1), limit_ask(u64::MAX)]),
+        Datagram::LimitGrant(vec![limit_grant(1), limit_grant(u64::MAX)]),
     ]
 }
 
@@ -160,6 +181,72 @@
     assert!(largest.encode().unwrap().len() <= 1_400);
 }
 
+/// Guards against advance asks of many teams that cannot be sent because their datagram is
+/// too large.
+#[test]
+fn the_most_entries_about_limits_fit_a_packet() {
+    let ask = team_limits::Ask {
+        nonce: u64::MAX,
+        team: team_limits::TeamHash(u64::MAX),
+        units: Units(u64::MAX),
+        is_urgent: true,
+    };
+    let grant = team_limits::Grant {
+        nonce: u64::MAX,
+        team: team_limits::TeamHash(u64::MAX),
+        units: Units(u64::MAX),
+        left: Units(u64::MAX),
+    };
+    for datagram in [
+        Datagram::LimitAsk(vec![ask; MAX_LIMIT_ENTRIES]),
+        Datagram::LimitGrant(vec![grant; MAX_LIMIT_ENTRIES]),
+    ] {
+        let bytes = datagram.clone().encode().unwrap();
+        assert!(bytes.len() <= 1_400);
+        assert_eq!(Datagram::decode(&bytes).unwrap(), datagram);
+    }
+}
+
+/// Guards against a new kind of datagram that changes the encoding of the others: during
+/// an update, processes of two builds talk to each other.
+#[test]
+fn the_kinds_of_datagrams_keep_their_numbers() {
+    // The first byte is the index of the kind in the order of the schema.
+    let kinds = datagrams().into_iter().map(|datagram| {
+        let name: &str = (&datagram).into();
+        (name, datagram.clone().encode().unwrap()[0])
+    });
+    let mut kinds: Vec<_> = kinds.collect();
+    kinds.sort_by_key(|(_, number)| *number);
+    kinds.dedup();
+    let names: Vec<_> = kinds.iter().map(|(name, _)| *name).collect();
+    let expected = [
+        "subscribe",
+        "told",
+        "crash",
+        "sent",
+        "ask",
+        "turn",
+        "loaded",
+        "silent",
+        "announcement",
+        "document-changed",
+        "stream-query",
+        "stream-origin",
+        "stream-seen",
+        "stream-noted",
+        "crash-evidence",
+        "survival-query",
+        "segment-survived",
+        "segment-refused",
+        "limit-ask",
+        "limit-grant",
+    ];
+    assert_eq!(names, expected);
+    let numbers: Vec<_> = kinds.iter().map(|(_, number)| *number).collect();
+    assert!(numbers.iter().copied().eq(0..20));
+}
+
 #[test]
 fn truncated_datagrams_are_rejected() {
     for datagram in datagrams() {
