Admit requests under the limits of their teams

The router knew the teams' limits but charged nobody. A request of a team with a limit is now charged right after its plan is made and before it is queued. Where this router has too few units it asks others and waits for their grants or the timeout. Over the limit the answer is 429 at once, with a Retry-After. A guard gives the units back unless the request may have run. Requests without a team, or of one without a limit, pass without an await.

--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -25,6 +25,10 @@
     pub byte_rate: f64,
     /// Routers that no agent reports for this long are dropped.
     pub router_ttl: time::Duration,
+    /// Shortest interval between two updates because of routers that were not known. A
+    /// router that starts in a large fleet learns of the others by many reports, and owners
+    /// of all teams' limits are computed for each update.
+    pub routers_interval: time::Duration,
 }
 
 impl Default for Settings {
@@ -34,6 +38,7 @@
             max_interval: time::Duration::from_secs(5),
             byte_rate: 1_000.0,
             router_ttl: time::Duration::from_secs(12),
+            routers_interval: time::Duration::from_millis(100),
         }
     }
 }
@@ -90,6 +95,9 @@
     reported_at: cell::Cell<Option<Instant>>,
     /// When each other router was last reported, by document address.
     routers: cell::RefCell<Table<net::SocketAddr, Instant>>,
+    /// When the state last got the known routers, and whether others were reported since.
+    applied_at: cell::Cell<Instant>,
+    has_new_routers: cell::Cell<bool>,
 }
 
 impl Peers {
@@ -116,6 +124,8 @@
             port,
             reported_at: cell::Cell::new(None),
             routers: cell::RefCell::default(),
+            applied_at: cell::Cell::new(Instant::ZERO),
+            has_new_routers: cell::Cell::new(false),
         }))
     }
 
@@ -130,17 +140,25 @@
         }
     }
 
-    /// Renews all subscriptions periodically, and at once on new target weights;
-    /// never returns.
+    /// Renews all subscriptions periodically, and at once on new target weights and when
+    /// the first agents are listed; never returns.
     pub async fn renew_subscriptions(&self) {
         loop {
             let new_targets = self.router.target_changed.listen();
+            let listed = self.router.agents_listed.listen();
             let bytes = self.send_subscriptions().await;
             let interval = self.interval(bytes);
+            let first_agents = async {
+                match bytes {
+                    0 => listed.await,
+                    _ => std::future::pending().await,
+                }
+            };
             let timer = async {
                 smol::Timer::after(interval).await;
             };
-            futures_lite::future::or(new_targets, timer).await;
+            let news = futures_lite::future::or(new_targets, first_agents);
+            futures_lite::future::or(news, timer).await;
             self.expire_routers();
         }
     }
@@ -148,12 +166,7 @@
     fn on_datagram(&self, from: net::SocketAddr, datagram: Datagram) {
         match datagram {
             Datagram::StatusReport(report) => {
-                if !report.routers.is_empty() {
-                    self.reported_at.set(Some(self.router.now()));
-                }
-                for address in &report.routers {
-                    self.on_router(*address);
-                }
+                self.on_routers(&report.routers);
                 self.router.on_status_report(report);
             }
             Datagram::Crash(crash) => self.router.on_crash(&crash),
@@ -176,12 +189,12 @@
             Datagram::StreamQuery(stream) => self.on_stream_query(from, stream),
             Datagram::StreamOrigin(origin) => self.router.on_stream_origin(origin),
             Datagram::StreamSeen(run) => self.router.on_stream_seen(&run),
+            Datagram::LimitAsk(asks) => self.router.on_limit_ask(from.ip(), &asks),
+            Datagram::LimitGrant(grants) => self.router.on_limit_grant(from.ip(), &grants),
             Datagram::Subscribe(_)
             | Datagram::LongPrompt(_)
             | Datagram::StatusRequest(_)
             | Datagram::StreamNoted(_)
-            | Datagram::LimitAsk(_)
-            | Datagram::LimitGrant(_)
             | Datagram::Turn(_) => {
                 log::debug!("ignored a datagram that is not meant for a router");
             }
@@ -206,18 +219,34 @@
         }
     }
 
-    fn on_router(&self, address: net::SocketAddr) {
-        if address != self.documents_address {
-            self.follower.on_router(address);
-            let now = self.router.now();
-            self.routers.borrow_mut().insert(address, now);
+    /// An agent reports routers, this one among them; often none.
+    fn on_routers(&self, addresses: &[net::SocketAddr]) {
+        let now = self.router.now();
+        if !addresses.is_empty() && self.reported_at.replace(Some(now)).is_none() {
+            self.has_new_routers.set(true);
+        }
+        for address in addresses {
+            if *address == self.documents_address {
+                continue;
+            }
+            self.follower.on_router(*address);
+            let old = self.routers.borrow_mut().insert(*address, now);
+            if old.is_none() {
+                self.has_new_routers.set(true);
+            }
+        }
+        let is_due = now.since(self.applied_at.get()) >= self.settings.routers_interval;
+        if self.has_new_routers.get() && is_due {
+            self.expire_routers();
         }
     }
 
-    /// Drops routers not reported in time; updates the router count and this one's
-    /// rank.
+    /// Drops routers not reported in time; updates the router count, this one's rank and
+    /// the owners of teams' limits.
     fn expire_routers(&self) {
         let now = self.router.now();
+        self.applied_at.set(now);
+        self.has_new_routers.set(false);
         let mut routers = self.routers.borrow_mut();
         routers.retain(|_, reported| now.since(*reported) <= self.settings.router_ttl);
         let rank = routers
@@ -227,7 +256,20 @@
         let is_recent = |at: Instant| now.since(at) <= self.settings.router_ttl;
         let is_reported = self.reported_at.get().is_some_and(is_recent);
         let count = routers.len() + 1;
-        self.router.state().set_routers(count, rank, is_reported);
+        let own = self.documents_address.ip();
+        // Without reports the other routers are not known, and neither is their number.
+        let known: Vec<_> = match is_reported {
+            true => routers
+                .keys()
+                .map(net::SocketAddr::ip)
+                .chain([own])
+                .collect(),
+            false => Vec::new(),
+        };
+        let mut state = self.router.state();
+        state.set_routers(count, rank, is_reported);
+        let runners = state.runners().len();
+        state.limits.set_routers(now, own, &known, runners);
     }
 
     /// Returns the bytes sent.
--- a/crates/lentil_forward/src/router/answer.rs
+++ b/crates/lentil_forward/src/router/answer.rs
@@ -187,6 +187,7 @@
         404 => "Not Found",
         408 => "Request Timeout",
         413 => "Content Too Large",
+        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -8,6 +8,7 @@
 mod connect;
 mod crashes;
 mod in_flight;
+mod limits;
 mod listener;
 mod pick;
 mod plan;
@@ -61,6 +62,10 @@
     refusals_changed: event_listener::Event,
     /// Notified when an agent sent a status report.
     pub(crate) status_received: event_listener::Event,
+    /// Notified when another router has answered a question for units of a team's limit.
+    units_received: event_listener::Event,
+    /// Notified when there may be the first agents to subscribe to.
+    pub(crate) agents_listed: event_listener::Event,
     /// Datagrams to be sent.
     pub(crate) outbox: Outbox,
     /// Notified when shutdown starts.
@@ -96,6 +101,8 @@
             origin_received: event_listener::Event::new(),
             refusals_changed: event_listener::Event::new(),
             status_received: event_listener::Event::new(),
+            units_received: event_listener::Event::new(),
+            agents_listed: event_listener::Event::new(),
             outbox: Outbox::new(),
             stopping: event_listener::Event::new(),
             stopping_since: cell::Cell::new(None),
@@ -165,7 +172,8 @@
         Ok(())
     }
 
-    /// Periodic work: expires runners and connections, updates metrics.
+    /// Periodic work: expires runners and connections, asks for units of teams' limits,
+    /// updates metrics.
     pub fn tick(&self) {
         let now = self.now();
         let changes = self.state().runners_mut().tick(now);
@@ -177,6 +185,7 @@
         self.metrics
             .gauge(metrics::Gauge::InFlight, self.callers.get() as u64);
         drop(state);
+        self.ask_in_advance();
         self.grant_turns();
         self.note_proven();
         self.conclude();
--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -47,7 +47,7 @@
     /// leaves before that. Bounds what a request is queued for, not its attempts.
     pub(super) start_by: Instant,
     pub(super) fingerprint: Fingerprint,
-    pub(super) attempt_log: cell::RefCell<attempt_log::AttemptLog>,
+    pub(super) attempt_log: rc::Rc<cell::RefCell<attempt_log::AttemptLog>>,
     /// Whether an answer is being written.
     pub(super) is_answering: cell::Cell<bool>,
     /// Whether the request tries a refused segment.
@@ -93,7 +93,7 @@
             start_by: leaves_at.map_or(answer_by, |at| answer_by.min(at)),
             deadline,
             fingerprint: fingerprint(request, names),
-            attempt_log: cell::RefCell::default(),
+            attempt_log: rc::Rc::default(),
             is_answering: cell::Cell::new(false),
             is_trial: cell::Cell::new(false),
             routing,
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -3,7 +3,7 @@
 use std::{fmt, rc, time};
 
 use compact_str::{CompactString, format_compact};
-use lentil_policy::forward::{attempt_log, placement, routing};
+use lentil_policy::forward::{attempt_log, placement, routing, team_limits};
 use lentil_process::metrics::{Counter, Timing};
 use lentil_types::{Instant, ServiceName};
 use xxhash_rust::xxh3;
@@ -12,7 +12,7 @@
     Router,
     answer::{Answer, CompleteAnswer},
     attempt::{self, Failure, Progress},
-    pick,
+    limits, pick,
     plan::{Plan, Request},
     stream_origin,
 };
@@ -41,6 +41,8 @@
     NoRoute,
     /// The key belongs to no team.
     UnknownKey,
+    /// The team has used its limit.
+    OverLimit,
     /// The request killed runners.
     Poison,
     /// No runner can take the request now.
@@ -68,6 +70,7 @@
             Self::NoConfiguration => Counter::OwnNoConfiguration,
             Self::NoRoute => Counter::OwnNoRoute,
             Self::UnknownKey => Counter::OwnUnknownKey,
+            Self::OverLimit => Counter::OwnOverLimit,
             Self::Poison => Counter::OwnPoison,
             Self::NoRunner => Counter::OwnNoRunner,
             Self::UnknownOrigin => Counter::OwnUnknownOrigin,
@@ -96,9 +99,14 @@
         Ok(plan) => plan,
         Err(rejection) => return reject(router, request, answer, rejection).await,
     };
+    let charge = match limits::admit(router, &plan, request).await {
+        Ok(charge) => charge,
+        Err(refusal) => return refuse_over_limit(router, &plan, answer, &refusal).await,
+    };
     let mut progress = Progress::default();
     if let Err(stream_origin::Unknown) = stream_origin::bind(router, &mut plan).await {
         let end = RequestEnd::OwnAnswer(Reason::UnknownOrigin, router.settings.retry_after);
+        drop(charge);
         return finish(router, &plan, &progress, answer, end).await;
     }
     router.state().on_request(plan.received, &plan.service);
@@ -114,6 +122,8 @@
         };
         futures_lite::future::or(run, timeout).await
     };
+    // A caller that is told that its request has not run may send it again at once.
+    drop(charge);
     finish(router, &plan, &progress, answer, end).await;
 }
 
@@ -192,11 +202,41 @@
     send_own_answer(router, answer, status, retry).await;
 }
 
-/// Answers for the router itself. Only status 503 carries a retry delay: it means
+/// Refuses a request whose team has used its limit.
+async fn refuse_over_limit(
+    router: &Router,
+    plan: &Plan,
+    answer: &mut Answer,
+    refusal: &team_limits::Refusal,
+) {
+    const STATUS: u16 = 429;
+    let reason = Reason::OverLimit;
+    router.metrics.count(Counter::RequestsRefused);
+    router.metrics.count(reason.counter());
+    if router.log_quota.try_take(router.now()) {
+        let team = plan.team.as_ref().map(|team| &team.name);
+        let part = team.and_then(|team| router.team_part(team));
+        log::info!(
+            request = plan.id.as_str(), reason:%, status = STATUS, team:% = or_dash(team),
+            config = plan.routing.version.0, needed = refusal.needed.0, available = refusal.available.0,
+            told_ms:% = or_dash(refusal.age.map(|age| age.as_millis())), part:% = or_dash(part),
+            retry_ms = refusal.retry_after.as_millis(), age_ms = router.now().since(plan.received).as_millis();
+            "request over its team's limit"
+        );
+    }
+    send_own_answer(router, answer, STATUS, refusal.retry_after).await;
+}
+
+/// Answers for the router itself. Only statuses 429 and 503 carry a retry delay: they mean
 /// that the request has not run.
 async fn send_own_answer(router: &Router, answer: &mut Answer, status: u16, retry: time::Duration) {
-    let retry_after =
-        (status == 503).then(|| (router.names.retry_after, with_jitter(router, retry)));
+    let delay = match status {
+        // The delay of a refusal over a limit has its jitter already.
+        429 => Some(retry),
+        503 => Some(with_jitter(router, retry)),
+        _ => None,
+    };
+    let retry_after = delay.map(|delay| (router.names.retry_after, delay));
     if let Err(error) = answer.write_own(status, retry_after).await {
         log::debug!(error:%; "caller disconnected before its answer was written");
     }
--- a/crates/lentil_forward/src/router/settings.rs
+++ b/crates/lentil_forward/src/router/settings.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use lentil_policy::forward::{
-    crash_blame, placement, retries, rollout_pacer, runners, save_budget,
+    crash_blame, placement, retries, rollout_pacer, runners, save_budget, team_limits,
 };
 use lentil_process::logs;
 
@@ -24,6 +24,8 @@
     pub pacing: rollout_pacer::Settings,
     /// Retry budget of the fleet.
     pub retries: retries::Settings,
+    /// Limits of teams.
+    pub limits: team_limits::Settings,
     /// Pool of connections to runners.
     pub pool: pool::Settings,
     /// Rate limit of log lines about single requests.
@@ -100,6 +102,7 @@
             saves: save_budget::Settings::default(),
             pacing: rollout_pacer::Settings::default(),
             retries: retries::Settings::default(),
+            limits: team_limits::Settings::default(),
             pool: pool::Settings::default(),
             log_quota: logs::QuotaSettings::default(),
             log_sample: 64,
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -6,7 +6,7 @@
     forward::{
         backlog, crash_blame, placement, retries, rollout_pacer, routing,
         runners::{self, SegmentKey},
-        save_budget, stream_origins, target_weights, wait_queue,
+        save_budget, stream_origins, target_weights, team_limits, wait_queue,
     },
     poison,
 };
@@ -45,6 +45,8 @@
     pub blame: crash_blame::CrashBlame,
     /// Where recent streams began of which callers got events.
     pub streams: stream_origins::RecentStreams<stream_origins::Origin>,
+    /// Limits of teams.
+    pub limits: team_limits::TeamLimits,
     /// Questions for the origin of a stream that are being asked.
     pub lookups: Table<backlog::RequestHash, stream_origins::OriginLookup>,
 }
@@ -98,6 +100,7 @@
             dead: Vec::new(),
             blame: crash_blame::CrashBlame::new(settings.blame),
             streams: stream_origins::RecentStreams::default(),
+            limits: team_limits::TeamLimits::new(settings.limits, Instant::ZERO),
             lookups: Table::new(),
         }
     }
@@ -107,13 +110,18 @@
         self.routing.as_ref()
     }
 
-    /// Puts a configuration in force; `None` if it is not newer.
-    pub fn set_routing(&mut self, routing: routing::Routing) -> Option<ConfigVersion> {
+    /// Puts a configuration in force, with its limits of teams; `None` if it is not newer.
+    pub fn set_routing(
+        &mut self,
+        now: Instant,
+        routing: routing::Routing,
+    ) -> Option<ConfigVersion> {
         let version = routing.version;
         let old = self.routing.as_ref().map(|old| old.version);
         if old.is_some_and(|old| old >= version) {
             return None;
         }
+        self.limits.set_teams(now, routing.teams());
         self.routing = Some(rc::Rc::new(routing));
         Some(version)
     }
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -33,6 +33,7 @@
                 let now = self.now();
                 let changes = self.state().runners_mut().on_list(now, registrations);
                 self.log_changes(&changes);
+                self.agents_listed.notify(usize::MAX);
             }
             Kind::Routing | Kind::Weights => {
                 for document in &listing.documents {
@@ -89,11 +90,14 @@
         let routes = routing.routes().len();
         let teams = routing.teams().len();
         let old = self.state().routing().map(|old| old.version.0);
-        if let Some(version) = self.state().set_routing(routing) {
+        let now = self.now();
+        let version = self.state().set_routing(now, routing);
+        if let Some(version) = version {
             self.metrics.count(Counter::ConfigChanges);
             self.metrics.gauge(Gauge::ConfigVersion, version.0);
             log::info!(config = version.0, old:?, revision = document.version.0, routes, teams; "configuration in force");
             self.availability_changed.notify(usize::MAX);
+            self.agents_listed.notify(usize::MAX);
         }
     }
 
@@ -159,6 +163,7 @@
         }
         self.log_changes(change.as_slice());
         self.availability_changed.notify(usize::MAX);
+        self.agents_listed.notify(usize::MAX);
     }
 
     fn on_runner_removed(&self, name: &str) {
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -113,6 +113,14 @@
     RetryAfterNamed,
     /// Invalid announcements of runners.
     AnnouncementsUnusable,
+    /// Requests admitted within the limit of their team.
+    LimitAdmitted,
+    /// Questions to other routers for units of a team's limit.
+    LimitAsks,
+    /// Units of teams' limits lent to other routers.
+    UnitsLent,
+    /// Units of teams' limits borrowed from other routers.
+    UnitsBorrowed,
     /// Turns to change weights granted to runners.
     TurnsGranted,
     /// Router's own errors: no configuration.
@@ -121,6 +129,8 @@
     OwnNoRoute,
     /// Router's own errors: the key belongs to no team.
     OwnUnknownKey,
+    /// Router's own errors: the team has used its limit.
+    OwnOverLimit,
     /// Router's own errors: the request has crashed runners.
     OwnPoison,
     /// Router's own errors: no runner may take requests.
