Keep the limits of teams by lending between routers

The placeholder admitted every request. Each router now owns a part of each team's limit, borrows from other owners what it lacks, and refuses what is over the limit. An ask names the cost of the request, so that owners can save units for requests larger than a part.

--- a/crates/lentil_policy/src/forward/team_limits.rs
+++ b/crates/lentil_policy/src/forward/team_limits.rs
@@ -1,15 +1,25 @@
 //! Limits of teams, kept by all routers together without coordination.
 //!
 //! Every router owns an equal part of each team's limit. Its buckets fill with that part,
-//! and routers that need more borrow from others. What is in a lost datagram is lost, and
-//! no unit is made twice, so the sum stays within the limit whoever is cut off from whom.
+//! and routers that need more borrow from others. The units in a lost datagram are lost, and
+//! no unit is generated twice, so the sum stays within the limit under any partition.
 //!
 //! The load that it answers: one team sends many times its usual, to a few routers or to
 //! all, while others need their share.
+//!
+//! A unit is in one place at a time: in the bucket of the owner that generated it, in the
+//! datagram of a grant, or in a loan at the router that asked. A loan expires
+//! [`Settings::loan_life`] after it was asked for, so that all routers together never hold
+//! more than the burst and what is generated in that time.
+
+mod bucket;
+mod demand;
+mod lenders;
+mod owners;
 
 use std::{net, time};
 
-use lentil_types::{Instant, TeamName, Units};
+use lentil_types::{Instant, Table, TeamName, Units};
 
 use crate::forward::routing;
 
@@ -80,6 +90,8 @@
     pub team: TeamHash,
     /// Units wanted.
     pub units: Units,
+    /// Units that the request costs in all; 0 if the router asks in advance.
+    pub needed: Units,
     /// Whether they are for an urgent request.
     pub is_urgent: bool,
 }
@@ -104,6 +116,8 @@
     pub team: TeamHash,
     /// Units taken.
     pub units: Units,
+    /// When units of it that exceed the router's own part can no longer be used again.
+    expires_at: Instant,
 }
 
 /// A request that waits for units of other routers.
@@ -111,6 +125,11 @@
 pub struct Pending {
     team: TeamHash,
     cost: Units,
+    class: bucket::Class,
+    /// Identifies the request at this router.
+    id: u64,
+    rounds: u32,
+    asked_at: Instant,
 }
 
 /// Why a request is refused.
@@ -163,86 +182,621 @@
     pub refused: u64,
 }
 
+/// One team at this router.
+#[derive(Clone, Debug)]
+struct Team {
+    name: TeamName,
+    limit: routing::TeamLimit,
+    /// When the configuration ceased to limit it.
+    removed_at: Option<Instant>,
+    ownership: owners::Ownership,
+    bucket: bucket::Bucket,
+    demand: demand::Demand,
+    lenders: lenders::Lenders,
+    /// Earliest time of the next question in advance.
+    next_reserve: Instant,
+    /// Earliest time of the next question without hope, which tells the owners to save.
+    next_notice: Instant,
+    lent: Units,
+    borrowed: Units,
+    refused: u64,
+}
+
+/// An ask without its answer.
+#[derive(Clone, Debug)]
+struct OpenAsk {
+    lender: net::IpAddr,
+    team: TeamHash,
+    units: Units,
+    class: bucket::Class,
+    /// The request that waits for it; `None` if asked in advance.
+    request: Option<u64>,
+    asked_at: Instant,
+}
+
+/// What was lent for one ask. A repeated ask gets the same answer.
+#[derive(Clone, Copy, Debug)]
+struct Lent {
+    units: Units,
+    lent_at: Instant,
+}
+
 /// The limits of all teams at one router.
 #[derive(Clone, Debug)]
 pub struct TeamLimits {
-    #[expect(dead_code, reason = "placeholder until the limits are kept")]
     settings: Settings,
+    started: Instant,
+    members: owners::Members,
+    teams: Table<TeamHash, Team>,
+    /// By nonce.
+    open_asks: Table<u64, OpenAsk>,
+    lent: Table<(net::IpAddr, u64), Lent>,
 }
 
+/// Most answers that are kept for repeated asks. Beyond it asks are refused, so that a
+/// faulty router can't fill the memory.
+const MAX_LENT: usize = 16_384;
+/// Fraction of the burst that suffices for a request of more than that. The buckets of all
+/// owners are hardly ever full at the same time.
+const FULL_ENOUGH: f64 = 0.9;
+/// Shortest `Retry-After`.
+const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(50);
+/// Random part of a `Retry-After`, as a fraction of it.
+const RETRY_JITTER: f64 = 0.5;
+/// Time between questions without hope for one team. Each goes to all owners.
+const NOTICE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 impl TeamLimits {
     /// Limits of a process that started at `started`.
-    pub fn new(settings: Settings, _started: Instant) -> Self {
-        Self { settings }
+    pub fn new(settings: Settings, started: Instant) -> Self {
+        Self {
+            settings,
+            started,
+            members: owners::Members::default(),
+            teams: Table::new(),
+            open_asks: Table::new(),
+            lent: Table::new(),
+        }
     }
 
     /// Takes the teams of the configuration in force.
-    pub fn set_teams(&mut self, _now: Instant, _teams: &[routing::Team]) {}
+    pub fn set_teams(&mut self, now: Instant, teams: &[routing::Team]) {
+        let mut limited: Table<TeamHash, &routing::Team> = Table::new();
+        for team in teams {
+            if team.limit.is_some_and(|limit| limit.rate.0 > 0.0) {
+                limited.insert(TeamHash::of(&team.name), team);
+            }
+        }
+        for (hash, team) in self.teams.iter_mut() {
+            if limited.contains(hash) {
+                team.removed_at = None;
+            } else {
+                team.removed_at.get_or_insert(now);
+            }
+        }
+        // Buckets start empty in a process that may have replaced one within the window.
+        let is_running = now.since(self.started) >= self.settings.window;
+        for (&hash, &team) in limited.iter() {
+            let Some(limit) = team.limit else { continue };
+            let known = self.teams.get(&hash);
+            if known.is_some_and(|known| known.limit == limit) {
+                continue;
+            }
+            let ownership = self.members.ownership(&self.settings, hash, &limit);
+            let part = bucket::Part::of(&self.settings, &limit, &ownership);
+            match self.teams.get_mut(&hash) {
+                Some(known) => {
+                    known.limit = limit;
+                    known.bucket.set_part(now, &self.settings, part);
+                    known.lenders.set_owners(now, &limit, &ownership);
+                    known.ownership = ownership;
+                }
+                None => {
+                    let mut lenders = lenders::Lenders::default();
+                    lenders.set_owners(now, &limit, &ownership);
+                    let new = Team {
+                        name: team.name.clone(),
+                        limit,
+                        removed_at: None,
+                        ownership,
+                        bucket: bucket::Bucket::new(now, part, is_running),
+                        demand: demand::Demand::default(),
+                        lenders,
+                        next_reserve: now,
+                        next_notice: now,
+                        lent: Units(0),
+                        borrowed: Units(0),
+                        refused: 0,
+                    };
+                    self.teams.insert(hash, new);
+                }
+            }
+        }
+        self.expire(now);
+    }
 
     /// Takes the known routers, this one included. `runners`: how many routers there may
     /// be while they are not known.
     pub fn set_routers(
         &mut self,
-        _now: Instant,
-        _own: net::IpAddr,
-        _routers: &[net::IpAddr],
-        _runners: usize,
+        now: Instant,
+        own: net::IpAddr,
+        routers: &[net::IpAddr],
+        runners: usize,
     ) {
+        if self.members.set(now, own, routers, runners) {
+            self.update_parts(now);
+        }
+        self.settle(now);
+    }
+
+    /// Follows the passing of time in the list of routers.
+    fn settle(&mut self, now: Instant) {
+        let is_new = now.since(self.started) < self.settings.settle_time;
+        if self.members.settle(now, &self.settings, is_new) {
+            self.update_parts(now);
+        }
+    }
+
+    fn update_parts(&mut self, now: Instant) {
+        for (hash, team) in self.teams.iter_mut() {
+            let ownership = self.members.ownership(&self.settings, *hash, &team.limit);
+            if ownership != team.ownership {
+                let part = bucket::Part::of(&self.settings, &team.limit, &ownership);
+                team.bucket.set_part(now, &self.settings, part);
+                team.lenders.set_owners(now, &team.limit, &ownership);
+                team.ownership = ownership;
+            }
+        }
     }
 
     /// Decides on a request.
     pub fn request(
         &mut self,
-        _now: Instant,
+        now: Instant,
         team: &TeamName,
         cost: Units,
-        _rank: u8,
-        _rng: &mut dyn rand::Rng,
+        rank: u8,
+        rng: &mut dyn rand::Rng,
     ) -> Verdict {
-        Verdict::Admitted(Charge {
-            team: TeamHash::of(team),
-            units: cost,
-        })
+        let hash = TeamHash::of(team);
+        let Some(state) = self.teams.get_mut(&hash) else {
+            return Verdict::Admitted(Charge::free(hash));
+        };
+        if state.removed_at.is_some() {
+            return Verdict::Admitted(Charge::free(hash));
+        }
+        state.bucket.fill(now, &self.settings);
+        let is_urgent = state.demand.on_rank(now, rank, self.settings.window);
+        let class = bucket::Class {
+            is_urgent,
+            is_large: state.is_large(cost),
+        };
+        if !class.is_large {
+            let limit = state.limit.rate.0;
+            state
+                .demand
+                .on_request(now, cost, is_urgent, &self.settings, limit);
+        }
+        if let Some(charge) = state.admit(now, &self.settings, hash, cost, class, None) {
+            return Verdict::Admitted(charge);
+        }
+        let pending = Pending {
+            team: hash,
+            cost,
+            class,
+            id: rng.next_u64(),
+            rounds: 0,
+            asked_at: now,
+        };
+        self.ask_or_refuse(now, pending, rng)
     }
 
     /// Decides on a request again, after the answers or the timeout of a round.
-    pub fn resume(&mut self, _now: Instant, pending: Pending, _rng: &mut dyn rand::Rng) -> Verdict {
-        Verdict::Admitted(Charge {
-            team: pending.team,
-            units: pending.cost,
+    pub fn resume(&mut self, now: Instant, pending: Pending, rng: &mut dyn rand::Rng) -> Verdict {
+        let hash = pending.team;
+        let Some(state) = self.teams.get_mut(&hash) else {
+            return Verdict::Admitted(Charge::free(hash));
+        };
+        if state.removed_at.is_some() {
+            return Verdict::Admitted(Charge::free(hash));
+        }
+        state.bucket.fill(now, &self.settings);
+        let Pending {
+            cost, class, id, ..
+        } = pending;
+        if let Some(charge) = state.admit(now, &self.settings, hash, cost, class, Some(id)) {
+            state.bucket.release(id);
+            return Verdict::Admitted(charge);
+        }
+        self.expire_asks(now);
+        self.ask_or_refuse(now, pending, rng)
+    }
+
+    /// Asks the owners that are expected to have the missing units, or refuses.
+    fn ask_or_refuse(
+        &mut self,
+        now: Instant,
+        mut pending: Pending,
+        rng: &mut dyn rand::Rng,
+    ) -> Verdict {
+        let hash = pending.team;
+        let Some(state) = self.teams.get_mut(&hash) else {
+            return Verdict::Admitted(Charge::free(hash));
+        };
+        let Pending { class, id, .. } = pending;
+        let need = state.need(pending.cost);
+        let usable = state.bucket.usable(
+            now,
+            class,
+            state.urgent_reserve(now, &self.settings),
+            Some(id),
+        );
+        let lack = need - usable;
+        let (plan, total) = state.lenders.plan(now, class, lack);
+        let mut asks = Vec::new();
+        if pending.rounds < self.settings.max_rounds {
+            if total >= lack {
+                // A small request brings along what the next ones need.
+                let ahead = if class.is_large || pending.rounds > 0 {
+                    0.0
+                } else {
+                    state.shortfall(now, &self.settings)
+                };
+                let plan = if ahead > 0.0 {
+                    state.lenders.plan(now, class, lack + ahead).0
+                } else {
+                    plan
+                };
+                let is_waiting = |ask: &OpenAsk| {
+                    ask.team == hash
+                        && !ask.class.is_large
+                        && now.since(ask.asked_at) < self.settings.ask_timeout
+                };
+                let shares = !class.is_large
+                    && pending.rounds == 0
+                    && self.open_asks.values().any(is_waiting);
+                if !shares {
+                    asks = plan;
+                }
+                pending.rounds += 1;
+                pending.asked_at = now;
+                let asks = self.open(now, hash, class, pending.cost, Some(id), asks, rng);
+                return Verdict::Ask { pending, asks };
+            }
+            if class.is_large && pending.rounds == 0 && state.next_notice <= now {
+                state.next_notice = now + NOTICE_INTERVAL;
+                let owners = state.ownership.owners.len().max(1);
+                let portion = Units((lack / owners as f64).ceil() as u64);
+                asks.extend(state.lenders.all().map(|lender| (lender, portion)));
+            }
+            if !asks.is_empty() {
+                pending.rounds += 1;
+                pending.asked_at = now;
+                let asks = self.open(now, hash, class, pending.cost, Some(id), asks, rng);
+                return Verdict::Ask { pending, asks };
+            }
+        }
+        state.bucket.release(id);
+        let target = state.portion(pending.cost);
+        state.bucket.on_shortage(now, &self.settings, class, target);
+        state.refused += 1;
+        let available = (usable + total).max(0.0);
+        let missing = Units((need - available).max(0.0).ceil() as u64);
+        let wait = state.limit.rate.time_for(missing).max(MIN_RETRY_AFTER);
+        let jitter = 1.0 + RETRY_JITTER * fraction(rng);
+        let retry_after = time::Duration::try_from_secs_f64(wait.as_secs_f64() * jitter);
+        Verdict::Refused(Refusal {
+            retry_after: retry_after.unwrap_or(time::Duration::MAX),
+            needed: pending.cost,
+            available: Units(available as u64),
+            age: state.lenders.age(now),
         })
     }
 
+    /// Gives the asks of one round their nonces and notes them.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one private caller per kind of ask"
+    )]
+    fn open(
+        &mut self,
+        now: Instant,
+        team: TeamHash,
+        class: bucket::Class,
+        needed: Units,
+        request: Option<u64>,
+        asks: Vec<(net::IpAddr, Units)>,
+        rng: &mut dyn rand::Rng,
+    ) -> Vec<(net::IpAddr, Ask)> {
+        let mut opened = Vec::with_capacity(asks.len());
+        for (lender, units) in asks {
+            let nonce = rng.next_u64();
+            if let Some(state) = self.teams.get_mut(&team) {
+                state.lenders.on_asked(now, lender, class, units);
+            }
+            let open = OpenAsk {
+                lender,
+                team,
+                units,
+                class,
+                request,
+                asked_at: now,
+            };
+            self.open_asks.insert(nonce, open);
+            let ask = Ask {
+                nonce,
+                team,
+                units,
+                needed,
+                is_urgent: class.is_urgent,
+            };
+            opened.push((lender, ask));
+        }
+        opened
+    }
+
     /// Whether all answers of the round have arrived, or enough units.
-    pub fn is_answered(&self, _pending: &Pending) -> bool {
-        true
+    pub fn is_answered(&self, pending: &Pending) -> bool {
+        let Some(state) = self.teams.get(&pending.team) else {
+            return true;
+        };
+        let now = state.bucket.filled_at();
+        let reserve = state.urgent_reserve(now, &self.settings);
+        let usable = state
+            .bucket
+            .usable(now, pending.class, reserve, Some(pending.id));
+        let is_waited_for = |ask: &OpenAsk| {
+            ask.team == pending.team
+                && now.since(ask.asked_at) < self.settings.ask_timeout
+                && (ask.request == Some(pending.id)
+                    || (!pending.class.is_large && !ask.class.is_large))
+        };
+        usable >= state.need(pending.cost) || !self.open_asks.values().any(is_waited_for)
     }
 
     /// Gives the units of a request back that did not run.
-    pub fn refund(&mut self, _now: Instant, _charge: Charge) {}
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "a charge is given back only once"
+    )]
+    pub fn refund(&mut self, now: Instant, charge: Charge) {
+        let Charge {
+            team,
+            units,
+            expires_at,
+        } = charge;
+        if let Some(state) = self.teams.get_mut(&team) {
+            state.bucket.fill(now, &self.settings);
+            state
+                .bucket
+                .refund(now, &self.settings, units.0 as f64, expires_at);
+            state.demand.on_refund(now, units, self.settings.window);
+        }
+    }
 
     /// Another router asks for units.
-    pub fn on_ask(&mut self, _now: Instant, _from: net::IpAddr, ask: &Ask) -> Grant {
-        Grant {
+    pub fn on_ask(&mut self, now: Instant, from: net::IpAddr, ask: &Ask) -> Grant {
+        let grant = |units, left| Grant {
             nonce: ask.nonce,
             team: ask.team,
-            units: Units(0),
-            left: Units(0),
+            units,
+            left,
+        };
+        if let Some(lent) = self.lent.get(&(from, ask.nonce)) {
+            return grant(lent.units, Units(0));
+        }
+        let Some(state) = self.teams.get_mut(&ask.team) else {
+            return grant(Units(0), Units(0));
+        };
+        if self.lent.len() >= MAX_LENT {
+            return grant(Units(0), Units(0));
+        }
+        state.bucket.fill(now, &self.settings);
+        let class = bucket::Class {
+            is_urgent: ask.is_urgent,
+            is_large: state.is_large(ask.needed),
+        };
+        let need = state.demand.expected(now, &self.settings, ask.is_urgent);
+        let lendable = state.bucket.lendable(class, need);
+        let units = Units(ask.units.0.min(lendable as u64));
+        state.bucket.lend(class, units.0 as f64);
+        state.lent += units;
+        if units < ask.units && ask.needed > Units(0) {
+            let target = state.portion(ask.needed);
+            state.bucket.on_shortage(now, &self.settings, class, target);
         }
+        let left = Units((lendable - units.0 as f64) as u64);
+        let lent = Lent {
+            units,
+            lent_at: now,
+        };
+        self.lent.insert((from, ask.nonce), lent);
+        grant(units, left)
     }
 
     /// Another router lends units. Returns whether they count.
-    pub fn on_grant(&mut self, _now: Instant, _from: net::IpAddr, _grant: &Grant) -> bool {
-        false
+    pub fn on_grant(&mut self, now: Instant, from: net::IpAddr, grant: &Grant) -> bool {
+        let open = self.open_asks.get(&grant.nonce);
+        if !open.is_some_and(|open| open.lender == from && open.team == grant.team) {
+            return false;
+        }
+        let Some(open) = self.open_asks.remove(&grant.nonce) else {
+            return false;
+        };
+        let expires_at = open.asked_at + self.settings.loan_life;
+        let Some(state) = self.teams.get_mut(&grant.team) else {
+            return false;
+        };
+        let units = Units(grant.units.0.min(open.units.0));
+        let is_met = units >= open.units;
+        state
+            .lenders
+            .on_answer(now, from, open.class, grant.left, is_met);
+        if expires_at <= now {
+            return false;
+        }
+        state.bucket.fill(now, &self.settings);
+        // The request has been decided once its round is over.
+        let round_ends = open.asked_at + self.settings.ask_timeout;
+        let holder = open.request.filter(|_| now <= round_ends);
+        let held_until = round_ends + self.settings.ask_timeout;
+        state.bucket.borrow(
+            now,
+            &self.settings,
+            units.0 as f64,
+            expires_at,
+            holder.map(|request| (request, held_until)),
+        );
+        state.borrowed += units;
+        true
     }
 
     /// Questions for the demand that is expected.
-    pub fn tick(&mut self, _now: Instant, _rng: &mut dyn rand::Rng) -> Vec<(net::IpAddr, Ask)> {
-        Vec::new()
+    pub fn tick(&mut self, now: Instant, rng: &mut dyn rand::Rng) -> Vec<(net::IpAddr, Ask)> {
+        self.settle(now);
+        self.expire(now);
+        let mut plans = Vec::new();
+        for (&hash, state) in self.teams.iter_mut() {
+            if state.removed_at.is_some() || state.next_reserve > now {
+                continue;
+            }
+            state.bucket.fill(now, &self.settings);
+            let lack = state.shortfall(now, &self.settings);
+            if lack < 1.0 {
+                continue;
+            }
+            state.next_reserve = now + self.settings.reserve_time / 4;
+            let urgent = state.urgent_reserve(now, &self.settings);
+            let class = bucket::Class {
+                is_urgent: state.bucket.available(now, None) < urgent,
+                is_large: false,
+            };
+            let (plan, _) = state.lenders.plan(now, class, lack);
+            plans.push((hash, class, plan));
+        }
+        let mut asks = Vec::new();
+        for (hash, class, plan) in plans {
+            asks.extend(self.open(now, hash, class, Units(0), None, plan, rng));
+        }
+        asks
+    }
+
+    /// Forgets what no longer counts.
+    fn expire(&mut self, now: Instant) {
+        let Settings {
+            window, loan_life, ..
+        } = self.settings;
+        self.teams
+            .retain(|_, team| team.removed_at.is_none_or(|at| now.since(at) < window));
+        self.lent
+            .retain(|_, lent| now.since(lent.lent_at) < loan_life);
+        self.expire_asks(now);
+        let teams = &self.teams;
+        self.open_asks
+            .retain(|_, ask| now.since(ask.asked_at) < loan_life && teams.contains(&ask.team));
+    }
+
+    /// Notes which lenders have not answered within a round.
+    fn expire_asks(&mut self, now: Instant) {
+        for ask in self.open_asks.values() {
+            if now.since(ask.asked_at) >= self.settings.ask_timeout
+                && let Some(state) = self.teams.get_mut(&ask.team)
+            {
+                state.lenders.on_silence(now, ask.lender, ask.asked_at);
+            }
+        }
     }
 
     /// What is known of each team with a limit.
-    pub fn views(&self, _now: Instant) -> Vec<TeamView> {
-        Vec::new()
+    pub fn views(&self, now: Instant) -> Vec<TeamView> {
+        let in_force = self.teams.values().filter(|team| team.removed_at.is_none());
+        let views = in_force.map(|team| TeamView {
+            team: team.name.clone(),
+            limit: team.limit,
+            part: team.ownership.part,
+            balance: team.bucket.available(now, None),
+            used: team.demand.used(now, self.settings.window),
+            lent: team.lent,
+            borrowed: team.borrowed,
+            refused: team.refused,
+        });
+        views.collect()
+    }
+}
+
+impl Charge {
+    /// Of a team without a limit.
+    fn free(team: TeamHash) -> Self {
+        Self {
+            team,
+            units: Units(0),
+            expires_at: Instant::ZERO,
+        }
+    }
+}
+
+impl Team {
+    /// Whether one router's part is too small for requests of this cost, so that they are
+    /// served with borrowed units.
+    fn is_large(&self, cost: Units) -> bool {
+        let owners = self.ownership.owners.len().max(1) as f64;
+        cost.0 as f64 * 2.0 > (self.limit.burst.0 as f64 / owners).max(2.0)
+    }
+
+    /// What each owner must have for a request of this cost.
+    fn portion(&self, cost: Units) -> f64 {
+        self.need(cost) / self.ownership.owners.len().max(1) as f64
     }
+
+    /// Units that must be there for a request of this cost.
+    fn need(&self, cost: Units) -> f64 {
+        (cost.0 as f64).min((FULL_ENOUGH * self.limit.burst.0 as f64).max(1.0))
+    }
+
+    /// What patient requests leave for urgent ones.
+    fn urgent_reserve(&self, now: Instant, settings: &Settings) -> f64 {
+        self.demand.expected(now, settings, true)
+    }
+
+    /// Units that are missing for the expected demand; 0 while half of it is covered, so
+    /// that several small loans become one.
+    fn shortfall(&self, now: Instant, settings: &Settings) -> f64 {
+        let expected = self.demand.expected(now, settings, false);
+        let available = self.bucket.available(now, None);
+        let is_due = available < expected / 2.0 || available < -self.bucket.part().debt;
+        if is_due { expected - available } else { 0.0 }
+    }
+
+    /// Takes the units of a request if they are there.
+    fn admit(
+        &mut self,
+        now: Instant,
+        settings: &Settings,
+        team: TeamHash,
+        cost: Units,
+        class: bucket::Class,
+        request: Option<u64>,
+    ) -> Option<Charge> {
+        let reserve = self.urgent_reserve(now, settings);
+        let usable = self.bucket.usable(now, class, reserve, request);
+        let debt = self.bucket.part().debt;
+        let units = cost.0 as f64;
+        let allowance = if units <= debt { debt } else { 0.0 };
+        if usable + allowance < self.need(cost) {
+            return None;
+        }
+        let expires_at = self.bucket.take(now, settings, class, units, request);
+        self.demand.on_used(now, cost, settings.window);
+        Some(Charge {
+            team,
+            units: cost,
+            expires_at,
+        })
+    }
+}
+
+/// A random number from 0 to 1.
+fn fraction(rng: &mut dyn rand::Rng) -> f64 {
+    f64::from(rng.next_u32()) / f64::from(u32::MAX)
 }
