Carry the cost of a request in questions for units

team_limits tells owners what the whole request costs, so that they can save for requests larger than a part. LimitAsk carries that number; an entry still takes at most 37 bytes.

--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -25,7 +25,7 @@
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
 /// Most entries of a [`Datagram::LimitAsk`] or [`Datagram::LimitGrant`]: with the largest
-/// numbers an entry takes 36 bytes.
+/// numbers an entry takes 37 bytes.
 pub const MAX_LIMIT_ENTRIES: usize = 32;
 
 const BINCODE_CONFIG: bincode::config::Configuration<
@@ -619,6 +619,7 @@
             team: from.team.0,
             units: from.units.0,
             urgent: from.is_urgent,
+            needed: from.needed.0,
         }
     }
 }
@@ -629,6 +630,7 @@
             nonce: from.nonce,
             team: team_limits::TeamHash(from.team),
             units: Units(from.units),
+            needed: Units(from.needed),
             is_urgent: from.urgent,
         }
     }
--- a/crates/lentil_forward/tests/messages.rs
+++ b/crates/lentil_forward/tests/messages.rs
@@ -40,7 +40,8 @@
     team_limits::Ask {
         nonce,
         team: team_limits::TeamHash::of(&"red".parse().unwrap()),
-        units: Units(60_000),
+        units: Units(20_000),
+        needed: Units(60_000),
         is_urgent: true,
     }
 }
@@ -189,6 +190,7 @@
         nonce: u64::MAX,
         team: team_limits::TeamHash(u64::MAX),
         units: Units(u64::MAX),
+        needed: Units(u64::MAX),
         is_urgent: true,
     };
     let grant = team_limits::Grant {
