--- a/crates/lentil_forward/src/router/limits.rs
+++ b/crates/lentil_forward/src/router/limits.rs
@@ -1,6 +1,6 @@
 //! Admission of requests under the limits of their teams.
 
-use std::{cell, net, rc};
+use std::{cell, fmt::Write as _, net, rc};
 
 use lentil_policy::forward::{attempt_log, team_limits};
 use lentil_process::metrics::Counter;
@@ -166,9 +166,34 @@
         view.map(|view| view.part)
     }
 
-    /// Views of all teams with a limit.
-    pub fn team_views(&self) -> Vec<team_limits::TeamView> {
+    fn team_views(&self) -> Vec<team_limits::TeamView> {
         let now = self.now();
         self.state().limits.views(now)
     }
+
+    /// What is known of each team's limit, as lines of name and value.
+    pub fn limits_text(&self) -> String {
+        let mut text = String::new();
+        for view in self.team_views() {
+            let lines: [(&str, f64); 8] = [
+                ("limit_units_per_second", view.limit.rate.0),
+                ("burst_units", view.limit.burst.0 as f64),
+                ("part", view.part),
+                ("balance_units", view.balance.round() + 0.0),
+                ("window_units", view.used.0 as f64),
+                ("units_lent_total", view.lent.0 as f64),
+                ("units_borrowed_total", view.borrowed.0 as f64),
+                ("refused_total", view.refused as f64),
+            ];
+            for (name, value) in lines {
+                // Writing into memory cannot fail.
+                let _ = writeln!(
+                    text,
+                    "lentilglade_team_{name}{{team=\"{}\"}} {value}",
+                    view.team
+                );
+            }
+        }
+        text
+    }
 }
