--- a/crates/lentil_forward/src/router/limits.rs
+++ b/crates/lentil_forward/src/router/limits.rs
@@ -105,6 +105,11 @@
     prompt.checked_add(output).map(Tokens)
 }
 
+/// The first four digits, for operators.
+fn rounded_part(part: f64) -> f64 {
+    (part * 1e4).round() / 1e4
+}
+
 impl Router {
     /// Asks for the units that will be needed soon.
     pub(super) fn ask_in_advance(&self) {
@@ -163,7 +168,7 @@
     pub(super) fn team_part(&self, team: &TeamName) -> Option<f64> {
         let views = self.team_views();
         let view = views.iter().find(|view| view.team == *team);
-        view.map(|view| view.part)
+        view.map(|view| rounded_part(view.part))
     }
 
     fn team_views(&self) -> Vec<team_limits::TeamView> {
@@ -178,7 +183,7 @@
             let lines: [(&str, f64); 8] = [
                 ("limit_units_per_second", view.limit.rate.0),
                 ("burst_units", view.limit.burst.0 as f64),
-                ("part", view.part),
+                ("part", rounded_part(view.part)),
                 ("balance_units", view.balance.round() + 0.0),
                 ("window_units", view.used.0 as f64),
                 ("units_lent_total", view.lent.0 as f64),
