Give borrowed units back and learn what lenders have

Units that are not needed are given back at the next tick, lenders are judged by what others had, a request asks for more than it needs, and only units of the part are saved for patient and large requests. An owner keeps back its expected need only beyond what its part generates meanwhile.

--- a/crates/lentil_policy/src/forward/team_limits.rs
+++ b/crates/lentil_policy/src/forward/team_limits.rs
@@ -81,7 +81,8 @@
     }
 }
 
-/// A router asks another one for units.
+/// A router asks another one for units. One that repeats an ask with fewer units than it
+/// was lent gives the others back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ask {
     /// Identifies the question at the router that asks.
@@ -116,8 +117,8 @@
     pub team: TeamHash,
     /// Units taken.
     pub units: Units,
-    /// When units of it that exceed the router's own part can no longer be used again.
-    expires_at: Instant,
+    /// When they were first charged; refunded units may be charged again.
+    charged_at: Instant,
 }
 
 /// A request that waits for units of other routers.
@@ -239,6 +240,17 @@
 /// Fraction of the burst that suffices for a request of more than that. The buckets of all
 /// owners are hardly ever full at the same time.
 const FULL_ENOUGH: f64 = 0.9;
+/// Fewest units that are lent or given back, as a fraction of a part. Fewer expire without
+/// ever completing a request.
+const LEAST_LOAN: f64 = 0.02;
+/// Fewest units that a lender is asked for in advance, as a fraction of a part. Routers of an
+/// overloaded team would otherwise ask all lenders at every tick.
+const LEAST_RESERVE: f64 = 0.1;
+/// How much more than needed is asked for in the first round, as a fraction: some lenders
+/// have less than expected. What is too much is given back at the next tick.
+const SURPLUS: f64 = 0.5;
+/// The same for further rounds, after lenders had less than expected or have not answered.
+const LAST_SURPLUS: f64 = 2.0;
 /// Shortest `Retry-After`.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(50);
 /// Random part of a `Retry-After`, as a fraction of it.
@@ -429,25 +441,28 @@
         let usable = state.bucket.usable(
             now,
             class,
-            state.urgent_reserve(now, &self.settings),
+            state.expected(now, &self.settings, true),
             Some(id),
         );
         let lack = need - usable;
-        let (plan, total) = state.lenders.plan(now, class, lack);
+        let mut wanted = lack;
+        if class.is_large || pending.rounds > 0 {
+            let surplus = if pending.rounds > 0 {
+                LAST_SURPLUS
+            } else {
+                SURPLUS
+            };
+            wanted += lack * surplus;
+        } else {
+            // A small request brings along what the next ones need.
+            wanted += state.shortfall(now, &self.settings);
+        }
+        let (plan, total) = state
+            .lenders
+            .plan(now, class, wanted, wanted.min(lack.max(1.0)), 0.0);
         let mut asks = Vec::new();
         if pending.rounds < self.settings.max_rounds {
             if total >= lack {
-                // A small request brings along what the next ones need.
-                let ahead = if class.is_large || pending.rounds > 0 {
-                    0.0
-                } else {
-                    state.shortfall(now, &self.settings)
-                };
-                let plan = if ahead > 0.0 {
-                    state.lenders.plan(now, class, lack + ahead).0
-                } else {
-                    plan
-                };
                 let is_waiting = |ask: &OpenAsk| {
                     ask.team == hash
                         && !ask.class.is_large
@@ -542,7 +557,7 @@
             return true;
         };
         let now = state.bucket.filled_at();
-        let reserve = state.urgent_reserve(now, &self.settings);
+        let reserve = state.expected(now, &self.settings, true);
         let usable = state
             .bucket
             .usable(now, pending.class, reserve, Some(pending.id));
@@ -564,13 +579,13 @@
         let Charge {
             team,
             units,
-            expires_at,
+            charged_at,
         } = charge;
         if let Some(state) = self.teams.get_mut(&team) {
             state.bucket.fill(now, &self.settings);
             state
                 .bucket
-                .refund(now, &self.settings, units.0 as f64, expires_at);
+                .refund(now, &self.settings, units.0 as f64, charged_at);
             state.demand.on_refund(now, units, self.settings.window);
         }
     }
@@ -583,12 +598,17 @@
             units,
             left,
         };
-        if let Some(lent) = self.lent.get(&(from, ask.nonce)) {
-            return grant(lent.units, Units(0));
-        }
         let Some(state) = self.teams.get_mut(&ask.team) else {
             return grant(Units(0), Units(0));
         };
+        if let Some(lent) = self.lent.get_mut(&(from, ask.nonce)) {
+            let returned = lent.units.saturating_sub(ask.units);
+            lent.units = lent.units.min(ask.units);
+            state.bucket.fill(now, &self.settings);
+            state.bucket.on_given_back(returned.0 as f64);
+            state.lent = state.lent.saturating_sub(returned);
+            return grant(lent.units, Units(0));
+        }
         if self.lent.len() >= MAX_LENT {
             return grant(Units(0), Units(0));
         }
@@ -597,9 +617,12 @@
             is_urgent: ask.is_urgent,
             is_large: state.is_large(ask.needed),
         };
-        let need = state.demand.expected(now, &self.settings, ask.is_urgent);
+        let need = state.expected(now, &self.settings, ask.is_urgent);
         let lendable = state.bucket.lendable(class, need);
-        let units = Units(ask.units.0.min(lendable as u64));
+        let mut units = Units(ask.units.0.min(lendable as u64));
+        if units < ask.units && (units.0 as f64) < state.least_loan() {
+            units = Units(0);
+        }
         state.bucket.lend(class, units.0 as f64);
         state.lent += units;
         if units < ask.units && ask.needed > Units(0) {
@@ -629,10 +652,9 @@
             return false;
         };
         let units = Units(grant.units.0.min(open.units.0));
-        let is_met = units >= open.units;
         state
             .lenders
-            .on_answer(now, from, open.class, grant.left, is_met);
+            .on_answer(now, from, open.class, open.units, (units, grant.left));
         if expires_at <= now {
             return false;
         }
@@ -641,10 +663,13 @@
         let round_ends = open.asked_at + self.settings.ask_timeout;
         let holder = open.request.filter(|_| now <= round_ends);
         let held_until = round_ends + self.settings.ask_timeout;
+        let source = bucket::Source {
+            lender: from,
+            nonce: grant.nonce,
+            kept: units,
+        };
         state.bucket.borrow(
-            now,
-            &self.settings,
-            units.0 as f64,
+            source,
             expires_at,
             holder.map(|request| (request, held_until)),
         );
@@ -652,30 +677,43 @@
         true
     }
 
-    /// Questions for the demand that is expected.
+    /// Asks for the demand that is expected, and what is given back.
     pub fn tick(&mut self, now: Instant, rng: &mut dyn rand::Rng) -> Vec<(net::IpAddr, Ask)> {
         self.settle(now);
         self.expire(now);
         let mut plans = Vec::new();
+        let mut asks = Vec::new();
         for (&hash, state) in self.teams.iter_mut() {
+            state.bucket.fill(now, &self.settings);
+            for source in state.give_back(now, &self.settings) {
+                let ask = Ask {
+                    nonce: source.nonce,
+                    team: hash,
+                    units: source.kept,
+                    needed: Units(0),
+                    is_urgent: false,
+                };
+                asks.push((source.lender, ask));
+            }
             if state.removed_at.is_some() || state.next_reserve > now {
                 continue;
             }
-            state.bucket.fill(now, &self.settings);
             let lack = state.shortfall(now, &self.settings);
             if lack < 1.0 {
                 continue;
             }
             state.next_reserve = now + self.settings.reserve_time / 4;
-            let urgent = state.urgent_reserve(now, &self.settings);
+            let urgent = state.expected(now, &self.settings, true);
             let class = bucket::Class {
                 is_urgent: state.bucket.available(now, None) < urgent,
                 is_large: false,
             };
-            let (plan, _) = state.lenders.plan(now, class, lack);
+            let least = state.nominal_burst() * LEAST_RESERVE;
+            let (plan, _) = state
+                .lenders
+                .plan(now, class, lack, lack, least.min(lack).max(1.0));
             plans.push((hash, class, plan));
         }
-        let mut asks = Vec::new();
         for (hash, class, plan) in plans {
             asks.extend(self.open(now, hash, class, Units(0), None, plan, rng));
         }
@@ -731,7 +769,7 @@
         Self {
             team,
             units: Units(0),
-            expires_at: Instant::ZERO,
+            charged_at: Instant::ZERO,
         }
     }
 }
@@ -740,8 +778,7 @@
     /// Whether one router's part is too small for requests of this cost, so that they are
     /// served with borrowed units.
     fn is_large(&self, cost: Units) -> bool {
-        let owners = self.ownership.owners.len().max(1) as f64;
-        cost.0 as f64 * 2.0 > (self.limit.burst.0 as f64 / owners).max(2.0)
+        cost.0 as f64 * 2.0 > self.nominal_burst().max(2.0)
     }
 
     /// What each owner must have for a request of this cost.
@@ -754,20 +791,42 @@
         (cost.0 as f64).min((FULL_ENOUGH * self.limit.burst.0 as f64).max(1.0))
     }
 
-    /// What patient requests leave for urgent ones.
-    fn urgent_reserve(&self, now: Instant, settings: &Settings) -> f64 {
-        self.demand.expected(now, settings, true)
+    /// Units that this router's own requests are expected to need in `reserve_time` beyond
+    /// what its part generates meanwhile.
+    fn expected(&self, now: Instant, settings: &Settings, only_urgent: bool) -> f64 {
+        let generated = self.bucket.part().rate * settings.reserve_time.as_secs_f64();
+        let needed = self.demand.expected(now, settings, only_urgent);
+        (needed - generated).max(0.0)
     }
 
     /// Units that are missing for the expected demand; 0 while half of it is covered, so
     /// that several small loans become one.
     fn shortfall(&self, now: Instant, settings: &Settings) -> f64 {
-        let expected = self.demand.expected(now, settings, false);
+        let expected = self.expected(now, settings, false);
         let available = self.bucket.available(now, None);
         let is_due = available < expected / 2.0 || available < -self.bucket.part().debt;
         if is_due { expected - available } else { 0.0 }
     }
 
+    /// Fewest units that are lent or given back if more are asked for.
+    fn least_loan(&self) -> f64 {
+        (self.nominal_burst() * LEAST_LOAN).max(1.0)
+    }
+
+    /// Burst of one owner's part.
+    fn nominal_burst(&self) -> f64 {
+        self.limit.burst.0 as f64 / self.ownership.owners.len().max(1) as f64
+    }
+
+    /// Gives up borrowed units that the expected demand doesn't need.
+    fn give_back(&mut self, now: Instant, settings: &Settings) -> Vec<bucket::Source> {
+        if !self.bucket.has_loans() {
+            return Vec::new();
+        }
+        let need = self.demand.expected(now, settings, false);
+        self.bucket.give_back(now, need, self.least_loan())
+    }
+
     /// Takes the units of a request if they are there.
     fn admit(
         &mut self,
@@ -778,7 +837,7 @@
         class: bucket::Class,
         request: Option<u64>,
     ) -> Option<Charge> {
-        let reserve = self.urgent_reserve(now, settings);
+        let reserve = self.expected(now, settings, true);
         let usable = self.bucket.usable(now, class, reserve, request);
         let debt = self.bucket.part().debt;
         let units = cost.0 as f64;
@@ -786,12 +845,12 @@
         if usable + allowance < self.need(cost) {
             return None;
         }
-        let expires_at = self.bucket.take(now, settings, class, units, request);
+        let charged_at = self.bucket.take(now, class, units, request);
         self.demand.on_used(now, cost, settings.window);
         Some(Charge {
             team,
             units: cost,
-            expires_at,
+            charged_at,
         })
     }
 }
--- a/crates/lentil_policy/src/forward/team_limits/bucket.rs
+++ b/crates/lentil_policy/src/forward/team_limits/bucket.rs
@@ -1,5 +1,7 @@
 //! The units of one team at one router.
 
+use std::net;
+
 use lentil_types::{Instant, Units};
 
 use crate::forward::{
@@ -104,10 +106,24 @@
     }
 }
 
+/// Where a loan is from.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Source {
+    pub(super) lender: net::IpAddr,
+    /// The ask's.
+    pub(super) nonce: u64,
+    /// Units of the loan that were not given back.
+    pub(super) kept: Units,
+}
+
 /// Units borrowed from another router.
 #[derive(Clone, Copy, Debug)]
 struct Loan {
     units: f64,
+    /// `None` if they were refunded.
+    source: Option<Source>,
+    /// When refunded units were first charged.
+    charged_at: Option<Instant>,
     expires_at: Instant,
     /// The request that they were borrowed for, and until when they wait for it.
     holder: Option<(u64, Instant)>,
@@ -156,6 +172,11 @@
         self.part
     }
 
+    /// Whether there are borrowed units.
+    pub(super) fn has_loans(&self) -> bool {
+        !self.loans.is_empty()
+    }
+
     /// When it was last filled.
     pub(super) fn filled_at(&self) -> Instant {
         self.filled_at
@@ -183,7 +204,7 @@
         }
     }
 
-    /// Saves a part of units that have come in.
+    /// Saves a part of the generated units.
     fn save(&mut self, now: Instant, settings: &Settings, units: f64) {
         let for_patient = units * settings.patient_share;
         self.patient.accrue(now, for_patient);
@@ -245,6 +266,8 @@
             return common + held;
         }
         let (others, saved) = self.saved(class);
+        // Loans are spent before they expire.
+        let others = others.min(self.own.max(0.0));
         let reserve = if class.is_urgent { 0.0 } else { urgent_reserve };
         held + (common - others - reserve).max(saved).clamp(0.0, common)
     }
@@ -275,20 +298,18 @@
     /// Another router lent units; they pay the debt first.
     pub(super) fn borrow(
         &mut self,
-        now: Instant,
-        settings: &Settings,
-        units: f64,
+        source: Source,
         expires_at: Instant,
         holder: Option<(u64, Instant)>,
     ) {
+        let units = source.kept.0 as f64;
         let paid = units.min((-self.own).max(0.0));
         self.own += paid;
         let units = units - paid;
-        if holder.is_none() {
-            self.save(now, settings, units);
-        }
         self.add_loan(Loan {
             units,
+            source: Some(source),
+            charged_at: None,
             expires_at,
             holder,
         });
@@ -304,6 +325,35 @@
         self.loans.insert(index, loan);
     }
 
+    /// Gives up borrowed units that are not needed. Returns the loans that they are from.
+    /// `need`: what is kept; `least`: fewer units aren't worth a datagram.
+    pub(super) fn give_back(&mut self, now: Instant, need: f64, least: f64) -> Vec<Source> {
+        let mut excess = self.available(now, None) - need.max(0.0);
+        let mut sources = Vec::new();
+        for loan in &mut self.loans {
+            if excess < least {
+                break;
+            }
+            let units = loan.units.min(excess).floor();
+            if let Some(source) = &mut loan.source
+                && units >= least
+                && loan.holder.is_none_or(|(_, until)| until <= now)
+            {
+                loan.units -= units;
+                excess -= units;
+                source.kept = source.kept.saturating_sub(Units(units as u64));
+                sources.push(*source);
+            }
+        }
+        self.loans.retain(|loan| loan.units > 0.0);
+        sources
+    }
+
+    /// A router gives back units that this one lent.
+    pub(super) fn on_given_back(&mut self, units: f64) {
+        self.own = (self.own + units).min(self.part.burst);
+    }
+
     /// Units held for a request are for all now.
     pub(super) fn release(&mut self, request: u64) {
         for loan in &mut self.loans {
@@ -313,17 +363,16 @@
         }
     }
 
-    /// Takes units for a request, those that expire first. Returns until when they may be
-    /// given back as a loan.
+    /// Takes units for a request, those that expire first. Returns when the oldest of them
+    /// were first charged.
     pub(super) fn take(
         &mut self,
         now: Instant,
-        settings: &Settings,
         class: Class,
         units: f64,
         request: Option<u64>,
     ) -> Instant {
-        let mut expires_at = now + settings.loan_life;
+        let mut charged_at = now;
         let mut remaining = units;
         for loan in &mut self.loans {
             if remaining <= 0.0 {
@@ -333,32 +382,34 @@
                 let taken = loan.units.min(remaining);
                 loan.units -= taken;
                 remaining -= taken;
-                expires_at = expires_at.min(loan.expires_at);
+                charged_at = charged_at.min(loan.charged_at.unwrap_or(now));
             }
         }
         self.loans.retain(|loan| loan.units > 0.0);
         self.own -= remaining;
         self.spend(class, units);
-        expires_at
+        charged_at
     }
 
-    /// Gives units back: to the part, and what exceeds it as a loan.
+    /// Gives units back that were first charged at `charged_at`: to the part, and what
+    /// exceeds it as a loan.
     pub(super) fn refund(
         &mut self,
         now: Instant,
         settings: &Settings,
         units: f64,
-        expires_at: Instant,
+        charged_at: Instant,
     ) {
         let to_part = units.min((self.part.burst - self.own).max(0.0));
         self.own += to_part;
-        self.save(now, settings, units);
-        if expires_at > now {
-            self.add_loan(Loan {
-                units: units - to_part,
-                expires_at,
-                holder: None,
-            });
-        }
+        // Units that were charged long ago belong to another window.
+        let last = charged_at + settings.loan_life * 2;
+        self.add_loan(Loan {
+            units: units - to_part,
+            source: None,
+            charged_at: Some(charged_at),
+            expires_at: last.min(now + settings.loan_life),
+            holder: None,
+        });
     }
 }
--- a/crates/lentil_policy/src/forward/team_limits/owners.rs
+++ b/crates/lentil_policy/src/forward/team_limits/owners.rs
@@ -1,6 +1,6 @@
 //! Which routers own a part of a team's limit, and how large the parts are.
 
-use std::net;
+use std::{cmp, net};
 
 use lentil_types::{Instant, Table};
 use xxhash_rust::xxh3;
@@ -100,15 +100,11 @@
                     .min(usize::try_from(parts).unwrap_or(usize::MAX))
             }
         };
-        let score = |address: &net::IpAddr| match address {
-            net::IpAddr::V4(v4) => xxh3::xxh3_64_with_seed(&v4.octets(), team.0),
-            net::IpAddr::V6(v6) => xxh3::xxh3_64_with_seed(&v6.octets(), team.0),
-        };
         let mut owners: Vec<_> = self.routers.keys().copied().collect();
         let max_owners = max_owners.max(1);
         if owners.len() > max_owners {
             owners.select_nth_unstable_by_key(max_owners - 1, |address| {
-                (std::cmp::Reverse(score(address)), *address)
+                (cmp::Reverse(score(*address, team.0)), *address)
             });
             owners.truncate(max_owners);
             owners.sort_unstable();
@@ -132,3 +128,11 @@
         }
     }
 }
+
+/// Score of an address for rendezvous hashing.
+pub(super) fn score(address: net::IpAddr, seed: u64) -> u64 {
+    match address {
+        net::IpAddr::V4(v4) => xxh3::xxh3_64_with_seed(&v4.octets(), seed),
+        net::IpAddr::V6(v6) => xxh3::xxh3_64_with_seed(&v6.octets(), seed),
+    }
+}
