--- a/crates/lentil_forward/src/router/limits.rs
+++ b/crates/lentil_forward/src/router/limits.rs
@@ -111,12 +111,20 @@
 }
 
 impl Router {
-    /// Asks for the units that will be needed soon.
+    /// Asks for the units that will be needed soon, and gives those back that will not.
     pub(super) fn ask_in_advance(&self) {
         let now = self.now();
         let rng = &mut *self.rng.borrow_mut();
         let asks = self.state().limits.tick(now, rng);
         self.send_asks(asks);
+        // Not counted by answer: an ask that is repeated to give units back is answered with
+        // the units that were lent for it.
+        let views = self.team_views();
+        let lent = views.iter().map(|view| view.lent.0).sum();
+        let known = self.units_lent.replace(lent);
+        if lent > known {
+            self.metrics.add(Counter::UnitsLent, lent - known);
+        }
     }
 
     /// Sends questions for units; those to the same router share datagrams.
@@ -142,8 +150,6 @@
             let grants = asks.iter().map(|ask| limits.on_ask(now, from, ask));
             grants.collect()
         };
-        let lent = grants.iter().map(|grant| grant.units.0).sum();
-        self.metrics.add(Counter::UnitsLent, lent);
         for grants in grants.chunks(MAX_LIMIT_ENTRIES) {
             let datagram = Datagram::LimitGrant(grants.to_vec());
             self.outbox.put(Recipient::Router(from), datagram);
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -64,6 +64,8 @@
     pub(crate) status_received: event_listener::Event,
     /// Notified when another router has answered a question for units of a team's limit.
     units_received: event_listener::Event,
+    /// Units lent of all teams with a limit, as of the last tick.
+    units_lent: cell::Cell<u64>,
     /// Notified when there may be the first agents to subscribe to.
     pub(crate) agents_listed: event_listener::Event,
     /// Datagrams to be sent.
@@ -102,6 +104,7 @@
             refusals_changed: event_listener::Event::new(),
             status_received: event_listener::Event::new(),
             units_received: event_listener::Event::new(),
+            units_lent: cell::Cell::new(0),
             agents_listed: event_listener::Event::new(),
             outbox: Outbox::new(),
             stopping: event_listener::Event::new(),
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -115,9 +115,9 @@
     AnnouncementsUnusable,
     /// Requests admitted within the limit of their team.
     LimitAdmitted,
-    /// Questions to other routers for units of a team's limit.
+    /// Questions to other routers for units of a team's limit, and units given back.
     LimitAsks,
-    /// Units of teams' limits lent to other routers.
+    /// Units of teams' limits lent to other routers, without those given back.
     UnitsLent,
     /// Units of teams' limits borrowed from other routers.
     UnitsBorrowed,
