--- a/crates/lentil_forward/src/router/limits.rs
+++ b/crates/lentil_forward/src/router/limits.rs
@@ -164,7 +164,9 @@
             let valid = grants
                 .iter()
                 .filter(|grant| limits.on_grant(now, from, grant));
-            valid.map(|grant| grant.units.0).sum()
+            valid
+                .map(|grant| grant.units.0)
+                .fold(0, u64::saturating_add)
         };
         self.metrics.add(Counter::UnitsBorrowed, borrowed);
         self.units_received.notify(usize::MAX);
