Save units for large and patient requests at the owners

In an overloaded team a large request was never admitted beside small ones: owners lent it parts that did not suffice, and the rest went to the small ones. An owner now lends to a large request only if it has its portion, saves units for it meanwhile, and saves again what is given back. A benchmark of one decision is added.

--- a/crates/lentil_policy/benches/decision.rs
+++ b/crates/lentil_policy/benches/decision.rs
@@ -1,15 +1,17 @@
-//! Time of one routing decision by number of runners and of prompt pieces.
+//! Time of one routing decision by number of runners and of prompt pieces, and of one
+//! decision on a team's limit.
 
 #![expect(missing_docs, reason = "criterion_group makes a public function")]
 
-use std::{hint, sync, time};
+use std::{hint, net, sync, time};
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use lentil_policy::{
+    forward::{routing, team_limits},
     protocol,
     route::{self, RoutePolicy as _},
 };
-use lentil_types::{Class, Instant, PieceHash, Tokens, WeightsVersion};
+use lentil_types::{Class, Instant, PieceHash, Tokens, UnitRate, Units, WeightsVersion};
 use rand::SeedableRng as _;
 
 /// Number of runners of the service.
@@ -87,5 +89,46 @@
     }
 }
 
-criterion_group!(benches, by_runners, by_pieces);
+/// Teams with a limit, and routers.
+const TEAMS: usize = 330;
+const ROUTERS: u8 = 24;
+
+/// Measures admitting and refusing a request of one of many teams.
+fn limits(c: &mut Criterion) {
+    let team = |i: usize| routing::Team {
+        name: format!("recycler-{i}").parse().expect("a valid name"),
+        priority: None,
+        isolated: false,
+        limit: Some(routing::TeamLimit {
+            unit: routing::LimitUnit::Tokens,
+            rate: UnitRate(1e12),
+            burst: Units(1_000_000_000_000),
+            uncounted: Units(500),
+        }),
+    };
+    let teams: Vec<_> = (0..TEAMS).map(team).collect();
+    let routers: Vec<_> = (0..ROUTERS)
+        .map(|i| net::IpAddr::from([10, 0, 0, i]))
+        .collect();
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(1);
+    let mut limits = team_limits::TeamLimits::new(team_limits::Settings::default(), Instant::ZERO);
+    limits.set_routers(Instant::ZERO, routers[0], &routers, 44);
+    limits.set_teams(Instant::ZERO, &teams);
+    let mut now = Instant::from_millis(60_000);
+    hint::black_box(limits.tick(now, &mut rng));
+    let mut names = teams.iter().cycle();
+    let mut decide = |cost: Units| {
+        now = now + time::Duration::from_micros(70);
+        let team = names.next().expect("the cycle is endless");
+        limits.request(now, &team.name, cost, 3, &mut rng)
+    };
+    let mut group = c.benchmark_group("limit of a team");
+    group.sample_size(20);
+    group.measurement_time(time::Duration::from_secs(1));
+    group.warm_up_time(time::Duration::from_millis(200));
+    group.bench_function("admitted", |b| b.iter(|| decide(Units(383))));
+    group.finish();
+}
+
+criterion_group!(benches, by_runners, by_pieces, limits);
 criterion_main!(benches);
--- a/crates/lentil_policy/src/forward/team_limits.rs
+++ b/crates/lentil_policy/src/forward/team_limits.rs
@@ -219,6 +219,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Lent {
     units: Units,
+    class: bucket::Class,
     lent_at: Instant,
 }
 
@@ -250,11 +251,14 @@
 /// have less than expected. What is too much is given back at the next tick.
 const SURPLUS: f64 = 0.5;
 /// The same for further rounds, after lenders had less than expected or have not answered.
-const LAST_SURPLUS: f64 = 2.0;
+const LAST_SURPLUS: f64 = 4.0;
 /// Shortest `Retry-After`.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(50);
 /// Random part of a `Retry-After`, as a fraction of it.
 const RETRY_JITTER: f64 = 0.5;
+/// What an owner saves for a refused request, in portions of it: more than one, since some
+/// owners don't answer, and units come in while the caller waits for its Retry-After.
+const SAVED_PORTIONS: f64 = 1.5;
 /// Time between questions without hope for one team. Each goes to all owners.
 const NOTICE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
@@ -457,12 +461,12 @@
             // A small request brings along what the next ones need.
             wanted += state.shortfall(now, &self.settings);
         }
-        let (plan, total) = state
+        let plan = state
             .lenders
             .plan(now, class, wanted, wanted.min(lack.max(1.0)), 0.0);
         let mut asks = Vec::new();
         if pending.rounds < self.settings.max_rounds {
-            if total >= lack {
+            if plan.most >= lack {
                 let is_waiting = |ask: &OpenAsk| {
                     ask.team == hash
                         && !ask.class.is_large
@@ -472,7 +476,7 @@
                     && pending.rounds == 0
                     && self.open_asks.values().any(is_waiting);
                 if !shares {
-                    asks = plan;
+                    asks = plan.lenders;
                 }
                 pending.rounds += 1;
                 pending.asked_at = now;
@@ -481,8 +485,8 @@
             }
             if class.is_large && pending.rounds == 0 && state.next_notice <= now {
                 state.next_notice = now + NOTICE_INTERVAL;
-                let owners = state.ownership.owners.len().max(1);
-                let portion = Units((lack / owners as f64).ceil() as u64);
+                let lenders = state.lenders.all().count().max(1);
+                let portion = Units((lack / lenders as f64).ceil() as u64);
                 asks.extend(state.lenders.all().map(|lender| (lender, portion)));
             }
             if !asks.is_empty() {
@@ -493,10 +497,10 @@
             }
         }
         state.bucket.release(id);
-        let target = state.portion(pending.cost);
+        let target = state.target(pending.cost);
         state.bucket.on_shortage(now, &self.settings, class, target);
         state.refused += 1;
-        let available = (usable + total).max(0.0);
+        let available = (usable + plan.expected).max(0.0);
         let missing = Units((need - available).max(0.0).ceil() as u64);
         let wait = state.limit.rate.time_for(missing).max(MIN_RETRY_AFTER);
         let jitter = 1.0 + RETRY_JITTER * fraction(rng);
@@ -605,7 +609,7 @@
             let returned = lent.units.saturating_sub(ask.units);
             lent.units = lent.units.min(ask.units);
             state.bucket.fill(now, &self.settings);
-            state.bucket.on_given_back(returned.0 as f64);
+            state.bucket.on_given_back(lent.class, returned.0 as f64);
             state.lent = state.lent.saturating_sub(returned);
             return grant(lent.units, Units(0));
         }
@@ -620,18 +624,26 @@
         let need = state.expected(now, &self.settings, ask.is_urgent);
         let lendable = state.bucket.lendable(class, need);
         let mut units = Units(ask.units.0.min(lendable as u64));
-        if units < ask.units && (units.0 as f64) < state.least_loan() {
+        // A large request that gets less from each owner is refused all the same: its units
+        // are saved until they suffice.
+        let least = if class.is_large {
+            state.portion(ask.needed).floor()
+        } else {
+            state.least_loan()
+        };
+        if units < ask.units && (units.0 as f64) < least {
             units = Units(0);
         }
         state.bucket.lend(class, units.0 as f64);
         state.lent += units;
         if units < ask.units && ask.needed > Units(0) {
-            let target = state.portion(ask.needed);
+            let target = state.target(ask.needed);
             state.bucket.on_shortage(now, &self.settings, class, target);
         }
         let left = Units((lendable - units.0 as f64) as u64);
         let lent = Lent {
             units,
+            class,
             lent_at: now,
         };
         self.lent.insert((from, ask.nonce), lent);
@@ -709,10 +721,10 @@
                 is_large: false,
             };
             let least = state.nominal_burst() * LEAST_RESERVE;
-            let (plan, _) = state
+            let plan = state
                 .lenders
                 .plan(now, class, lack, lack, least.min(lack).max(1.0));
-            plans.push((hash, class, plan));
+            plans.push((hash, class, plan.lenders));
         }
         for (hash, class, plan) in plans {
             asks.extend(self.open(now, hash, class, Units(0), None, plan, rng));
@@ -727,8 +739,9 @@
         } = self.settings;
         self.teams
             .retain(|_, team| team.removed_at.is_none_or(|at| now.since(at) < window));
+        // Twice as long as the loan, for datagrams that are late.
         self.lent
-            .retain(|_, lent| now.since(lent.lent_at) < loan_life);
+            .retain(|_, lent| now.since(lent.lent_at) < loan_life * 2);
         self.expire_asks(now);
         let teams = &self.teams;
         self.open_asks
@@ -781,6 +794,11 @@
         cost.0 as f64 * 2.0 > self.nominal_burst().max(2.0)
     }
 
+    /// What each owner saves for a request of this cost that was refused.
+    fn target(&self, cost: Units) -> f64 {
+        self.portion(cost) * SAVED_PORTIONS
+    }
+
     /// What each owner must have for a request of this cost.
     fn portion(&self, cost: Units) -> f64 {
         self.need(cost) / self.ownership.owners.len().max(1) as f64
--- a/crates/lentil_policy/src/forward/team_limits/bucket.rs
+++ b/crates/lentil_policy/src/forward/team_limits/bucket.rs
@@ -12,6 +12,9 @@
 /// Fraction of the units of its urgency that large requests are saved for while they are
 /// refused. Small and large ones get the same then.
 const LARGE_SHARE: f64 = 0.5;
+/// How much more than their share is saved for patient requests: some of it goes to others
+/// when loans for them are not used.
+const PATIENT_MARGIN: f64 = 1.1;
 /// Fraction of [`Settings::excess`] by which more is generated than the limit says, for
 /// units that are lost on their way or expire.
 const EXTRA_SHARE: f64 = 0.25;
@@ -101,6 +104,10 @@
         }
     }
 
+    fn restore(&mut self, units: f64) {
+        self.units = (self.units + units).min(self.target);
+    }
+
     fn spend(&mut self, units: f64) {
         self.units = (self.units - units).max(0.0);
     }
@@ -206,7 +213,7 @@
 
     /// Saves a part of the generated units.
     fn save(&mut self, now: Instant, settings: &Settings, units: f64) {
-        let for_patient = units * settings.patient_share;
+        let for_patient = units * (settings.patient_share * PATIENT_MARGIN).min(1.0);
         self.patient.accrue(now, for_patient);
         let [patient_large, urgent_large] = &mut self.large;
         patient_large.accrue(now, for_patient * LARGE_SHARE);
@@ -349,9 +356,16 @@
         sources
     }
 
-    /// A router gives back units that this one lent.
-    pub(super) fn on_given_back(&mut self, units: f64) {
+    /// A router gives back units that this one lent. They are saved again for the class that
+    /// they were lent to.
+    pub(super) fn on_given_back(&mut self, class: Class, units: f64) {
         self.own = (self.own + units).min(self.part.burst);
+        if !class.is_urgent {
+            self.patient.restore(units);
+        }
+        if class.is_large {
+            self.large[usize::from(class.is_urgent)].restore(units);
+        }
     }
 
     /// Units held for a request are for all now.
@@ -387,7 +401,7 @@
         }
         self.loans.retain(|loan| loan.units > 0.0);
         self.own -= remaining;
-        self.spend(class, units);
+        self.spend(class, remaining);
         charged_at
     }
 
--- a/crates/lentil_policy/src/forward/team_limits/lenders.rs
+++ b/crates/lentil_policy/src/forward/team_limits/lenders.rs
@@ -56,6 +56,16 @@
     }
 }
 
+/// Whom to ask for units.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Plan {
+    pub(super) lenders: Vec<(net::IpAddr, Units)>,
+    /// The most that all lenders may have.
+    pub(super) most: f64,
+    /// What they are expected to have.
+    pub(super) expected: f64,
+}
+
 /// The other owners of one team.
 #[derive(Clone, Debug)]
 pub(super) struct Lenders {
@@ -107,8 +117,7 @@
         self.estimates.keys().copied()
     }
 
-    /// Lenders to ask for `wanted` units, those with the most first, and the most that all of
-    /// them may have. `most_each`: the most that one is asked for; `least`: lenders that are
+    /// Lenders to ask for `wanted` units, those with the most first. `most_each`: the most that one is asked for; `least`: lenders that are
     /// not expected to have as much are not asked.
     pub(super) fn plan(
         &self,
@@ -117,15 +126,16 @@
         wanted: f64,
         most_each: f64,
         least: f64,
-    ) -> (Vec<(net::IpAddr, Units)>, f64) {
+    ) -> Plan {
         let mean = self.means[class.index()];
-        let mut total = 0.0;
+        let mut plan = Plan::default();
         let mut lenders = Vec::with_capacity(self.estimates.len());
         for (lender, by_class) in self.estimates.iter() {
             let estimate = by_class[class.index()];
             let most = estimate.most(now, self.part);
-            total += most;
             let expected = estimate.expected(now, self.part, mean);
+            plan.most += most;
+            plan.expected += expected;
             if most >= 1.0 && expected >= least {
                 let order = expected * (1.0 - SPREAD * fraction(now, *lender, self.seed));
                 lenders.push((order, expected, most, *lender));
@@ -133,16 +143,15 @@
         }
         lenders.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.3.cmp(&b.3)));
         let mut remaining = wanted;
-        let mut plan = Vec::new();
         for (_, expected, most, lender) in lenders {
             if remaining <= 0.0 {
                 break;
             }
             let units = most.min(remaining).min(most_each).ceil();
             remaining -= units.min(expected);
-            plan.push((lender, Units(units as u64)));
+            plan.lenders.push((lender, Units(units as u64)));
         }
-        (plan, total)
+        plan
     }
 
     /// A lender is asked for units.
