Use half of the tolerance of limits for requests within them

A team whose limit was lowered to 80,114 tokens a second was refused what the platform's rule still allows: the limit with its tolerance. Half of the tolerance is generated now; the other half covers loans, debts and routers that are not known yet.

--- a/crates/lentil_policy/src/forward/team_limits.rs
+++ b/crates/lentil_policy/src/forward/team_limits.rs
@@ -62,7 +62,7 @@
             member_ttl: time::Duration::from_secs(120),
             settle_time: time::Duration::from_secs(2),
             reserve_time: time::Duration::from_millis(250),
-            loan_life: time::Duration::from_millis(500),
+            loan_life: time::Duration::from_millis(250),
             ask_timeout: time::Duration::from_millis(12),
             max_rounds: 2,
             patient_share: 0.25,
--- a/crates/lentil_policy/src/forward/team_limits/bucket.rs
+++ b/crates/lentil_policy/src/forward/team_limits/bucket.rs
@@ -15,9 +15,12 @@
 /// How much more than their share is saved for patient requests: some of it goes to others
 /// when loans for them are not used.
 const PATIENT_MARGIN: f64 = 1.1;
-/// Fraction of [`Settings::excess`] by which more is generated than the limit says, for
-/// units that are lost on their way or expire.
-const EXTRA_SHARE: f64 = 0.25;
+/// Fraction of [`Settings::excess`] and [`Settings::slack`] that is generated beyond the
+/// limit, so that no request within it is refused for units that are lost on their way. The
+/// rest covers debts, loans in transit and routers that are not known yet.
+const EXTRA_SHARE: f64 = 0.5;
+/// Fraction of [`Settings::slack`] that all routers together may be in debt.
+const DEBT_SHARE: f64 = 0.25;
 
 /// Kind of a request within its team.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,17 +65,20 @@
     /// This router's part.
     pub(super) fn of(settings: &Settings, limit: &TeamLimit, ownership: &Ownership) -> Self {
         let Units(burst) = limit.burst;
-        let slack = settings.slack.0 as f64 / (2.0 * ownership.count as f64);
+        let slack = settings.slack.0 as f64;
         let part = ownership.part;
+        let extra = 1.0 + settings.excess * EXTRA_SHARE;
+        let extra_rate = slack * EXTRA_SHARE / settings.window.as_secs_f64().max(f64::EPSILON);
         // Beyond a part, debts would only delay the refusals of an overloaded team.
         let debt = if part > 0.0 {
-            slack.min((burst as f64 * part).max(1.0))
+            let debt = slack * DEBT_SHARE / ownership.count as f64;
+            debt.min((burst as f64 * part).max(1.0))
         } else {
             0.0
         };
         Self {
-            rate: limit.rate.0 * (1.0 + settings.excess * EXTRA_SHARE) * part,
-            burst: burst as f64 * part,
+            rate: (limit.rate.0 * extra + extra_rate) * part,
+            burst: burst as f64 * extra * part,
             debt,
         }
     }
