Read limits of teams from the operators' text

A team of the operators' text could have no limit, while the platform's own configuration names one. `limit = { unit, rate, burst, uncounted }` of `[[team]]` is parsed with every fault at its line and column, compared by `lentilctl diff` and listed in the reference. `uncounted` has to be there for the unit `tokens` and only for it.

The entries do not enforce the limit yet; the reference and docs/configuration.md say so. The examples stay without a limit, which would have no effect there.

--- a/crates/lentil_config/src/change.rs
+++ b/crates/lentil_config/src/change.rs
@@ -130,6 +130,9 @@
         add(format!("team {name} weight"), team.weight.to_string());
         add(format!("team {name} scope"), team.scope.to_string());
         add(format!("team {name} keys"), list(&team.keys));
+        if let Some(limit) = &team.limit {
+            add(format!("team {name} limit"), limit.to_string());
+        }
     }
     properties
 }
--- a/crates/lentil_config/src/config.rs
+++ b/crates/lentil_config/src/config.rs
@@ -4,7 +4,7 @@
 
 use lentil_types::{
     AdapterName, Class, ModelName, PlaceName, RegionName, RunnerName, ScopeName, ServiceName,
-    Table, TeamName, WeightsVersion,
+    Table, TeamName, UnitRate, Units, WeightsVersion,
 };
 
 use crate::{Faults, parse};
@@ -83,6 +83,29 @@
     Decode,
 }
 
+/// What a limit of a team counts.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    strum::Display,
+    strum::EnumString,
+    strum::VariantNames,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum LimitUnit {
+    /// Each request is one unit.
+    #[default]
+    Requests,
+    /// Each token of the prompt and of the longest allowed output is one unit.
+    Tokens,
+}
+
 /// A configuration: everything that exists in one region of an operator.
 #[derive(Clone, Debug, PartialEq, serde::Serialize)]
 pub struct Config {
@@ -177,7 +200,7 @@
 }
 
 /// One team.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize)]
 pub struct Team {
     /// Name, unique in the configuration.
     pub name: TeamName,
@@ -187,6 +210,40 @@
     pub scope: ScopeName,
     /// SHA-256 hashes of the team's API keys.
     pub keys: Vec<KeyHash>,
+    /// Limit on the team's requests; `None` for no limit.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limit: Option<TeamLimit>,
+}
+
+/// Limit on the requests of one team, over all processes that accept them.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize)]
+pub struct TeamLimit {
+    /// What is counted.
+    pub unit: LimitUnit,
+    /// Units per second.
+    pub rate: UnitRate,
+    /// Units that may be used at once beyond the rate.
+    pub burst: Units,
+    /// Units of a request that states no token count. Set if and only if the unit is
+    /// [`LimitUnit::Tokens`].
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub uncounted: Option<Units>,
+}
+
+impl fmt::Display for TeamLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            unit,
+            rate: UnitRate(rate),
+            burst: Units(burst),
+            uncounted,
+        } = self;
+        write!(f, "{rate} {unit}/s, burst {burst}")?;
+        match uncounted {
+            Some(Units(uncounted)) => write!(f, ", uncounted {uncounted}"),
+            None => Ok(()),
+        }
+    }
 }
 
 /// SHA-256 of an API key, in 64 lower-case hexadecimal digits.
--- a/crates/lentil_config/src/lib.rs
+++ b/crates/lentil_config/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use change::{Change, diff};
 pub use config::{
-    Call, ClassRule, Config, KeyHash, Model, Objective, Place, Role, Runner, Service, ServiceKind,
-    Team,
+    Call, ClassRule, Config, KeyHash, LimitUnit, Model, Objective, Place, Role, Runner, Service,
+    ServiceKind, Team, TeamLimit,
 };
 pub use fault::{Fault, FaultKind, Faults};
--- a/crates/lentil_config/src/parse.rs
+++ b/crates/lentil_config/src/parse.rs
@@ -4,7 +4,7 @@
 
 use lentil_types::{
     AdapterName, Class, ModelName, PlaceName, RegionName, RunnerName, ScopeName, ServiceName,
-    TeamName, WeightsVersion,
+    TeamName, Units, WeightsVersion,
 };
 use toml::de;
 
@@ -271,6 +271,8 @@
     let weight = fields.optional_number(report, "weight", 1..=MAX_WEIGHT);
     let scope: Option<Located<ScopeName>> = fields.required(report, "scope");
     let keys: Vec<Located<config::KeyHash>> = fields.values(report, "keys");
+    let limit = fields.table(report, "limit", &reference::LIMIT);
+    let limit = limit.and_then(|limit| read_limit(report, limit));
     if let Some(name) = &name {
         names.define(check::Kind::Team, name);
     }
@@ -282,5 +284,35 @@
         weight: weight.map_or(1, |weight| weight.value),
         scope: scope?.value,
         keys: values(keys),
+        limit,
+    })
+}
+
+fn read_limit<'t>(report: &mut Report<'t>, mut fields: Fields<'t>) -> Option<config::TeamLimit> {
+    let is_unit_named = fields.contains("unit");
+    let unit: Option<Located<config::LimitUnit>> = fields.optional(report, "unit");
+    let rate = fields.rate(report, "rate");
+    let burst = fields.number(report, "burst", 1..=u32::MAX);
+    // A faulty unit says nothing about whether `uncounted` has to be there.
+    let unit = match unit {
+        Some(unit) => Some(unit.value),
+        None if is_unit_named => None,
+        None => Some(config::LimitUnit::default()),
+    };
+    let uncounted = match unit {
+        Some(config::LimitUnit::Tokens) => fields.number(report, "uncounted", 1..=u32::MAX),
+        _ => fields.optional_number(report, "uncounted", 1..=u32::MAX),
+    };
+    if let (Some(config::LimitUnit::Requests), Some(uncounted)) = (unit, &uncounted) {
+        let found = format!("uncounted = {} with the unit requests", uncounted.value);
+        let allowed = "only with the unit tokens";
+        report.add(&uncounted.span, FaultKind::BadValue, found, allowed);
+    }
+    let units = |number: Located<u32>| Units(u64::from(number.value));
+    Some(config::TeamLimit {
+        unit: unit?,
+        rate: rate?.value,
+        burst: units(burst?),
+        uncounted: uncounted.map(units),
     })
 }
--- a/crates/lentil_config/src/reader.rs
+++ b/crates/lentil_config/src/reader.rs
@@ -2,6 +2,7 @@
 
 use std::{borrow::Cow, ops, str};
 
+use lentil_types::UnitRate;
 use toml::{Spanned, de};
 
 use crate::{Fault, FaultKind, Faults, reference};
@@ -117,20 +118,19 @@
         &self.span
     }
 
+    /// Whether the table has this key and it has not been read yet.
+    pub(crate) fn contains(&self, name: &str) -> bool {
+        self.pairs.iter().any(|(key, _)| key.get_ref() == name)
+    }
+
     /// Reads a required value.
     pub(crate) fn required<T: str::FromStr>(
         &mut self,
         report: &mut Report<'t>,
         name: &'static str,
     ) -> Option<Located<T>> {
-        match self.take(name) {
-            Some(value) => self.parse(report, name, &value),
-            None => {
-                let found = format!("no {name} in {}", self.keys.title);
-                report.add(&self.span, FaultKind::MissingKey, found, self.allowed(name));
-                None
-            }
-        }
+        let value = self.take_required(report, name)?;
+        self.parse(report, name, &value)
     }
 
     /// Reads an optional value.
@@ -165,6 +165,21 @@
         self.in_range(report, name, number, range)
     }
 
+    /// Reads a required rate, a whole number or one with a fraction.
+    pub(crate) fn rate(
+        &mut self,
+        report: &mut Report<'t>,
+        name: &'static str,
+    ) -> Option<Located<UnitRate>> {
+        let value = self.take_required(report, name)?;
+        match value.get_ref() {
+            de::DeValue::Float(number) => {
+                self.parse_text(report, name, value.span(), number.as_str())
+            }
+            _ => self.parse(report, name, &value),
+        }
+    }
+
     /// Reads an optional array of values. Invalid values are left out.
     pub(crate) fn values<T: str::FromStr>(
         &mut self,
@@ -196,6 +211,24 @@
         tables
     }
 
+    /// Reads an optional table.
+    pub(crate) fn table(
+        &mut self,
+        report: &mut Report<'t>,
+        name: &'static str,
+        keys: &'static reference::TableKeys,
+    ) -> Option<Fields<'t>> {
+        let value = self.take(name)?;
+        let span = value.span();
+        match value.into_inner() {
+            de::DeValue::Table(table) => Some(Fields::new(report, keys, span, table)),
+            other => {
+                self.bad_value(report, name, &span, other.type_str());
+                None
+            }
+        }
+    }
+
     fn items(
         &mut self,
         report: &mut Report<'t>,
@@ -222,6 +255,19 @@
         Some(self.pairs.remove(index).1)
     }
 
+    fn take_required(
+        &mut self,
+        report: &mut Report<'t>,
+        name: &'static str,
+    ) -> Option<Spanned<de::DeValue<'t>>> {
+        let value = self.take(name);
+        if value.is_none() {
+            let found = format!("no {name} in {}", self.keys.title);
+            report.add(&self.span, FaultKind::MissingKey, found, self.allowed(name));
+        }
+        value
+    }
+
     fn parse<T: str::FromStr>(
         &self,
         report: &mut Report<'t>,
@@ -238,6 +284,16 @@
                 return None;
             }
         };
+        self.parse_text(report, name, span, &text)
+    }
+
+    fn parse_text<T: str::FromStr>(
+        &self,
+        report: &mut Report<'t>,
+        name: &str,
+        span: Span,
+        text: &str,
+    ) -> Option<Located<T>> {
         if let Ok(value) = text.parse() {
             return Some(Located { value, span });
         }
--- a/crates/lentil_config/src/reference.rs
+++ b/crates/lentil_config/src/reference.rs
@@ -229,12 +229,46 @@
             "none",
             "hashes of the team's API keys; a key belongs to one team",
         ),
+        optional(
+            "limit",
+            "table",
+            "no limit",
+            "limit on the team's requests; the entries do not enforce it yet",
+        ),
+    ],
+};
+
+/// A limit on a team's requests.
+pub const LIMIT: TableKeys = TableKeys {
+    title: "limit = { ... }",
+    about: "Limit on the requests of one team, over all entries together. It is checked, compared \
+        and distributed with the text, but the entries do not enforce it yet: a team over its \
+        limit is served as if it had none.",
+    keys: &[
+        optional(
+            "unit",
+            "`requests` or `tokens`",
+            "`requests`",
+            "what is counted: requests, or the tokens of the prompt and of the longest allowed output",
+        ),
+        required("rate", "positive number", "units per second"),
+        required(
+            "burst",
+            "1 to 4294967295",
+            "units that may be used at once beyond the rate",
+        ),
+        optional(
+            "uncounted",
+            "1 to 4294967295",
+            "none",
+            "units of a request that states no token count; required for `tokens`, not allowed for `requests`",
+        ),
     ],
 };
 
 /// All tables, in the order of the page.
-pub const TABLES: [&TableKeys; 8] = [
-    &ROOT, &PLACE, &CLASS, &MODEL, &SERVICE, &CALL, &RUNNER, &TEAM,
+pub const TABLES: [&TableKeys; 9] = [
+    &ROOT, &PLACE, &CLASS, &MODEL, &SERVICE, &CALL, &RUNNER, &TEAM, &LIMIT,
 ];
 
 /// Reference of all keys, as a Markdown page.
--- a/crates/lentil_config/tests/faults.rs
+++ b/crates/lentil_config/tests/faults.rs
@@ -4,14 +4,10 @@
 use proptest::prelude::{ProptestConfig, any, proptest};
 
 #[rstest::rstest]
-#[case::many(include_str!("faulty/many.toml"))]
-#[case::syntax(include_str!("faulty/syntax.toml"))]
-fn every_fault_is_reported(#[case] text: &str) {
-    let name = if text.contains("colour") {
-        "many"
-    } else {
-        "syntax"
-    };
+#[case("many", include_str!("faulty/many.toml"))]
+#[case("syntax", include_str!("faulty/syntax.toml"))]
+#[case("limits", include_str!("faulty/limits.toml"))]
+fn every_fault_is_reported(#[case] name: &str, #[case] text: &str) {
     let faults = Config::parse(text).expect_err("the text is faulty");
     insta::assert_snapshot!(name, faults);
 }
--- a/crates/lentil_config/tests/reference.rs
+++ b/crates/lentil_config/tests/reference.rs
@@ -22,7 +22,7 @@
         place = [{ name = "p" }]
         class = [{ name = "patient", deadline_s = 60 }]
         model = [{ name = "m", service = "e", weights = 2, adapters = ["a"] }]
-        team = [{ name = "t", weight = 2, scope = "s", keys = [] }]
+        team = [{ name = "t", weight = 2, scope = "s", keys = [], limit = { unit = "tokens", rate = 0.5, burst = 7, uncounted = 3 } }]
         [[service]]
         name = "e"
         kind = "engine"
@@ -48,6 +48,13 @@
         config.services[0].runners[0].role,
         lentil_config::Role::Prefill
     );
+    let limit = lentil_config::TeamLimit {
+        unit: lentil_config::LimitUnit::Tokens,
+        rate: lentil_types::UnitRate(0.5),
+        burst: lentil_types::Units(7),
+        uncounted: Some(lentil_types::Units(3)),
+    };
+    assert_eq!(config.teams[0].limit, Some(limit));
     assert_eq!(config.models[0].adapters.len(), 1);
     assert!(config.services[1].is_once("PUT", "/x/1"));
 }
