Settle a router that agents report alone, and wait 25 ms for lenders

A deployment with one router took 1/runners of each limit for good, since a router counted as settled only beside others.

--- a/crates/lentil_policy/src/forward/team_limits.rs
+++ b/crates/lentil_policy/src/forward/team_limits.rs
@@ -63,7 +63,7 @@
             settle_time: time::Duration::from_secs(2),
             reserve_time: time::Duration::from_millis(250),
             loan_life: time::Duration::from_millis(250),
-            ask_timeout: time::Duration::from_millis(12),
+            ask_timeout: time::Duration::from_millis(25),
             max_rounds: 2,
             patient_share: 0.25,
         }
--- a/crates/lentil_policy/src/forward/team_limits/owners.rs
+++ b/crates/lentil_policy/src/forward/team_limits/owners.rs
@@ -35,6 +35,8 @@
     routers: Table<net::IpAddr, Option<Instant>>,
     /// Routers to assume while they are not known.
     runners: usize,
+    /// Whether agents report routers, if only this one.
+    is_reported: bool,
     is_settled: bool,
 }
 
@@ -50,6 +52,7 @@
         let mut has_changed = self.own != Some(own) || self.runners != runners;
         self.own = Some(own);
         self.runners = runners;
+        self.is_reported = !routers.is_empty();
         let mut reported = routers.to_vec();
         reported.push(own);
         reported.sort_unstable();
@@ -77,8 +80,7 @@
         let ttl = settings.member_ttl;
         self.routers
             .retain(|_, gone_at| gone_at.is_none_or(|at| now.since(at) < ttl));
-        let reported = self.routers.values().filter(|gone_at| gone_at.is_none());
-        let is_settled = !is_new && reported.count() > 1;
+        let is_settled = !is_new && self.is_reported;
         let has_changed = is_settled != self.is_settled || known != self.routers.len();
         self.is_settled = is_settled;
         has_changed
--- a/crates/lentil_policy/tests/forward_team_limits.rs
+++ b/crates/lentil_policy/tests/forward_team_limits.rs
@@ -240,6 +240,20 @@
     assert!(fleet.drain(START + 1_000, 0, 100) <= 1_000);
 }
 
+// Guards against refusals below the limit in a deployment with one router.
+#[test]
+fn the_only_router_takes_the_whole_limit() {
+    let mut limits = TeamLimits::new(exact(), at(START));
+    limits.set_routers(at(START), address(0), &[address(0)], 44);
+    limits.set_teams(at(START), &[team(Some(limit(44_000.0, 44_000)))]);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    for ms in (START..FULL).step_by(100) {
+        limits.tick(at(ms), &mut rng);
+    }
+    let part = limits.views(at(FULL))[0].part;
+    assert!((part - 1.0).abs() < 1e-9, "{part}");
+}
+
 // Guards against routers that each take the whole limit while they don't know the others.
 #[test]
 fn a_router_alone_takes_one_part_of_the_runners() {
