--- a/crates/lentil_policy/src/forward/team_limits.rs
+++ b/crates/lentil_policy/src/forward/team_limits.rs
@@ -44,9 +44,9 @@
     pub reserve_time: time::Duration,
     /// How long borrowed units can be used.
     pub loan_life: time::Duration,
-    /// Longest wait for the answers of one round of questions.
+    /// Longest wait for the answers of one round of asks.
     pub ask_timeout: time::Duration,
-    /// Most rounds of questions for one request.
+    /// Most rounds of asks for one request.
     pub max_rounds: u32,
     /// Fraction of the units that patient requests get at least while they ask.
     pub patient_share: f64,
@@ -85,7 +85,7 @@
 /// was lent gives the others back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ask {
-    /// Identifies the question at the router that asks.
+    /// Identifies the ask at the router that asks.
     pub nonce: u64,
     /// The team.
     pub team: TeamHash,
@@ -100,7 +100,7 @@
 /// The answer to an [`Ask`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
-    /// The question's.
+    /// The ask's.
     pub nonce: u64,
     /// The team.
     pub team: TeamHash,
@@ -155,7 +155,7 @@
     Ask {
         /// The request.
         pending: Pending,
-        /// Each router and its question.
+        /// Each router and its ask.
         asks: Vec<(net::IpAddr, Ask)>,
     },
     /// It is not.
@@ -194,9 +194,9 @@
     bucket: bucket::Bucket,
     demand: demand::Demand,
     lenders: lenders::Lenders,
-    /// Earliest time of the next question in advance.
+    /// Earliest time of the next ask in advance.
     next_reserve: Instant,
-    /// Earliest time of the next question without hope, which tells the owners to save.
+    /// Earliest time of the next ask that the owners are not expected to meet.
     next_notice: Instant,
     lent: Units,
     borrowed: Units,
@@ -259,7 +259,8 @@
 /// What an owner saves for a refused request, in portions of it: more than one, since some
 /// owners don't answer, and units come in while the caller waits for its Retry-After.
 const SAVED_PORTIONS: f64 = 1.5;
-/// Time between questions without hope for one team. Each goes to all owners.
+/// Time between asks of one team that are sent although the owners are not expected to have
+/// enough. They go to all owners, which save units from then on.
 const NOTICE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 impl TeamLimits {
