Learn the speed of runners and predict times with it

The slowness of a runner is a ratio of the observed to the predicted time to the first byte. It contains waits, and the fixed time per prompt of a service drives it to its upper bound, which multiplies every predicted wait.

The module pace learns the fixed time per prompt and the rate of a service's mean runner, the speed of each incarnation against it, and takes the pace of the moment from the fourth figure of the load header. Predictions for all other services are unchanged, which a test compares with the formula.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -3,7 +3,7 @@
 use std::{cell, net, rc, time};
 
 use compact_str::CompactString;
-use lentil_policy::forward::{attempt_log::AttemptOutcome, backlog, placement, runners};
+use lentil_policy::forward::{attempt_log::AttemptOutcome, backlog, pace, placement, runners};
 use lentil_process::metrics::{Counter, Timing};
 use lentil_types::{Instant, SoftwareVersion, Tokens, WeightsVersion};
 
@@ -448,13 +448,20 @@
         let was_run = head.headers.get(names.not_run).is_none() && head.status != 421;
         let weights = head.headers.text(names.weights);
         let weights = weights.and_then(|text| text.trim().parse::<WeightsVersion>().ok());
+        let load = load(&head.headers, names.load);
         let mut state = self.router.state();
+        if was_run && (200..300).contains(&head.status) {
+            let observation = self.observation(now, load.as_ref());
+            let incarnation = &self.choice.incarnation;
+            let runners = state.runners_mut();
+            runners.on_observation(now, incarnation, &observation);
+        }
         if let Some(runner) = state.runners_mut().get_mut(&self.choice.incarnation) {
             if let (Some(model), Some(weights)) = (&self.plan.model, weights) {
                 runner.on_weights(model, weights);
             }
-            if let Some((running, waiting)) = load(&head.headers, names.load) {
-                runner.on_load(now, running, waiting);
+            if let Some(load) = &load {
+                runner.on_load(now, load.running, load.waiting);
             }
             if was_run {
                 let took = now.since(self.sent_at).as_secs_f64() * 1e3;
@@ -484,6 +491,21 @@
         }
     }
 
+    /// What the start of the answer says about the runner's speed. A time that contains a
+    /// transfer says nothing.
+    fn observation(&self, now: Instant, load: Option<&Load>) -> pace::Observation {
+        let placement::ExpectedSpeed { wait_ms, waits, .. } = self.choice.speed;
+        let has_computed = self.choice.prefills || self.choice.source.is_none();
+        let is_certain = self.choice.version.is_some() && has_computed;
+        pace::Observation {
+            uncached: is_certain.then_some(self.choice.request_cost.uncached),
+            wait_ms,
+            waited: waits,
+            observed_ms: now.since(self.sent_at).as_secs_f64() * 1e3,
+            moment: load.and_then(|load| load.moment),
+        }
+    }
+
     /// Notes what the runner says of itself.
     fn on_announcement(&self, head: &h1::ResponseHead) {
         // Another runner answers for itself.
@@ -706,13 +728,26 @@
     }
 }
 
-/// Running and waiting requests from the load header.
-fn load(headers: &h1::Headers, name: &str) -> Option<(u32, u32)> {
+/// What a runner says of its load.
+struct Load {
+    running: u32,
+    waiting: u32,
+    /// Time that work takes at the moment, in percent of the usual; not on all services.
+    moment: Option<u32>,
+}
+
+/// Decodes the load header: requests that run, requests that wait, slots, and on some
+/// services the pace of the moment.
+fn load(headers: &h1::Headers, name: &str) -> Option<Load> {
     let mut numbers = headers
         .text(name)?
         .split(',')
         .map(|text| text.trim().parse().ok());
-    Some((numbers.next()??, numbers.next()??))
+    Some(Load {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        moment: numbers.nth(1).flatten().filter(|percent| *percent > 0),
+    })
 }
 
 /// Capacity of a runner's prefix cache.
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -9,6 +9,7 @@
 //! - [`retries`]: this router's share of the fleet's retry budget.
 //! - [`runners`]: the known runners, their status and cached segments.
 //! - [`placement`]: the choice of a runner for a request.
+//! - [`pace`]: how fast the runners of a service compute prompts.
 //! - [`backlog`]: prompts that a runner still has to compute, of all routers.
 //! - [`weights_update`]: how an agent changes its runner's weights.
 //! - [`save_budget`]: the limit on saves to the cache store.
@@ -23,6 +24,7 @@
 pub mod attempt_log;
 pub mod backlog;
 pub mod crash_blame;
+pub mod pace;
 pub mod placement;
 pub mod retries;
 pub mod rollout_pacer;
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::forward::{
-    routing,
+    pace, routing,
     runners::{Incarnation, RequestCost, Runner, Runners, SegmentId, SegmentKey},
     target_weights,
 };
@@ -90,7 +90,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            prefill_rate: 50.0,
+            prefill_rate: pace::DEFAULT_RATE,
             per_request: 4.0,
             per_queued: 40.0,
             fetch_ratio: 0.375,
@@ -207,6 +207,22 @@
     pub expected_ms: f64,
     /// Age of the runner's status; `None` where there is none.
     pub status_age: Option<time::Duration>,
+    /// Speed and load of the runner that the expected time is based on.
+    pub speed: ExpectedSpeed,
+}
+
+/// Speed and load of a runner that its expected time is based on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExpectedSpeed {
+    /// Speed against the mean of the service's runners; 1 where it is not learned.
+    pub speed: f64,
+    /// Factor by which work takes longer there than usual at the moment.
+    pub moment: f64,
+    /// Time that it needs for the prompts that it has, in milliseconds.
+    pub wait_ms: f64,
+    /// Whether it has so much work that the time of the request says little about its
+    /// speed.
+    pub waits: bool,
 }
 
 /// Why no runner was chosen.
@@ -304,6 +320,7 @@
         request_cost: best.request_cost,
         expected_ms: best.expected_ms,
         status_age: best.runner.status_age(context.now),
+        speed: best.speed,
     })
 }
 
--- a/crates/lentil_policy/src/forward/placement/estimate.rs
+++ b/crates/lentil_policy/src/forward/placement/estimate.rs
@@ -5,14 +5,14 @@
 use lentil_types::{Instant, PlaceName, Tokens, WeightsVersion};
 
 use super::{
-    Context, Refusal, Requirements, Settings, Store,
+    Context, ExpectedSpeed, Refusal, Requirements, Settings, Store,
     load_estimate::LoadEstimate,
     shared_prefix,
     sources::{Homes, Sources, sources},
     store_index,
 };
 use crate::forward::{
-    routing,
+    pace, routing,
     runners::{self, RequestCost, Runner, SegmentId, SegmentKey},
     save_budget, target_weights,
 };
@@ -38,8 +38,14 @@
     pub(super) expected_ms: f64,
     /// Expected time plus penalties, in milliseconds.
     pub(super) cost: f64,
+    /// What the expected time is based on.
+    pub(super) speed: ExpectedSpeed,
 }
 
+/// Part of a prompt's own time that the runner may need for other prompts before, so that
+/// its time still says something about the runner's speed.
+const MAX_WAIT_SHARE: f64 = 0.2;
+
 /// How a runner would obtain the KV cache of a prompt.
 #[derive(Default)]
 struct PromptPlan {
@@ -68,6 +74,10 @@
     sources: Vec<Sources<'a>>,
     homes: Option<Homes<'a>>,
     load: LoadEstimate,
+    /// What is learned of the speed of the service's runners.
+    pace: Option<&'a pace::ServiceState>,
+    /// Prompt tokens that the average runner computes per millisecond.
+    rate: f64,
 }
 
 impl<'e> Estimator<'e> {
@@ -83,8 +93,12 @@
             engine,
         } = context;
         let segment = shared_prefix(settings, requirements.segments);
+        let pace = runners.pace(requirements.service);
+        let pace = pace.filter(|state| state.pace.is_learned() && requirements.model.is_some());
         Self {
             now,
+            pace,
+            rate: pace.map_or(settings.prefill_rate, |state| state.pace.rate()),
             settings,
             engine,
             requirements,
@@ -117,13 +131,24 @@
         let load = self.load.occupancy(self.now, runner);
         let slots = f64::from(runner.registration.slots.max(1));
         let queued = (load - (slots - 1.0)).max(0.0);
-        let rate = settings.prefill_rate;
-        let backlog_ms = runner.backlog(self.now, rate).0 as f64 / rate;
+        let rate = self.rate;
+        let (speed, moment) = self.pace.map_or((1.0, 1.0), |state| {
+            (state.speed(&runner.pace), runner.pace.moment(self.now))
+        });
+        // Where the speed is not learned, the slowness counts, which contains the waits.
+        let slowness = match self.pace {
+            Some(_) => moment / speed,
+            None => runner.slowness.max(1.0),
+        };
+        let base_ms = self.pace.map_or(0.0, |state| state.pace.base_ms());
+        let backlog_ms = runner.backlog(self.now, rate * speed / moment).0 as f64 / rate;
         let wait = backlog_ms + load * settings.per_request + queued * settings.per_queued;
         let memory_cost = runner.overcommitment(self.tokens).0 as f64 / 1e3 * settings.per_memory;
-        let compute = plan.uncached.0 as f64 / rate;
-        let slowness = runner.slowness.max(1.0);
-        let expected_ms = (wait + compute + plan.fetch_ms) * slowness;
+        let compute = base_ms + plan.uncached.0 as f64 / rate;
+        let expected_ms = match self.pace {
+            Some(_) => (wait + compute) * slowness + plan.fetch_ms,
+            None => (wait + compute + plan.fetch_ms) * slowness,
+        };
         Candidate {
             runner,
             request_cost: RequestCost {
@@ -143,6 +168,12 @@
             wait_ms: wait * slowness,
             expected_ms,
             cost: expected_ms + memory_cost + plan.penalty + self.penalty(runner),
+            speed: ExpectedSpeed {
+                speed,
+                moment,
+                wait_ms: backlog_ms * slowness,
+                waits: queued > 0.0 || backlog_ms > compute * MAX_WAIT_SHARE,
+            },
         }
     }
 
@@ -164,7 +195,7 @@
             return whole;
         };
         let unshared = self.tokens.saturating_sub(shared);
-        let prefill_ms = shared.0 as f64 / self.settings.prefill_rate;
+        let prefill_ms = shared.0 as f64 / self.rate;
         // A segment in prefill is cached by the time that the request is scheduled.
         if runner.segments.holds(sources.key) || runner.is_prefilling(sources.key) {
             return PromptPlan {
@@ -261,7 +292,7 @@
     /// A prompt whose shared prefix of `shared` tokens is fetched within `seconds`.
     fn fetch_plan(&self, shared: Tokens, seconds: f64, source: net::SocketAddr) -> PromptPlan {
         let unshared = self.tokens.saturating_sub(shared);
-        let prefill_ms = shared.0 as f64 / self.settings.prefill_rate;
+        let prefill_ms = shared.0 as f64 / self.rate;
         let penalty = prefill_ms * self.settings.fetch_ratio;
         PromptPlan {
             uncached: unshared,
@@ -339,7 +370,7 @@
             .segment
             .filter(|_| is_cached)
             .map_or(0, |(_, tokens)| tokens.0);
-        self.settings.max_backlog + saved as f64 / self.settings.prefill_rate
+        self.settings.max_backlog + saved as f64 / self.rate
     }
 
     /// Homes of the shared prefix, primary home first.
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -11,7 +11,10 @@
 
 use lentil_types::{Instant, RunnerName, ServiceName, SoftwareVersion, Table};
 
-use crate::forward::stream_origins::{Origin, SoftwareHistory};
+use crate::forward::{
+    pace,
+    stream_origins::{Origin, SoftwareHistory},
+};
 
 use announcements::Announcements;
 pub use announcements::{
@@ -39,6 +42,9 @@
     pub liveness: LivenessSettings,
     /// Requests that runners allow.
     pub announcements: AnnouncementSettings,
+    /// Whether the speed of runners is learned also for services whose runners do not
+    /// report their pace.
+    pub learns_pace: bool,
 }
 
 impl Default for Settings {
@@ -50,6 +56,7 @@
             health: HealthSettings::default(),
             liveness: LivenessSettings::default(),
             announcements: AnnouncementSettings::default(),
+            learns_pace: false,
         }
     }
 }
@@ -102,6 +109,8 @@
     software: SoftwareHistory,
     /// Whether the next list is that of an older copy of the store.
     is_restored: bool,
+    /// Paces of the services for which they are learned.
+    paces: Table<ServiceName, pace::ServiceState>,
 }
 
 /// Most runners kept that are not registered any more.
@@ -118,6 +127,7 @@
             removed: Vec::new(),
             software: SoftwareHistory::default(),
             is_restored: false,
+            paces: Table::new(),
         }
     }
 
@@ -440,6 +450,43 @@
         runner.health.on_health_signal(now, &settings, signal)
     }
 
+    /// Learns from an answer how fast its runner is, if its service's runners report
+    /// their pace or the settings ask for it.
+    pub fn on_observation(
+        &mut self,
+        now: Instant,
+        incarnation: &Incarnation,
+        observation: &pace::Observation,
+    ) {
+        let Some(runner) = self.get_mut(incarnation) else {
+            return;
+        };
+        let service = runner.registration.service.clone();
+        let is_on = observation.moment.is_some()
+            || self.settings.learns_pace
+            || self.paces.contains(&service);
+        if !is_on {
+            return;
+        }
+        let new_state = pace::ServiceState::default;
+        let state = self.paces.get_or_insert_with(service.clone(), new_state);
+        if let Some(runner) = self.table.get_mut(&incarnation.name) {
+            state.on_answer(now, &mut runner.pace, observation);
+        }
+        let members = self.table.values();
+        let members = members.filter(|runner| runner.registration.service == service);
+        state.mean_speed = pace::mean_speed(members.map(|runner| &runner.pace));
+        let mean = state.mean_speed;
+        if let Some(runner) = self.get_mut(incarnation) {
+            runner.pace.update_class(mean);
+        }
+    }
+
+    /// What is learned of the speed of a service's runners; `None` where it is not learned.
+    pub fn pace(&self, service: &ServiceName) -> Option<&pace::ServiceState> {
+        self.paces.get(service)
+    }
+
     /// This router's share of the limits of runners.
     pub fn set_share(&mut self, share: Share) {
         self.share = share;
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -6,6 +6,8 @@
     Instant, ModelName, PlaceName, RunnerName, ServiceName, SoftwareVersion, Tokens, WeightsVersion,
 };
 
+use crate::forward::pace;
+
 use super::{announcements::Announcements, health::Health, liveness::Liveness, segments};
 
 /// One start of a runner. Compared only for equality: the boot id derives from
@@ -103,6 +105,8 @@
     pub(super) announcements: Announcements,
     /// Smoothed ratio of observed to expected time to the first byte.
     pub slowness: f64,
+    /// Its speed, where that is learned.
+    pub pace: pace::RunnerPace,
 }
 
 /// Uncached tokens from which a prompt is long and reported to the runner's agent.
@@ -130,6 +134,7 @@
             liveness: Liveness::new(now),
             announcements: Announcements::default(),
             slowness: 1.0,
+            pace: pace::RunnerPace::default(),
         }
     }
 
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use lentil_policy::forward::{
+    pace,
     placement::{self, Choice, Context, Refusal, Requirements, Settings},
     routing::{CacheStore, Engine},
     runners::{
@@ -1171,3 +1172,108 @@
         "{with_text}; without the limit {without_text}"
     );
 }
+
+/// An answer to a prompt of `tokens` that took `observed_ms` at an idle runner.
+fn observation(tokens: u64, observed_ms: f64, moment: Option<u32>) -> pace::Observation {
+    pace::Observation {
+        uncached: Some(Tokens(tokens)),
+        wait_ms: 0.0,
+        waited: false,
+        observed_ms,
+        moment,
+    }
+}
+
+/// Learns a fixed time of 60 ms and 40 tokens per millisecond, for runners of these speeds.
+fn learn_speeds(router: &mut RouterFixture, speeds: &[f64], moment: Option<u32>) {
+    for tokens in (0..60).flat_map(|_| [383, 17_000]) {
+        for (number, speed) in speeds.iter().enumerate() {
+            let took = (60.0 + tokens as f64 / 40.0) / speed;
+            let observation = observation(tokens, took, moment);
+            let (now, incarnation) = (router.now, incarnation(number));
+            router
+                .runners
+                .on_observation(now, &incarnation, &observation);
+        }
+    }
+}
+
+/// Services whose runners do not report a pace are placed as before speeds were learned:
+/// prompt tokens at the default rate, multiplied by the slowness.
+#[test]
+fn without_a_reported_pace_predictions_stay_as_they_were() {
+    let (mut router, mut other) = (RouterFixture::new(5, 3), RouterFixture::new(5, 3));
+    learn_speeds(&mut router, &[1.0, 0.5, 1.5, 2.0, 1.0], None);
+    assert!(router.runners.pace(&router.service).is_none());
+    let slowness = 2.0;
+    for fixture in [&mut router, &mut other] {
+        for number in 0..5 {
+            let status = Status {
+                running: number as u32,
+                backlog: Tokens(500 * number as u64),
+                ..Status::default()
+            };
+            fixture.report_status(number, status);
+            let runner = fixture.runners.get_mut(&incarnation(number)).unwrap();
+            runner.slowness = slowness;
+        }
+    }
+    let exclude: Vec<_> = (0..4).map(|number| incarnation(number).name).collect();
+    for segments in [&SHORT[..], &LONG[..]] {
+        let choice = router.choose(segments, &exclude).unwrap();
+        let tokens: u64 = segments.iter().map(|(_, tokens)| tokens).sum();
+        let wait = 2_000.0 / 50.0 + 4.0 * router.settings.per_request;
+        let expected = (wait + tokens as f64 / 50.0) * slowness;
+        assert!((choice.expected_ms - expected).abs() < 1e-9, "{choice:?}");
+        assert_eq!(Ok(choice), other.choose(segments, &exclude));
+        for _ in 0..20 {
+            assert_eq!(router.choose(segments, &[]), other.choose(segments, &[]));
+        }
+    }
+}
+
+/// A fixed time per prompt must not count as slowness, which would multiply every wait.
+#[test]
+fn learned_times_predict_the_first_byte() {
+    let mut router = RouterFixture::new(3, 3);
+    learn_speeds(&mut router, &[0.6, 1.0, 1.6], Some(100));
+    let mean = f64::powf(0.6 * 1.6, 1.0 / 3.0);
+    for (number, speed) in [0.6, 1.0, 1.6].into_iter().enumerate() {
+        let others = (0..3).filter(|other| *other != number);
+        let exclude: Vec<_> = others.map(|other| incarnation(other).name).collect();
+        for segments in [&SHORT[..], &LONG[..]] {
+            let choice = router.choose(segments, &exclude).unwrap();
+            let tokens: u64 = segments.iter().map(|(_, tokens)| tokens).sum();
+            let truth = (60.0 + tokens as f64 / 40.0) / speed;
+            let ratio = choice.expected_ms / truth;
+            assert!(
+                (0.85..1.15).contains(&ratio),
+                "{speed}: {choice:?}, {truth}"
+            );
+            let ratio = choice.speed.speed * mean / speed;
+            assert!((0.85..1.15).contains(&ratio), "{speed}: {choice:?}");
+        }
+    }
+}
+
+/// A runner that is slow at the moment gets no short prompts, and gets them again once
+/// its figure is old.
+#[test]
+fn a_runner_that_is_slow_at_the_moment_is_avoided_while_its_figure_is_fresh() {
+    let mut router = RouterFixture::new(2, 3);
+    learn_speeds(&mut router, &[1.0, 1.0], Some(100));
+    let slow = pace::Observation {
+        uncached: None,
+        ..observation(383, 100.0, Some(250))
+    };
+    router
+        .runners
+        .on_observation(router.now, &incarnation(0), &slow);
+    let of_first = |router: &mut RouterFixture| {
+        let choices = (0..40).map(|_| router.choose(&SHORT, &[]).unwrap().incarnation);
+        choices.filter(|chosen| *chosen == incarnation(0)).count()
+    };
+    assert_eq!(of_first(&mut router), 0);
+    router.now = router.now + time::Duration::from_secs(3);
+    assert!(of_first(&mut router) > 5);
+}
