Keep some runners of a service for short prompts

A short prompt behind a long one that another router has just sent is late, and no status tells of it in time. Where the speed of runners is learned, routers now reserve the slowest runners for short prompts: as many as cover their share of the demand that each router measures, times 1.5, at least one and at most half. Long prompts use them only where they make the difference between late and on time; short prompts pay elsewhere for the expected wait behind an unseen long prompt. Services without a reported pace are unchanged.

--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -345,6 +345,7 @@
             body_bytes: plan.body_bytes,
             place: &self.place,
             time_left: plan.start_by.since(now),
+            objective_left: (plan.received + plan.route.objective).since(now),
             stores: &stores,
             max_status_age: None,
             runs_once: !plan.route.repeat.is_repeatable(),
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -223,6 +223,7 @@
 
     /// Adds the uncached tokens of a sent request to the demand.
     pub fn on_sent(&mut self, now: Instant, service: &ServiceName, uncached: Tokens) {
+        self.runners.on_demand(now, service, uncached);
         if uncached < runners::LONG_PROMPT {
             return;
         }
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -10,6 +10,7 @@
 //! - [`runners`]: the known runners, their status and cached segments.
 //! - [`placement`]: the choice of a runner for a request.
 //! - [`pace`]: how fast the runners of a service compute prompts.
+//! - [`lanes`]: which runners of a service are kept for short prompts.
 //! - [`backlog`]: prompts that a runner still has to compute, of all routers.
 //! - [`weights_update`]: how an agent changes its runner's weights.
 //! - [`save_budget`]: the limit on saves to the cache store.
@@ -24,6 +25,7 @@
 pub mod attempt_log;
 pub mod backlog;
 pub mod crash_blame;
+pub mod lanes;
 pub mod pace;
 pub mod placement;
 pub mod retries;
--- a/crates/lentil_policy/src/forward/pace.rs
+++ b/crates/lentil_policy/src/forward/pace.rs
@@ -10,9 +10,9 @@
 
 use std::time;
 
-use lentil_types::{Instant, Tokens};
+use lentil_types::{Instant, RunnerName, Tokens};
 
-use crate::forward::runners;
+use crate::forward::{lanes, runners};
 
 /// Prompt tokens that a runner computes per millisecond until more is known.
 pub const DEFAULT_RATE: f64 = 50.0;
@@ -297,6 +297,11 @@
     /// Mean of the learned speeds. Speeds count relative to it: otherwise it and the times
     /// of the service could drift together without a limit.
     pub mean_speed: f64,
+    /// Computation that this router asks of the service.
+    pub demand: lanes::Demand,
+    /// Runners kept for short prompts, sorted, and when they were determined.
+    pub reserved: Vec<RunnerName>,
+    pub(super) reserved_at: Option<Instant>,
 }
 
 impl Default for ServiceState {
@@ -304,6 +309,9 @@
         Self {
             pace: ServicePace::default(),
             mean_speed: 1.0,
+            demand: lanes::Demand::default(),
+            reserved: Vec::new(),
+            reserved_at: None,
         }
     }
 }
@@ -318,6 +326,16 @@
         }
     }
 
+    /// Time of a prompt at the mean runner, in milliseconds.
+    pub fn compute_ms(&self, tokens: Tokens) -> f64 {
+        self.pace.base_ms() + tokens.0 as f64 / self.pace.rate()
+    }
+
+    /// Whether a runner is kept for short prompts.
+    pub fn is_reserved(&self, name: &RunnerName) -> bool {
+        self.reserved.binary_search(name).is_ok()
+    }
+
     /// Learns from an answer of `runner`.
     pub fn on_answer(&mut self, now: Instant, runner: &mut RunnerPace, observation: &Observation) {
         if let Some(percent) = observation.moment {
@@ -335,7 +353,7 @@
         if !self.pace.is_learned() {
             return;
         }
-        let compute = self.pace.base_ms() + tokens.0 as f64 / self.pace.rate();
+        let compute = self.compute_ms(tokens);
         let wait = if observation.waited {
             observation.wait_ms
         } else {
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -52,6 +52,9 @@
     /// Cost per thousand tokens of memory that a runner lacks: it would preempt
     /// running requests and compute them again.
     pub per_memory: f64,
+    /// Cost of a long prompt at a runner that is kept for short ones, as a fraction of the
+    /// time to compute it.
+    pub reserved_ratio: f64,
     /// Time after which a reported load has half its weight against the mean of all
     /// runners: about as long as a request stays.
     pub load_half_life: time::Duration,
@@ -100,6 +103,7 @@
             stale_penalty: 60.0,
             stale_age: time::Duration::from_millis(400),
             per_memory: 40.0,
+            reserved_ratio: 1.0,
             load_half_life: time::Duration::from_millis(500),
             max_backlog: 120.0,
             long_share: 0.5,
@@ -135,6 +139,8 @@
     pub place: &'a PlaceName,
     /// Time until the request's deadline.
     pub time_left: time::Duration,
+    /// Time until an answer is late.
+    pub objective_left: time::Duration,
     /// The cache stores; each segment belongs to one of them.
     pub stores: &'a [Store<'a>],
     /// Largest age of a runner's status; `None` for any. Old statuses of runners that
--- a/crates/lentil_policy/src/forward/placement/estimate.rs
+++ b/crates/lentil_policy/src/forward/placement/estimate.rs
@@ -34,6 +34,8 @@
     backlog_ms: f64,
     /// Expected time until it has worked off what it has, in milliseconds.
     wait_ms: f64,
+    /// Whether it is kept for short prompts.
+    is_reserved: bool,
     /// Expected time to the first byte, in milliseconds.
     pub(super) expected_ms: f64,
     /// Expected time plus penalties, in milliseconds.
@@ -78,6 +80,9 @@
     pace: Option<&'a pace::ServiceState>,
     /// Prompt tokens that the average runner computes per millisecond.
     rate: f64,
+    /// Expected wait behind long prompts that no status has told of, at a runner that is
+    /// not reserved, in milliseconds of the mean runner.
+    unseen_ms: f64,
 }
 
 impl<'e> Estimator<'e> {
@@ -95,9 +100,11 @@
         let segment = shared_prefix(settings, requirements.segments);
         let pace = runners.pace(requirements.service);
         let pace = pace.filter(|state| state.pace.is_learned() && requirements.model.is_some());
+        let unseen_ms = pace.map_or(0.0, |state| unseen_wait(state, eligible));
         Self {
             now,
             pace,
+            unseen_ms,
             rate: pace.map_or(settings.prefill_rate, |state| state.pace.rate()),
             settings,
             engine,
@@ -149,8 +156,17 @@
             Some(_) => (wait + compute) * slowness + plan.fetch_ms,
             None => (wait + compute + plan.fetch_ms) * slowness,
         };
+        let name = &runner.registration.incarnation.name;
+        let is_reserved = self.pace.is_some_and(|state| state.is_reserved(name));
+        let is_long = plan.uncached >= runners::LONG_PROMPT;
+        let lane_penalty = match (is_long, is_reserved) {
+            (true, true) => compute * slowness * settings.reserved_ratio,
+            (false, false) => self.unseen_ms * slowness,
+            _ => 0.0,
+        };
         Candidate {
             runner,
+            is_reserved,
             request_cost: RequestCost {
                 uncached: plan.uncached,
                 memory: self.tokens,
@@ -167,7 +183,7 @@
             backlog_ms: backlog_ms * slowness,
             wait_ms: wait * slowness,
             expected_ms,
-            cost: expected_ms + memory_cost + plan.penalty + self.penalty(runner),
+            cost: expected_ms + memory_cost + plan.penalty + self.penalty(runner) + lane_penalty,
             speed: ExpectedSpeed {
                 speed,
                 moment,
@@ -321,6 +337,20 @@
         {
             return Ok(all);
         }
+        let is_open = |candidate: &Candidate<'_>| !candidate.is_reserved;
+        let (open, reserved): (Vec<_>, Vec<_>) = all.into_iter().partition(is_open);
+        let objective_ms = self.requirements.objective_left.as_secs_f64() * 1e3;
+        let can_be_timely = |all: &[Candidate<'_>]| {
+            all.iter()
+                .any(|candidate| candidate.expected_ms <= objective_ms)
+        };
+        // The reserved ones only where they make the difference between late and on time.
+        let spares_reserved =
+            !open.is_empty() && (can_be_timely(&open) || !can_be_timely(&reserved));
+        let mut all = open;
+        if !spares_reserved {
+            all.extend(reserved);
+        }
         let waits = all.iter().map(|candidate| self.room_wait(candidate));
         let least = waits.min_by(f64::total_cmp).unwrap_or(0.0);
         let has_room = |candidate: &Candidate<'_>| self.room_wait(candidate) <= 0.0;
@@ -406,3 +436,17 @@
         penalty
     }
 }
+
+/// Expected wait of a short prompt behind long prompts that no status has told of: the
+/// share of the time that the runners which are not reserved compute long prompts, times
+/// half of such a prompt's time.
+fn unseen_wait(state: &pace::ServiceState, eligible: &[&Runner]) -> f64 {
+    let open = eligible
+        .iter()
+        .filter(|runner| !state.is_reserved(&runner.registration.incarnation.name));
+    let (busy, count) = open.fold((0.0, 0.0), |(busy, count), runner| {
+        let is_busy = f64::from(u8::from(runner.had_long_prompt()));
+        (busy + is_busy, count + 1.0)
+    });
+    busy / f64::max(count, 1.0) * state.demand.long_ms() / 2.0
+}
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -9,10 +9,10 @@
 
 use std::time;
 
-use lentil_types::{Instant, RunnerName, ServiceName, SoftwareVersion, Table};
+use lentil_types::{Instant, RunnerName, ServiceName, SoftwareVersion, Table, Tokens};
 
 use crate::forward::{
-    pace,
+    lanes, pace,
     stream_origins::{Origin, SoftwareHistory},
 };
 
@@ -45,6 +45,8 @@
     /// Whether the speed of runners is learned also for services whose runners do not
     /// report their pace.
     pub learns_pace: bool,
+    /// Runners kept for short prompts.
+    pub lanes: lanes::Settings,
 }
 
 impl Default for Settings {
@@ -57,6 +59,7 @@
             liveness: LivenessSettings::default(),
             announcements: AnnouncementSettings::default(),
             learns_pace: false,
+            lanes: lanes::Settings::default(),
         }
     }
 }
@@ -482,6 +485,37 @@
         }
     }
 
+    /// A prompt of which a runner computes `uncached` tokens is sent to a service: updates
+    /// the runners that are kept for short prompts.
+    pub fn on_demand(&mut self, now: Instant, service: &ServiceName, uncached: Tokens) {
+        let settings = &self.settings.lanes;
+        let Some(state) = self.paces.get_mut(service) else {
+            return;
+        };
+        if !state.pace.is_learned() {
+            return;
+        }
+        let ms = state.compute_ms(uncached);
+        let is_long = uncached >= LONG_PROMPT;
+        state.demand.on_sent(now, settings, is_long, ms);
+        let is_due = |at| now.since(at) >= settings.interval;
+        if !state.reserved_at.is_none_or(is_due) {
+            return;
+        }
+        let share = state.demand.short_share(now, settings);
+        let runners = self.usable(now, service).into_iter();
+        let runners = runners.filter(|runner| runner.has_agent()).map(|runner| {
+            let speed = pace::class_speed(runner.pace.class());
+            (&runner.registration.incarnation.name, speed)
+        });
+        let runners: Vec<_> = runners.collect();
+        let reserved = lanes::reserved(&self.settings.lanes, share, &runners);
+        if let Some(state) = self.paces.get_mut(service) {
+            state.reserved = reserved;
+            state.reserved_at = Some(now);
+        }
+    }
+
     /// What is learned of the speed of a service's runners; `None` where it is not learned.
     pub fn pace(&self, service: &ServiceName) -> Option<&pace::ServiceState> {
         self.paces.get(service)
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -304,6 +304,12 @@
         reported + own
     }
 
+    /// Whether a long prompt was being computed there, by its last status.
+    pub fn had_long_prompt(&self) -> bool {
+        let status = self.status.as_ref();
+        status.is_some_and(|(_, status)| status.backlog > Tokens(0))
+    }
+
     /// Tokens by which `more` would exceed the free memory.
     pub fn overcommitment(&self, more: Tokens) -> Tokens {
         let Some((received_at, status)) = &self.status else {
--- a/crates/lentil_policy/tests/forward_pace.rs
+++ b/crates/lentil_policy/tests/forward_pace.rs
@@ -1,7 +1,11 @@
-//! What is learned of the speed of a service's runners.
+//! What is learned of the speed of a service's runners, and which are kept for short
+//! prompts.
 
-use lentil_policy::forward::pace::{Observation, RunnerPace, Sample, ServicePace, ServiceState};
-use lentil_types::{Instant, Tokens};
+use lentil_policy::forward::{
+    lanes::{self, Demand},
+    pace::{Observation, RunnerPace, Sample, ServicePace, ServiceState},
+};
+use lentil_types::{Instant, RunnerName, Tokens};
 use rand::{RngExt as _, SeedableRng as _};
 
 const SHORT: u64 = 383;
@@ -127,3 +131,78 @@
     assert!((at(300) - 1.75).abs() < 1e-9);
     assert!(at(3_000) < 1.01);
 }
+
+/// Sends short prompts of `short` ms and long ones of `long` ms of computation a second
+/// until `end`, in ms.
+fn send(demand: &mut Demand, from: u64, end: u64, short: f64, long: f64) {
+    let settings = lanes::Settings::default();
+    for now in (from..end).step_by(10) {
+        let at = Instant::from_millis(now);
+        if short > 0.0 {
+            demand.on_sent(at, &settings, false, short / 100.0);
+        }
+        if now.is_multiple_of(100) && long > 0.0 {
+            demand.on_sent(at, &settings, true, long / 10.0);
+        }
+    }
+}
+
+fn names(count: usize) -> Vec<RunnerName> {
+    let names = (0..count).map(|number| format!("r{number}").parse().unwrap());
+    names.collect()
+}
+
+fn reserved(demand: &Demand, now: u64, runners: &[(&RunnerName, f64)]) -> Vec<RunnerName> {
+    let settings = lanes::Settings::default();
+    let share = demand.short_share(Instant::from_millis(now), &settings);
+    lanes::reserved(&settings, share, runners)
+}
+
+/// The reserved runners are the slowest, cover the demand with headroom, and are the same
+/// for routers that know the runners in another order.
+#[test]
+fn routers_reserve_the_same_slow_runners() {
+    let names = names(12);
+    let speeds = [0.67, 1.0, 1.5];
+    let runners = names.iter().enumerate();
+    let mut runners: Vec<_> = runners
+        .map(|(number, name)| (name, speeds[number % 3]))
+        .collect();
+    let mut demand = Demand::default();
+    send(&mut demand, 0, 10_000, 100.0, 400.0);
+    let chosen = reserved(&demand, 10_000, &runners);
+    let is_slow = |name: &RunnerName| {
+        let index = names.iter().position(|other| other == name).unwrap();
+        index % 3 == 0
+    };
+    assert!(chosen.iter().filter(|name| is_slow(name)).count() == 4);
+    let covered = chosen.iter().map(|name| {
+        let index = names.iter().position(|other| other == name).unwrap();
+        speeds[index % 3]
+    });
+    let share = covered.sum::<f64>() / (4.0 * speeds.iter().sum::<f64>());
+    assert!((0.25..0.4).contains(&share), "{share}");
+    runners.reverse();
+    assert_eq!(reserved(&demand, 10_000, &runners), chosen);
+}
+
+/// Runners stay reserved neither without short prompts nor for more than half of a
+/// service, and one of two is reserved for a few short prompts.
+#[test]
+fn the_number_of_reserved_runners_follows_the_demand_within_a_second() {
+    let names = names(20);
+    let runners: Vec<_> = names.iter().map(|name| (name, 1.0)).collect();
+    let mut demand = Demand::default();
+    assert!(reserved(&demand, 0, &runners).is_empty());
+    send(&mut demand, 0, 10_000, 1_000.0, 200.0);
+    assert_eq!(reserved(&demand, 10_000, &runners).len(), 10);
+    send(&mut demand, 10_000, 15_000, 200.0, 800.0);
+    let before = reserved(&demand, 15_000, &runners).len();
+    send(&mut demand, 15_000, 16_000, 20.0, 800.0);
+    let after = reserved(&demand, 16_000, &runners).len();
+    assert!(before >= 6 && after <= before / 2, "{before} {after}");
+    send(&mut demand, 16_000, 21_000, 10.0, 990.0);
+    assert_eq!(reserved(&demand, 21_000, &runners).len(), 1);
+    assert_eq!(reserved(&demand, 21_000, &runners[..2]).len(), 1);
+    assert!(reserved(&demand, 21_000, &runners[..1]).is_empty());
+}
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -87,6 +87,7 @@
             body_bytes: 100,
             place: &self.place,
             time_left: self.time_left,
+            objective_left: time::Duration::from_millis(800),
             stores: &self.stores,
             max_status_age: self.max_status_age,
             runs_once: self.runs_once,
@@ -1277,3 +1278,49 @@
     router.now = router.now + time::Duration::from_secs(3);
     assert!(of_first(&mut router) > 5);
 }
+
+/// Number of requests of each runner of six with the mix of a fifth of short prompts.
+fn placed_by_kind(segments: &[(&str, u64)], backlog: u64) -> Vec<usize> {
+    let mut router = RouterFixture::new(6, 3);
+    learn_speeds(&mut router, &[0.6, 0.6, 1.0, 1.0, 1.6, 1.6], Some(100));
+    for _ in 0..60 {
+        router.now = router.now + time::Duration::from_millis(50);
+        for uncached in [383, 383, 383, 17_000] {
+            let service = router.service.clone();
+            router
+                .runners
+                .on_demand(router.now, &service, Tokens(uncached));
+        }
+    }
+    for number in 0..6 {
+        let is_open = number > 1;
+        let status = Status {
+            backlog: Tokens(if is_open { backlog } else { 0 }),
+            ..Status::default()
+        };
+        router.report_status(number, status);
+    }
+    let mut counts = vec![0; 6];
+    for _ in 0..40 {
+        if let Ok(choice) = router.choose(segments, &[]) {
+            let number: usize = choice.incarnation.name.as_str()[1..].parse().unwrap();
+            counts[number] += 1;
+        }
+    }
+    counts
+}
+
+/// A short prompt behind a long one that no status has told of is late, so long prompts
+/// leave some runners to short ones while others can take them on time.
+#[test]
+fn long_prompts_avoid_the_runners_that_are_kept_for_short_ones() {
+    let long = [("own", 17_000)];
+    let counts = placed_by_kind(&long, 0);
+    assert_eq!((counts[0], counts[1]), (0, 0), "{counts:?}");
+    assert_eq!(counts.iter().sum::<usize>(), 40);
+    let counts = placed_by_kind(&SHORT, 2_000);
+    assert!(counts[0] + counts[1] >= 36, "{counts:?}");
+    // The others would make it late.
+    let counts = placed_by_kind(&[("own", 12_000)], 40_000);
+    assert_eq!(counts[0] + counts[1], 40, "{counts:?}");
+}
--- a/crates/lentil_policy/tests/forward_search.rs
+++ b/crates/lentil_policy/tests/forward_search.rs
@@ -291,6 +291,7 @@
             body_bytes: 100,
             place: &"here".parse().unwrap(),
             time_left: time::Duration::from_secs(5),
+            objective_left: time::Duration::from_millis(800),
             stores: &[],
             max_status_age: None,
             runs_once: true,
