Weight homes of segments by the learned speed

Homes were spread evenly, so slow runners prefilled as many shared segments as fast ones. Where speeds are learned, homes now follow weighted rendezvous hashing by the speed class, and the runners that the demand of the last 20 s keeps for short prompts are no homes. Classes are coarse and have hysteresis, so few segments move when one runner changes; a test counts them.

--- a/crates/lentil_policy/src/forward/lanes.rs
+++ b/crates/lentil_policy/src/forward/lanes.rs
@@ -27,6 +27,20 @@
     pub interval: time::Duration,
 }
 
+impl Settings {
+    /// Settings by which runners are taken out of the homes of segments. Each change moves
+    /// segments, so it follows only the lasting demand, without headroom.
+    pub fn lasting(&self) -> Self {
+        Self {
+            headroom: 1.0,
+            short_half_life: time::Duration::from_secs(20),
+            long_half_life: time::Duration::from_secs(20),
+            interval: time::Duration::from_secs(2),
+            ..*self
+        }
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/crates/lentil_policy/src/forward/pace.rs
+++ b/crates/lentil_policy/src/forward/pace.rs
@@ -302,6 +302,11 @@
     /// Runners kept for short prompts, sorted, and when they were determined.
     pub reserved: Vec<RunnerName>,
     pub(super) reserved_at: Option<Instant>,
+    /// The lasting part of the demand, the runners that it keeps from being homes of
+    /// segments, sorted, and when they were determined.
+    pub(super) lasting: lanes::Demand,
+    pub(super) excluded: Vec<RunnerName>,
+    pub(super) excluded_at: Option<Instant>,
 }
 
 impl Default for ServiceState {
@@ -312,6 +317,9 @@
             demand: lanes::Demand::default(),
             reserved: Vec::new(),
             reserved_at: None,
+            lasting: lanes::Demand::default(),
+            excluded: Vec::new(),
+            excluded_at: None,
         }
     }
 }
--- a/crates/lentil_policy/src/forward/placement/estimate.rs
+++ b/crates/lentil_policy/src/forward/placement/estimate.rs
@@ -116,7 +116,7 @@
                 .sum(),
             segment,
             sources: segment.map_or_else(Vec::new, |(id, _)| sources(id, eligible, requirements)),
-            homes: segment.map(|(id, _)| Homes::new(id, runners, requirements)),
+            homes: segment.map(|(id, _)| Homes::new(id, runners, requirements, pace)),
             load: LoadEstimate::new(now, settings, eligible),
         }
     }
--- a/crates/lentil_policy/src/forward/placement/sources.rs
+++ b/crates/lentil_policy/src/forward/placement/sources.rs
@@ -3,7 +3,10 @@
 use lentil_types::WeightsVersion;
 
 use super::Requirements;
-use crate::forward::runners::{self, Runner, Runners, SaltHash, SegmentId, SegmentKey};
+use crate::forward::{
+    pace,
+    runners::{self, Runner, Runners, SaltHash, SegmentId, SegmentKey},
+};
 
 /// Homes of a segment. A single one would often be busy with another segment.
 const HOME_COUNT: usize = 2;
@@ -11,34 +14,49 @@
 /// Runners that prefill a segment when none is known to hold it, primary home first.
 /// Computed from all runners that stay in the service, whatever their weights and
 /// whether they are usable now: routers must agree on them, and each change costs a
-/// prefill.
+/// prefill. Where speeds are learned, a runner is home in proportion to the speed of its
+/// class, and those that are kept for short prompts for long are none.
 pub(super) struct Homes<'a>(Vec<&'a Runner>);
 
+/// Score of a runner for a segment, in descending order of preference. Both are by
+/// rendezvous hashing, the second one weighted.
+#[derive(Clone, Copy, PartialEq, PartialOrd)]
+enum HomeScore {
+    Equal(u64),
+    Weighted(f64),
+}
+
 impl<'a> Homes<'a> {
     pub(super) fn new(
         segment: SegmentId,
         runners: &'a Runners,
         requirements: &Requirements<'_>,
+        pace: Option<&pace::ServiceState>,
     ) -> Self {
         let mut homes = Self(Vec::with_capacity(HOME_COUNT + 1));
         let members = runners
             .iter()
-            .filter(|runner| runner.is_member(requirements.service));
+            .filter(|runner| runner.is_member(requirements.service))
+            .filter(|runner| {
+                let name = &runner.registration.incarnation.name;
+                pace.is_none_or(|state| state.excluded.binary_search(name).is_err())
+            });
+        let score = |runner: &Runner| {
+            let score = home_score(segment, runner);
+            match pace {
+                Some(_) => HomeScore::Weighted(weighted_score(score, runner)),
+                None => HomeScore::Equal(score),
+            }
+        };
         for runner in members {
-            homes.insert(segment, runner);
+            let own = score(runner);
+            let index = homes.0.partition_point(|home| score(home) > own);
+            homes.0.insert(index, runner);
+            homes.0.truncate(HOME_COUNT);
         }
         homes
     }
 
-    fn insert(&mut self, segment: SegmentId, runner: &'a Runner) {
-        let score = home_score(segment, runner);
-        let index = self
-            .0
-            .partition_point(|home| home_score(segment, home) > score);
-        self.0.insert(index, runner);
-        self.0.truncate(HOME_COUNT);
-    }
-
     /// Rank of a runner among the homes, 0 for the primary one.
     pub(super) fn rank(&self, runner: &Runner) -> Option<usize> {
         self.0
@@ -103,6 +121,13 @@
     }
 }
 
+/// Score by which a runner is the first home with a probability in proportion to the speed
+/// of its class. Classes are coarse, so that few segments move.
+fn weighted_score(score: u64, runner: &Runner) -> f64 {
+    let fraction = (score as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -pace::class_speed(runner.pace.class()) / fraction.ln()
+}
+
 /// Score of a runner for a segment; its homes have the highest ones.
 pub(super) fn home_score(segment: SegmentId, runner: &Runner) -> u64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(runner.registration.incarnation.name.as_bytes(), segment.0)
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -488,7 +488,8 @@
     /// A prompt of which a runner computes `uncached` tokens is sent to a service: updates
     /// the runners that are kept for short prompts.
     pub fn on_demand(&mut self, now: Instant, service: &ServiceName, uncached: Tokens) {
-        let settings = &self.settings.lanes;
+        let settings = self.settings.lanes;
+        let lasting = settings.lasting();
         let Some(state) = self.paces.get_mut(service) else {
             return;
         };
@@ -497,22 +498,29 @@
         }
         let ms = state.compute_ms(uncached);
         let is_long = uncached >= LONG_PROMPT;
-        state.demand.on_sent(now, settings, is_long, ms);
-        let is_due = |at| now.since(at) >= settings.interval;
-        if !state.reserved_at.is_none_or(is_due) {
-            return;
-        }
-        let share = state.demand.short_share(now, settings);
-        let runners = self.usable(now, service).into_iter();
-        let runners = runners.filter(|runner| runner.has_agent()).map(|runner| {
-            let speed = pace::class_speed(runner.pace.class());
-            (&runner.registration.incarnation.name, speed)
-        });
-        let runners: Vec<_> = runners.collect();
-        let reserved = lanes::reserved(&self.settings.lanes, share, &runners);
-        if let Some(state) = self.paces.get_mut(service) {
-            state.reserved = reserved;
+        state.demand.on_sent(now, &settings, is_long, ms);
+        state.lasting.on_sent(now, &lasting, is_long, ms);
+        let is_due = |at: Option<Instant>, settings: &lanes::Settings| {
+            at.is_none_or(|at| now.since(at) >= settings.interval)
+        };
+        let (share, lasting_share) = (
+            state.demand.short_share(now, &settings),
+            state.lasting.short_share(now, &lasting),
+        );
+        if is_due(state.reserved_at, &settings) {
             state.reserved_at = Some(now);
+            let usable = self.usable(now, service);
+            let reserved = lanes::reserved(&settings, share, &class_speeds(&usable));
+            if let Some(state) = self.paces.get_mut(service) {
+                state.reserved = reserved;
+            }
+        }
+        let state = self.paces.get_mut(service);
+        if let Some(state) = state.filter(|state| is_due(state.excluded_at, &lasting)) {
+            state.excluded_at = Some(now);
+            let members = self.table.values();
+            let members: Vec<_> = members.filter(|r| r.is_member(service)).collect();
+            state.excluded = lanes::reserved(&lasting, lasting_share, &class_speeds(&members));
         }
     }
 
@@ -713,6 +721,16 @@
     }
 }
 
+/// Runners of models with the speed of their class.
+fn class_speeds<'a>(runners: &[&'a Runner]) -> Vec<(&'a RunnerName, f64)> {
+    let runners = runners.iter().filter(|runner| runner.has_agent());
+    let speeds = runners.map(|runner| {
+        let speed = pace::class_speed(runner.pace.class());
+        (&runner.registration.incarnation.name, speed)
+    });
+    speeds.collect()
+}
+
 /// Decides which routers get the remainder of a runner's limit: equal at every router, and
 /// different for each runner.
 fn salt_of(incarnation: &Incarnation) -> usize {
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -1324,3 +1324,44 @@
     let counts = placed_by_kind(&[("own", 12_000)], 40_000);
     assert_eq!(counts[0] + counts[1], 40, "{counts:?}");
 }
+
+/// Counts the first homes of segments at nine runners.
+fn count_homes(router: &mut RouterFixture) -> ([usize; 9], Vec<RunnerName>) {
+    let mut counts = [0; 9];
+    let mut homes = Vec::new();
+    for number in 0..600 {
+        let name = format!("part-{number}");
+        let segments = [(name.as_str(), 13_000), ("lot", 4_000)];
+        let choice = router.choose(&segments, &[]).unwrap();
+        let index: usize = choice.incarnation.name.as_str()[1..].parse().unwrap();
+        counts[index] += usize::from(choice.home_rank == Some(0));
+        homes.push(choice.incarnation.name);
+    }
+    (counts, homes)
+}
+
+/// Slow runners must not be homes of as many segments as fast ones, and a change of one
+/// runner's class moves only its own.
+#[test]
+fn segments_have_homes_in_proportion_to_the_speed_of_the_runners() {
+    let speeds = [0.6, 0.6, 0.6, 1.0, 1.0, 1.0, 1.6, 1.6, 1.6];
+    let mut router = RouterFixture::new(9, 1);
+    // The time to compute must not decide this test.
+    router.settings.nonhome_ratio = 50.0;
+    router.settings.secondary_ratio = 50.0;
+    learn_speeds(&mut router, &speeds, Some(100));
+    let (counts, homes) = count_homes(&mut router);
+    let of = |range: std::ops::Range<usize>| counts[range].iter().sum::<usize>();
+    let (slow, mean, fast) = (of(0..3), of(3..6), of(6..9));
+    assert!(slow * 4 < mean * 3 && mean * 4 < fast * 3, "{counts:?}");
+    let mut changed = speeds;
+    changed[0] = 1.1;
+    learn_speeds(&mut router, &changed, Some(100));
+    let (_, after) = count_homes(&mut router);
+    let moved = homes.iter().zip(&after).filter(|(a, b)| a != b);
+    for (_, to) in moved.clone() {
+        assert_eq!(*to, incarnation(0).name);
+    }
+    let moved = moved.count();
+    assert!((5..60).contains(&moved), "{moved}");
+}
