--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -41,6 +41,8 @@
     pub(super) first_byte: Option<Instant>,
     /// Predicted time to the first byte of the last attempt, in milliseconds.
     pub(super) expected_ms: f64,
+    /// Speed of that runner that the prediction is based on.
+    pub(super) speed: Option<placement::ExpectedSpeed>,
     /// Age of that runner's status at the time.
     pub(super) status_age: Option<time::Duration>,
     /// Uncached tokens expected at the last runner.
@@ -102,6 +104,7 @@
     progress.software = Some(choice.software.clone());
     progress.attempted_at = Some(router.now());
     progress.expected_ms = choice.expected_ms.round();
+    progress.speed = Some(choice.speed);
     progress.status_age = choice.status_age;
     progress.uncached = choice.request_cost.uncached;
     progress.prefills = choice.prefills;
@@ -454,7 +457,9 @@
             let observation = self.observation(now, load.as_ref());
             let incarnation = &self.choice.incarnation;
             let runners = state.runners_mut();
-            runners.on_observation(now, incarnation, &observation);
+            if runners.on_observation(now, incarnation, &observation) {
+                self.router.log_speed_class(runners, incarnation);
+            }
         }
         if let Some(runner) = state.runners_mut().get_mut(&self.choice.incarnation) {
             if let (Some(model), Some(weights)) = (&self.plan.model, weights) {
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -67,6 +67,8 @@
     pub(crate) stopping: event_listener::Event,
     stopping_since: cell::Cell<Option<Instant>>,
     callers: cell::Cell<usize>,
+    /// When the learned speeds were last logged.
+    speeds_logged: cell::Cell<Option<Instant>>,
     /// Bytes of all body reservations of each kind.
     reserved_bytes: [cell::Cell<usize>; body_memory::BodyKind::COUNT],
 }
@@ -100,6 +102,7 @@
             stopping: event_listener::Event::new(),
             stopping_since: cell::Cell::new(None),
             callers: cell::Cell::new(0),
+            speeds_logged: cell::Cell::new(None),
             reserved_bytes: Default::default(),
         })
     }
@@ -181,6 +184,7 @@
         self.note_proven();
         self.conclude();
         self.log_dropped_lines();
+        self.log_speeds();
     }
 
     fn log_dropped_lines(&self) {
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -374,7 +374,8 @@
         weights:% = or_dash(progress.weights), part:% = or_dash(segment.map(|(id, _)| id.0)),
         missing = progress.uncached.0, reads = progress.prefills, home:% = or_dash(progress.home_rank), source:% = or_dash(progress.source),
         saves = progress.save_to.is_some(), attempts = plan.attempt_log.borrow().sent(), waited_ms:% = or_dash(waited), first_ms:% = or_dash(first_byte),
-        expected_ms = progress.expected_ms, total_ms = took.as_millis();
+        expected_ms = progress.expected_ms, total_ms = took.as_millis(),
+        speed:% = or_dash(progress.speed.map(|speed| hundredths(speed.speed))), pace:% = or_dash(progress.speed.map(|speed| hundredths(speed.moment)));
         "request answered"
     );
 }
@@ -420,6 +421,10 @@
         .map_or(ABSENT, |incarnation| incarnation.name.as_str())
 }
 
+fn hundredths(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
+
 fn or_dash(value: Option<impl fmt::Display>) -> CompactString {
     value.map_or(ABSENT.into(), |value| format_compact!("{value}"))
 }
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -21,6 +21,9 @@
 /// may be older than the report that shows it.
 const DROPPED_STATUSES: u32 = 2;
 
+/// Interval of the log lines with the learned speeds.
+const SPEEDS_INTERVAL: time::Duration = time::Duration::from_secs(10);
+
 impl Router {
     /// Applies a complete listing of one kind of document.
     pub fn on_list(&self, kind: Kind, listing: &Listing) {
@@ -383,6 +386,52 @@
         self.state().runners_mut().on_suspected(now, incarnation);
     }
 
+    /// A runner's learned speed has moved to another class.
+    pub(super) fn log_speed_class(
+        &self,
+        runners: &runners::Runners,
+        incarnation: &runners::Incarnation,
+    ) {
+        self.metrics.count(Counter::SpeedClassChanges);
+        let Some(runner) = runners.get(incarnation) else {
+            return;
+        };
+        let service = &runner.registration.service;
+        let speed = runners
+            .pace(service)
+            .map_or(1.0, |state| state.speed(&runner.pace));
+        let (class, evidence) = (runner.pace.class(), runner.pace.evidence());
+        log::info!(runner:% = incarnation.name, born = incarnation.boot_id, service:%, speed, class, evidence; "a runner's learned speed has changed");
+    }
+
+    /// Logs from time to time what is learned of the speed of each service's runners.
+    pub(super) fn log_speeds(&self) {
+        let now = self.now();
+        let is_due = |at| now.since(at) >= SPEEDS_INTERVAL;
+        if !self.speeds_logged.get().is_none_or(is_due) {
+            return;
+        }
+        self.speeds_logged.set(Some(now));
+        let state = self.state();
+        for (service, pace) in state.runners().paces() {
+            let members = state.runners().iter();
+            let members = members.filter(|runner| runner.is_member(service));
+            let speed = |runner: &&runners::Runner| pace.speed(&runner.pace);
+            let by_speed =
+                |a: &&runners::Runner, b: &&runners::Runner| speed(a).total_cmp(&speed(b));
+            let Some(slowest) = members.min_by(by_speed) else {
+                continue;
+            };
+            log::info!(
+                service:%, base_ms = pace.pace.base_ms(), rate = pace.pace.rate(), samples = pace.pace.evidence(),
+                reserved = pace.reserved.len(), slowest:% = slowest.registration.incarnation.name,
+                speed = speed(&slowest), evidence = slowest.pace.evidence(),
+                age_ms = slowest.pace.age(now).unwrap_or_default().as_millis();
+                "learned speed of runners"
+            );
+        }
+    }
+
     /// Applies an agent's status report.
     pub(crate) fn on_status_report(&self, report: datagram::StatusReport) {
         let now = self.now();
--- a/crates/lentil_policy/src/forward/pace.rs
+++ b/crates/lentil_policy/src/forward/pace.rs
@@ -243,8 +243,10 @@
         self.class
     }
 
-    /// Updates the class; `mean` is the mean speed of the service.
-    pub fn update_class(&mut self, mean: f64) {
+    /// Updates the class and returns whether it has changed; `mean` is the mean speed of
+    /// the service.
+    pub fn update_class(&mut self, mean: f64) -> bool {
+        let old = self.class;
         let position = (self.log_speed - mean.ln()) / CLASS_WIDTH;
         if self.evidence >= MIN_EVIDENCE
             && (position - f64::from(self.class)).abs() > CLASS_HYSTERESIS
@@ -252,6 +254,7 @@
             // Within the range of the speeds.
             self.class = position.round() as i32;
         }
+        self.class != old
     }
 }
 
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -454,22 +454,22 @@
     }
 
     /// Learns from an answer how fast its runner is, if its service's runners report
-    /// their pace or the settings ask for it.
+    /// their pace or the settings ask for it. Returns whether its speed class has changed.
     pub fn on_observation(
         &mut self,
         now: Instant,
         incarnation: &Incarnation,
         observation: &pace::Observation,
-    ) {
+    ) -> bool {
         let Some(runner) = self.get_mut(incarnation) else {
-            return;
+            return false;
         };
         let service = runner.registration.service.clone();
         let is_on = observation.moment.is_some()
             || self.settings.learns_pace
             || self.paces.contains(&service);
         if !is_on {
-            return;
+            return false;
         }
         let new_state = pace::ServiceState::default;
         let state = self.paces.get_or_insert_with(service.clone(), new_state);
@@ -480,9 +480,8 @@
         let members = members.filter(|runner| runner.registration.service == service);
         state.mean_speed = pace::mean_speed(members.map(|runner| &runner.pace));
         let mean = state.mean_speed;
-        if let Some(runner) = self.get_mut(incarnation) {
-            runner.pace.update_class(mean);
-        }
+        self.get_mut(incarnation)
+            .is_some_and(|runner| runner.pace.update_class(mean))
     }
 
     /// A prompt of which a runner computes `uncached` tokens is sent to a service: updates
@@ -524,6 +523,11 @@
         }
     }
 
+    /// Services for which speeds are learned, and what is learned.
+    pub fn paces(&self) -> impl Iterator<Item = (&ServiceName, &pace::ServiceState)> {
+        self.paces.iter()
+    }
+
     /// What is learned of the speed of a service's runners; `None` where it is not learned.
     pub fn pace(&self, service: &ServiceName) -> Option<&pace::ServiceState> {
         self.paces.get(service)
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -113,6 +113,8 @@
     RetryAfterNamed,
     /// Invalid announcements of runners.
     AnnouncementsUnusable,
+    /// Changes of the learned speed class of a runner.
+    SpeedClassChanges,
     /// Turns to change weights granted to runners.
     TurnsGranted,
     /// Router's own errors: no configuration.
