--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -74,6 +74,8 @@
     pub(crate) stopping: event_listener::Event,
     stopping_since: cell::Cell<Option<Instant>>,
     callers: cell::Cell<usize>,
+    /// When the learned speeds were last logged.
+    speeds_logged: cell::Cell<Option<Instant>>,
     /// Bytes of all body reservations of each kind.
     reserved_bytes: [cell::Cell<usize>; body_memory::BodyKind::COUNT],
 }
@@ -110,6 +112,7 @@
             stopping: event_listener::Event::new(),
             stopping_since: cell::Cell::new(None),
             callers: cell::Cell::new(0),
+            speeds_logged: cell::Cell::new(None),
             reserved_bytes: Default::default(),
         })
     }
@@ -193,6 +196,7 @@
         self.note_proven();
         self.conclude();
         self.log_dropped_lines();
+        self.log_speeds();
     }
 
     fn log_dropped_lines(&self) {
@@ -357,6 +361,7 @@
             body_bytes: plan.body_bytes,
             place: &self.place,
             time_left: plan.start_by.since(now),
+            objective_left: (plan.received + plan.route.objective).since(now),
             stores: &stores,
             max_status_age: None,
             runs_once: !plan.route.repeat.is_repeatable(),
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::forward::{
-    routing,
+    pace, routing,
     runners::{Incarnation, RequestCost, Runner, Runners, SegmentId, SegmentKey},
     target_weights,
 };
@@ -52,6 +52,9 @@
     /// Cost per thousand tokens of memory that a runner lacks: it would preempt
     /// running requests and compute them again.
     pub per_memory: f64,
+    /// Cost of a long prompt at a runner that is kept for short ones, as a fraction of the
+    /// time to compute it.
+    pub reserved_ratio: f64,
     /// Time after which a reported load has half its weight against the mean of all
     /// runners: about as long as a request stays.
     pub load_half_life: time::Duration,
@@ -90,7 +93,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            prefill_rate: 50.0,
+            prefill_rate: pace::DEFAULT_RATE,
             per_request: 4.0,
             per_queued: 40.0,
             fetch_ratio: 0.375,
@@ -100,6 +103,7 @@
             stale_penalty: 60.0,
             stale_age: time::Duration::from_millis(400),
             per_memory: 40.0,
+            reserved_ratio: 1.0,
             load_half_life: time::Duration::from_millis(500),
             max_backlog: 120.0,
             long_share: 0.5,
@@ -135,6 +139,8 @@
     pub place: &'a PlaceName,
     /// Time until the request's deadline.
     pub time_left: time::Duration,
+    /// Time until an answer is late.
+    pub objective_left: time::Duration,
     /// The cache stores; each segment belongs to one of them.
     pub stores: &'a [Store<'a>],
     /// Largest age of a runner's status; `None` for any. Old statuses of runners that
@@ -207,6 +213,22 @@
     pub expected_ms: f64,
     /// Age of the runner's status; `None` where there is none.
     pub status_age: Option<time::Duration>,
+    /// Speed and load of the runner that the expected time is based on.
+    pub speed: ExpectedSpeed,
+}
+
+/// Speed and load of a runner that its expected time is based on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExpectedSpeed {
+    /// Speed against the mean of the service's runners; 1 where it is not learned.
+    pub speed: f64,
+    /// Factor by which work takes longer there than usual at the moment.
+    pub moment: f64,
+    /// Time that it needs for the prompts that it has, in milliseconds.
+    pub wait_ms: f64,
+    /// Whether it has so much work that the time of the request says little about its
+    /// speed.
+    pub waits: bool,
 }
 
 /// Why no runner was chosen.
@@ -304,6 +326,7 @@
         request_cost: best.request_cost,
         expected_ms: best.expected_ms,
         status_age: best.runner.status_age(context.now),
+        speed: best.speed,
     })
 }
 
--- a/crates/lentil_policy/src/forward/placement/estimate.rs
+++ b/crates/lentil_policy/src/forward/placement/estimate.rs
@@ -5,14 +5,14 @@
 use lentil_types::{Instant, PlaceName, Tokens, WeightsVersion};
 
 use super::{
-    Context, Refusal, Requirements, Settings, Store,
+    Context, ExpectedSpeed, Refusal, Requirements, Settings, Store,
     load_estimate::LoadEstimate,
     shared_prefix,
     sources::{Homes, Sources, sources},
     store_index,
 };
 use crate::forward::{
-    routing,
+    pace, routing,
     runners::{self, RequestCost, Runner, SegmentId, SegmentKey},
     save_budget, target_weights,
 };
@@ -34,12 +34,20 @@
     backlog_ms: f64,
     /// Expected time until it has worked off what it has, in milliseconds.
     wait_ms: f64,
+    /// Whether it is kept for short prompts.
+    is_reserved: bool,
     /// Expected time to the first byte, in milliseconds.
     pub(super) expected_ms: f64,
     /// Expected time plus penalties, in milliseconds.
     pub(super) cost: f64,
+    /// What the expected time is based on.
+    pub(super) speed: ExpectedSpeed,
 }
 
+/// Part of a prompt's own time that the runner may need for other prompts before, so that
+/// its time still says something about the runner's speed.
+const MAX_WAIT_SHARE: f64 = 0.2;
+
 /// How a runner would obtain the KV cache of a prompt.
 #[derive(Default)]
 struct PromptPlan {
@@ -68,6 +76,13 @@
     sources: Vec<Sources<'a>>,
     homes: Option<Homes<'a>>,
     load: LoadEstimate,
+    /// What is learned of the speed of the service's runners.
+    pace: Option<&'a pace::ServiceState>,
+    /// Prompt tokens that the average runner computes per millisecond.
+    rate: f64,
+    /// Expected wait behind long prompts that no status has told of, at a runner that is
+    /// not reserved, in milliseconds of the mean runner.
+    unseen_ms: f64,
 }
 
 impl<'e> Estimator<'e> {
@@ -83,8 +98,14 @@
             engine,
         } = context;
         let segment = shared_prefix(settings, requirements.segments);
+        let pace = runners.pace(requirements.service);
+        let pace = pace.filter(|state| state.pace.is_learned() && requirements.model.is_some());
+        let unseen_ms = pace.map_or(0.0, |state| unseen_wait(state, eligible));
         Self {
             now,
+            pace,
+            unseen_ms,
+            rate: pace.map_or(settings.prefill_rate, |state| state.pace.rate()),
             settings,
             engine,
             requirements,
@@ -95,7 +116,7 @@
                 .sum(),
             segment,
             sources: segment.map_or_else(Vec::new, |(id, _)| sources(id, eligible, requirements)),
-            homes: segment.map(|(id, _)| Homes::new(id, runners, requirements)),
+            homes: segment.map(|(id, _)| Homes::new(id, runners, requirements, pace)),
             load: LoadEstimate::new(now, settings, eligible),
         }
     }
@@ -117,15 +138,35 @@
         let load = self.load.occupancy(self.now, runner);
         let slots = f64::from(runner.registration.slots.max(1));
         let queued = (load - (slots - 1.0)).max(0.0);
-        let rate = settings.prefill_rate;
-        let backlog_ms = runner.backlog(self.now, rate).0 as f64 / rate;
+        let rate = self.rate;
+        let (speed, moment) = self.pace.map_or((1.0, 1.0), |state| {
+            (state.speed(&runner.pace), runner.pace.moment(self.now))
+        });
+        // Where the speed is not learned, the slowness counts, which contains the waits.
+        let slowness = match self.pace {
+            Some(_) => moment / speed,
+            None => runner.slowness.max(1.0),
+        };
+        let base_ms = self.pace.map_or(0.0, |state| state.pace.base_ms());
+        let backlog_ms = runner.backlog(self.now, rate * speed / moment).0 as f64 / rate;
         let wait = backlog_ms + load * settings.per_request + queued * settings.per_queued;
         let memory_cost = runner.overcommitment(self.tokens).0 as f64 / 1e3 * settings.per_memory;
-        let compute = plan.uncached.0 as f64 / rate;
-        let slowness = runner.slowness.max(1.0);
-        let expected_ms = (wait + compute + plan.fetch_ms) * slowness;
+        let compute = base_ms + plan.uncached.0 as f64 / rate;
+        let expected_ms = match self.pace {
+            Some(_) => (wait + compute) * slowness + plan.fetch_ms,
+            None => (wait + compute + plan.fetch_ms) * slowness,
+        };
+        let name = &runner.registration.incarnation.name;
+        let is_reserved = self.pace.is_some_and(|state| state.is_reserved(name));
+        let is_long = plan.uncached >= runners::LONG_PROMPT;
+        let lane_penalty = match (is_long, is_reserved) {
+            (true, true) => compute * slowness * settings.reserved_ratio,
+            (false, false) => self.unseen_ms * slowness,
+            _ => 0.0,
+        };
         Candidate {
             runner,
+            is_reserved,
             request_cost: RequestCost {
                 uncached: plan.uncached,
                 memory: self.tokens,
@@ -142,7 +183,13 @@
             backlog_ms: backlog_ms * slowness,
             wait_ms: wait * slowness,
             expected_ms,
-            cost: expected_ms + memory_cost + plan.penalty + self.penalty(runner),
+            cost: expected_ms + memory_cost + plan.penalty + self.penalty(runner) + lane_penalty,
+            speed: ExpectedSpeed {
+                speed,
+                moment,
+                wait_ms: backlog_ms * slowness,
+                waits: queued > 0.0 || backlog_ms > compute * MAX_WAIT_SHARE,
+            },
         }
     }
 
@@ -164,7 +211,7 @@
             return whole;
         };
         let unshared = self.tokens.saturating_sub(shared);
-        let prefill_ms = shared.0 as f64 / self.settings.prefill_rate;
+        let prefill_ms = shared.0 as f64 / self.rate;
         // A segment in prefill is cached by the time that the request is scheduled.
         if runner.segments.holds(sources.key) || runner.is_prefilling(sources.key) {
             return PromptPlan {
@@ -261,7 +308,7 @@
     /// A prompt whose shared prefix of `shared` tokens is fetched within `seconds`.
     fn fetch_plan(&self, shared: Tokens, seconds: f64, source: net::SocketAddr) -> PromptPlan {
         let unshared = self.tokens.saturating_sub(shared);
-        let prefill_ms = shared.0 as f64 / self.settings.prefill_rate;
+        let prefill_ms = shared.0 as f64 / self.rate;
         let penalty = prefill_ms * self.settings.fetch_ratio;
         PromptPlan {
             uncached: unshared,
@@ -290,6 +337,20 @@
         {
             return Ok(all);
         }
+        let is_open = |candidate: &Candidate<'_>| !candidate.is_reserved;
+        let (open, reserved): (Vec<_>, Vec<_>) = all.into_iter().partition(is_open);
+        let objective_ms = self.requirements.objective_left.as_secs_f64() * 1e3;
+        let can_be_timely = |all: &[Candidate<'_>]| {
+            all.iter()
+                .any(|candidate| candidate.expected_ms <= objective_ms)
+        };
+        // The reserved ones only where they make the difference between late and on time.
+        let spares_reserved =
+            !open.is_empty() && (can_be_timely(&open) || !can_be_timely(&reserved));
+        let mut all = open;
+        if !spares_reserved {
+            all.extend(reserved);
+        }
         let waits = all.iter().map(|candidate| self.room_wait(candidate));
         let least = waits.min_by(f64::total_cmp).unwrap_or(0.0);
         let has_room = |candidate: &Candidate<'_>| self.room_wait(candidate) <= 0.0;
@@ -339,7 +400,7 @@
             .segment
             .filter(|_| is_cached)
             .map_or(0, |(_, tokens)| tokens.0);
-        self.settings.max_backlog + saved as f64 / self.settings.prefill_rate
+        self.settings.max_backlog + saved as f64 / self.rate
     }
 
     /// Homes of the shared prefix, primary home first.
@@ -375,3 +436,17 @@
         penalty
     }
 }
+
+/// Expected wait of a short prompt behind long prompts that no status has told of: the
+/// share of the time that the runners which are not reserved compute long prompts, times
+/// half of such a prompt's time.
+fn unseen_wait(state: &pace::ServiceState, eligible: &[&Runner]) -> f64 {
+    let open = eligible
+        .iter()
+        .filter(|runner| !state.is_reserved(&runner.registration.incarnation.name));
+    let (busy, count) = open.fold((0.0, 0.0), |(busy, count), runner| {
+        let is_busy = f64::from(u8::from(runner.had_long_prompt()));
+        (busy + is_busy, count + 1.0)
+    });
+    busy / f64::max(count, 1.0) * state.demand.long_ms() / 2.0
+}
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -9,9 +9,12 @@
 
 use std::time;
 
-use lentil_types::{Instant, RunnerName, ServiceName, SoftwareVersion, Table};
+use lentil_types::{Instant, RunnerName, ServiceName, SoftwareVersion, Table, Tokens};
 
-use crate::forward::stream_origins::{Origin, SoftwareHistory};
+use crate::forward::{
+    lanes, pace,
+    stream_origins::{Origin, SoftwareHistory},
+};
 
 use announcements::Announcements;
 pub use announcements::{
@@ -39,6 +42,11 @@
     pub liveness: LivenessSettings,
     /// Requests that runners allow.
     pub announcements: AnnouncementSettings,
+    /// Whether the speed of runners is learned also for services whose runners do not
+    /// report their pace.
+    pub learns_pace: bool,
+    /// Runners kept for short prompts.
+    pub lanes: lanes::Settings,
 }
 
 impl Default for Settings {
@@ -50,6 +58,8 @@
             health: HealthSettings::default(),
             liveness: LivenessSettings::default(),
             announcements: AnnouncementSettings::default(),
+            learns_pace: false,
+            lanes: lanes::Settings::default(),
         }
     }
 }
@@ -102,6 +112,8 @@
     software: SoftwareHistory,
     /// Whether the next list is that of an older copy of the store.
     is_restored: bool,
+    /// Paces of the services for which they are learned.
+    paces: Table<ServiceName, pace::ServiceState>,
 }
 
 /// Most runners kept that are not registered any more.
@@ -118,6 +130,7 @@
             removed: Vec::new(),
             software: SoftwareHistory::default(),
             is_restored: false,
+            paces: Table::new(),
         }
     }
 
@@ -440,6 +453,86 @@
         runner.health.on_health_signal(now, &settings, signal)
     }
 
+    /// Learns from an answer how fast its runner is, if its service's runners report
+    /// their pace or the settings ask for it. Returns whether its speed class has changed.
+    pub fn on_observation(
+        &mut self,
+        now: Instant,
+        incarnation: &Incarnation,
+        observation: &pace::Observation,
+    ) -> bool {
+        let Some(runner) = self.get_mut(incarnation) else {
+            return false;
+        };
+        let service = runner.registration.service.clone();
+        let is_on = observation.moment.is_some()
+            || self.settings.learns_pace
+            || self.paces.contains(&service);
+        if !is_on {
+            return false;
+        }
+        let new_state = pace::ServiceState::default;
+        let state = self.paces.get_or_insert_with(service.clone(), new_state);
+        if let Some(runner) = self.table.get_mut(&incarnation.name) {
+            state.on_answer(now, &mut runner.pace, observation);
+        }
+        let members = self.table.values();
+        let members = members.filter(|runner| runner.registration.service == service);
+        state.mean_speed = pace::mean_speed(members.map(|runner| &runner.pace));
+        let mean = state.mean_speed;
+        self.get_mut(incarnation)
+            .is_some_and(|runner| runner.pace.update_class(mean))
+    }
+
+    /// A prompt of which a runner computes `uncached` tokens is sent to a service: updates
+    /// the runners that are kept for short prompts.
+    pub fn on_demand(&mut self, now: Instant, service: &ServiceName, uncached: Tokens) {
+        let settings = self.settings.lanes;
+        let lasting = settings.lasting();
+        let Some(state) = self.paces.get_mut(service) else {
+            return;
+        };
+        if !state.pace.is_learned() {
+            return;
+        }
+        let ms = state.compute_ms(uncached);
+        let is_long = uncached >= LONG_PROMPT;
+        state.demand.on_sent(now, &settings, is_long, ms);
+        state.lasting.on_sent(now, &lasting, is_long, ms);
+        let is_due = |at: Option<Instant>, settings: &lanes::Settings| {
+            at.is_none_or(|at| now.since(at) >= settings.interval)
+        };
+        let (share, lasting_share) = (
+            state.demand.short_share(now, &settings),
+            state.lasting.short_share(now, &lasting),
+        );
+        if is_due(state.reserved_at, &settings) {
+            state.reserved_at = Some(now);
+            let usable = self.usable(now, service);
+            let reserved = lanes::reserved(&settings, share, &class_speeds(&usable));
+            if let Some(state) = self.paces.get_mut(service) {
+                state.reserved = reserved;
+            }
+        }
+        let state = self.paces.get_mut(service);
+        if let Some(state) = state.filter(|state| is_due(state.excluded_at, &lasting)) {
+            state.excluded_at = Some(now);
+            let members = self.table.values();
+            let members: Vec<_> = members.filter(|r| r.is_member(service)).collect();
+            state.excluded = lanes::reserved(&lasting, lasting_share, &class_speeds(&members));
+        }
+    }
+
+    /// Services for which speeds are learned, and what is learned.
+    pub fn paces(&self) -> impl Iterator<Item = (&ServiceName, &pace::ServiceState)> {
+        self.paces.iter()
+    }
+
+    /// What is learned of the speed of a service's runners; `None` where it is not learned.
+    pub fn pace(&self, service: &ServiceName) -> Option<&pace::ServiceState> {
+        self.paces.get(service)
+    }
+
     /// This router's share of the limits of runners.
     pub fn set_share(&mut self, share: Share) {
         self.share = share;
@@ -632,6 +725,16 @@
     }
 }
 
+/// Runners of models with the speed of their class.
+fn class_speeds<'a>(runners: &[&'a Runner]) -> Vec<(&'a RunnerName, f64)> {
+    let runners = runners.iter().filter(|runner| runner.has_agent());
+    let speeds = runners.map(|runner| {
+        let speed = pace::class_speed(runner.pace.class());
+        (&runner.registration.incarnation.name, speed)
+    });
+    speeds.collect()
+}
+
 /// Decides which routers get the remainder of a runner's limit: equal at every router, and
 /// different for each runner.
 fn salt_of(incarnation: &Incarnation) -> usize {
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use lentil_policy::forward::{
+    pace,
     placement::{self, Choice, Context, Refusal, Requirements, Settings},
     routing::{CacheStore, Engine},
     runners::{
@@ -86,6 +87,7 @@
             body_bytes: 100,
             place: &self.place,
             time_left: self.time_left,
+            objective_left: time::Duration::from_millis(800),
             stores: &self.stores,
             max_status_age: self.max_status_age,
             runs_once: self.runs_once,
@@ -1171,3 +1173,195 @@
         "{with_text}; without the limit {without_text}"
     );
 }
+
+/// An answer to a prompt of `tokens` that took `observed_ms` at an idle runner.
+fn observation(tokens: u64, observed_ms: f64, moment: Option<u32>) -> pace::Observation {
+    pace::Observation {
+        uncached: Some(Tokens(tokens)),
+        wait_ms: 0.0,
+        waited: false,
+        observed_ms,
+        moment,
+    }
+}
+
+/// Learns a fixed time of 60 ms and 40 tokens per millisecond, for runners of these speeds.
+fn learn_speeds(router: &mut RouterFixture, speeds: &[f64], moment: Option<u32>) {
+    for tokens in (0..60).flat_map(|_| [383, 17_000]) {
+        for (number, speed) in speeds.iter().enumerate() {
+            let took = (60.0 + tokens as f64 / 40.0) / speed;
+            let observation = observation(tokens, took, moment);
+            let (now, incarnation) = (router.now, incarnation(number));
+            router
+                .runners
+                .on_observation(now, &incarnation, &observation);
+        }
+    }
+}
+
+/// Services whose runners do not report a pace are placed as before speeds were learned:
+/// prompt tokens at the default rate, multiplied by the slowness.
+#[test]
+fn without_a_reported_pace_predictions_stay_as_they_were() {
+    let (mut router, mut other) = (RouterFixture::new(5, 3), RouterFixture::new(5, 3));
+    learn_speeds(&mut router, &[1.0, 0.5, 1.5, 2.0, 1.0], None);
+    assert!(router.runners.pace(&router.service).is_none());
+    let slowness = 2.0;
+    for fixture in [&mut router, &mut other] {
+        for number in 0..5 {
+            let status = Status {
+                running: number as u32,
+                backlog: Tokens(500 * number as u64),
+                ..Status::default()
+            };
+            fixture.report_status(number, status);
+            let runner = fixture.runners.get_mut(&incarnation(number)).unwrap();
+            runner.slowness = slowness;
+        }
+    }
+    let exclude: Vec<_> = (0..4).map(|number| incarnation(number).name).collect();
+    for segments in [&SHORT[..], &LONG[..]] {
+        let choice = router.choose(segments, &exclude).unwrap();
+        let tokens: u64 = segments.iter().map(|(_, tokens)| tokens).sum();
+        let wait = 2_000.0 / 50.0 + 4.0 * router.settings.per_request;
+        let expected = (wait + tokens as f64 / 50.0) * slowness;
+        assert!((choice.expected_ms - expected).abs() < 1e-9, "{choice:?}");
+        assert_eq!(Ok(choice), other.choose(segments, &exclude));
+        for _ in 0..20 {
+            assert_eq!(router.choose(segments, &[]), other.choose(segments, &[]));
+        }
+    }
+}
+
+/// A fixed time per prompt must not count as slowness, which would multiply every wait.
+#[test]
+fn learned_times_predict_the_first_byte() {
+    let mut router = RouterFixture::new(3, 3);
+    learn_speeds(&mut router, &[0.6, 1.0, 1.6], Some(100));
+    let mean = f64::powf(0.6 * 1.6, 1.0 / 3.0);
+    for (number, speed) in [0.6, 1.0, 1.6].into_iter().enumerate() {
+        let others = (0..3).filter(|other| *other != number);
+        let exclude: Vec<_> = others.map(|other| incarnation(other).name).collect();
+        for segments in [&SHORT[..], &LONG[..]] {
+            let choice = router.choose(segments, &exclude).unwrap();
+            let tokens: u64 = segments.iter().map(|(_, tokens)| tokens).sum();
+            let truth = (60.0 + tokens as f64 / 40.0) / speed;
+            let ratio = choice.expected_ms / truth;
+            assert!(
+                (0.85..1.15).contains(&ratio),
+                "{speed}: {choice:?}, {truth}"
+            );
+            let ratio = choice.speed.speed * mean / speed;
+            assert!((0.85..1.15).contains(&ratio), "{speed}: {choice:?}");
+        }
+    }
+}
+
+/// A runner that is slow at the moment gets no short prompts, and gets them again once
+/// its figure is old.
+#[test]
+fn a_runner_that_is_slow_at_the_moment_is_avoided_while_its_figure_is_fresh() {
+    let mut router = RouterFixture::new(2, 3);
+    learn_speeds(&mut router, &[1.0, 1.0], Some(100));
+    let slow = pace::Observation {
+        uncached: None,
+        ..observation(383, 100.0, Some(250))
+    };
+    router
+        .runners
+        .on_observation(router.now, &incarnation(0), &slow);
+    let of_first = |router: &mut RouterFixture| {
+        let choices = (0..40).map(|_| router.choose(&SHORT, &[]).unwrap().incarnation);
+        choices.filter(|chosen| *chosen == incarnation(0)).count()
+    };
+    assert_eq!(of_first(&mut router), 0);
+    router.now = router.now + time::Duration::from_secs(3);
+    assert!(of_first(&mut router) > 5);
+}
+
+/// Number of requests of each runner of six with the mix of a fifth of short prompts.
+fn placed_by_kind(segments: &[(&str, u64)], backlog: u64) -> Vec<usize> {
+    let mut router = RouterFixture::new(6, 3);
+    learn_speeds(&mut router, &[0.6, 0.6, 1.0, 1.0, 1.6, 1.6], Some(100));
+    for _ in 0..60 {
+        router.now = router.now + time::Duration::from_millis(50);
+        for uncached in [383, 383, 383, 17_000] {
+            let service = router.service.clone();
+            router
+                .runners
+                .on_demand(router.now, &service, Tokens(uncached));
+        }
+    }
+    for number in 0..6 {
+        let is_open = number > 1;
+        let status = Status {
+            backlog: Tokens(if is_open { backlog } else { 0 }),
+            ..Status::default()
+        };
+        router.report_status(number, status);
+    }
+    let mut counts = vec![0; 6];
+    for _ in 0..40 {
+        if let Ok(choice) = router.choose(segments, &[]) {
+            let number: usize = choice.incarnation.name.as_str()[1..].parse().unwrap();
+            counts[number] += 1;
+        }
+    }
+    counts
+}
+
+/// A short prompt behind a long one that no status has told of is late, so long prompts
+/// leave some runners to short ones while others can take them on time.
+#[test]
+fn long_prompts_avoid_the_runners_that_are_kept_for_short_ones() {
+    let long = [("own", 17_000)];
+    let counts = placed_by_kind(&long, 0);
+    assert_eq!((counts[0], counts[1]), (0, 0), "{counts:?}");
+    assert_eq!(counts.iter().sum::<usize>(), 40);
+    let counts = placed_by_kind(&SHORT, 2_000);
+    assert!(counts[0] + counts[1] >= 36, "{counts:?}");
+    // The others would make it late.
+    let counts = placed_by_kind(&[("own", 12_000)], 40_000);
+    assert_eq!(counts[0] + counts[1], 40, "{counts:?}");
+}
+
+/// Counts the first homes of segments at nine runners.
+fn count_homes(router: &mut RouterFixture) -> ([usize; 9], Vec<RunnerName>) {
+    let mut counts = [0; 9];
+    let mut homes = Vec::new();
+    for number in 0..600 {
+        let name = format!("part-{number}");
+        let segments = [(name.as_str(), 13_000), ("lot", 4_000)];
+        let choice = router.choose(&segments, &[]).unwrap();
+        let index: usize = choice.incarnation.name.as_str()[1..].parse().unwrap();
+        counts[index] += usize::from(choice.home_rank == Some(0));
+        homes.push(choice.incarnation.name);
+    }
+    (counts, homes)
+}
+
+/// Slow runners must not be homes of as many segments as fast ones, and a change of one
+/// runner's class moves only its own.
+#[test]
+fn segments_have_homes_in_proportion_to_the_speed_of_the_runners() {
+    let speeds = [0.6, 0.6, 0.6, 1.0, 1.0, 1.0, 1.6, 1.6, 1.6];
+    let mut router = RouterFixture::new(9, 1);
+    // The time to compute must not decide this test.
+    router.settings.nonhome_ratio = 50.0;
+    router.settings.secondary_ratio = 50.0;
+    learn_speeds(&mut router, &speeds, Some(100));
+    let (counts, homes) = count_homes(&mut router);
+    let of = |range: std::ops::Range<usize>| counts[range].iter().sum::<usize>();
+    let (slow, mean, fast) = (of(0..3), of(3..6), of(6..9));
+    assert!(slow * 4 < mean * 3 && mean * 4 < fast * 3, "{counts:?}");
+    let mut changed = speeds;
+    changed[0] = 1.1;
+    learn_speeds(&mut router, &changed, Some(100));
+    let (_, after) = count_homes(&mut router);
+    let moved = homes.iter().zip(&after).filter(|(a, b)| a != b);
+    for (_, to) in moved.clone() {
+        assert_eq!(*to, incarnation(0).name);
+    }
+    let moved = moved.count();
+    assert!((5..60).contains(&moved), "{moved}");
+}
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -121,6 +121,8 @@
     UnitsLent,
     /// Units of teams' limits borrowed from other routers.
     UnitsBorrowed,
+    /// Changes of the learned speed class of a runner.
+    SpeedClassChanges,
     /// Turns to change weights granted to runners.
     TurnsGranted,
     /// Router's own errors: no configuration.
