Order waiting requests by a scheduler, fair where pressure is asked for

Cause: the wait queue scans all requests on each call, gives a team the more the more it asks for, and lets a newly arrived long prompt take the runner that a waiting one was woken for.

Change: `scheduler` replaces `wait_queue` with operations in O(log n). `Order::Arrival`, the default, keeps the order as it was. `Order::Fair` is rank, then start-time fair queueing of teams in tokens, then within a team returning callers, the earliest deadline and late requests; every 16th request may be an aged one. Its queue is bounded, and a long prompt joins it before it looks for a runner. Its wait is estimated from the tokens ahead, by the part of them that runners had to compute lately.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -113,7 +113,7 @@
         let now = router.now();
         router
             .state()
-            .on_sent(now, &plan.service, choice.request_cost.uncached);
+            .on_sent(now, &plan.service, choice.request_cost);
     }
     let mut abandonment = Abandonment::new(router, plan, choice);
     let mut head = None;
--- a/crates/lentil_forward/src/router/pick.rs
+++ b/crates/lentil_forward/src/router/pick.rs
@@ -2,8 +2,8 @@
 
 use std::{rc, time};
 
-use lentil_policy::forward::{placement, runners, wait_queue};
-use lentil_types::RunnerName;
+use lentil_policy::forward::{placement, runners, scheduler};
+use lentil_types::{Instant, RunnerName};
 
 use super::{Router, plan::Plan};
 
@@ -28,11 +28,20 @@
     let queue_until = plan.received + total.mul_f64(router.settings.queue_ratio);
     let mut queued: Option<QueueTicket> = None;
     let mut last_asked = None;
+    let mut has_waited = false;
     let is_long = plan.model.is_some() && plan.tokens() >= runners::LONG_PROMPT;
+    if is_long && only_runner.is_none() && is_fair(router) {
+        // It must not overtake those that wait.
+        queued = Some(QueueTicket::enqueue(router.clone(), plan, queue_until)?);
+    }
     loop {
         let changed = router.availability_changed.listen();
+        if queued.as_ref().is_some_and(|queued| !queued.is_waiting()) {
+            let wait = queued_wait(router, plan, None);
+            return Err(placement::Refusal::Full { wait });
+        }
         let is_first = queued.as_ref().is_none_or(QueueTicket::is_first);
-        if is_first && queued.is_some() {
+        if is_first && has_waited && queued.is_some() {
             smol::Timer::after(router.jitter(router.settings.queue_jitter)).await;
         }
         let end = match is_first {
@@ -58,7 +67,9 @@
                 if router.now() + wait > queue_until {
                     return Err(placement::Refusal::TooLate { wait });
                 }
-                queued.get_or_insert_with(|| QueueTicket::enqueue(router.clone(), plan));
+                if queued.is_none() {
+                    queued = Some(QueueTicket::enqueue(router.clone(), plan, queue_until)?);
+                }
             }
             Err(placement::Refusal::Limited { wait, interval }) => {
                 pause = pause.max(wait);
@@ -67,17 +78,30 @@
                 if router.now() + wait > queue_until {
                     return Err(placement::Refusal::Limited { wait, interval });
                 }
-                queued.get_or_insert_with(|| QueueTicket::enqueue(router.clone(), plan));
+                if queued.is_none() {
+                    queued = Some(QueueTicket::enqueue(router.clone(), plan, queue_until)?);
+                }
+            }
+            end => {
+                if let Some(queued) = &mut queued {
+                    queued.was_sent = end.is_ok();
+                }
+                return end;
             }
-            end => return end,
         }
         let pause = async {
             smol::Timer::after(pause).await;
         };
         futures_lite::future::or(changed, pause).await;
+        has_waited = true;
     }
 }
 
+/// Whether waiting requests are ordered by [`scheduler::Order::Fair`].
+fn is_fair(router: &Router) -> bool {
+    router.settings.scheduler.order == scheduler::Order::Fair
+}
+
 /// Chooses a runner for a long prompt that waits, without asking agents: among those
 /// that have reported a status since the last time.
 fn choose_between_asks(
@@ -96,59 +120,97 @@
 
 /// Requests ahead in the wait queue.
 fn queue_position(router: &Router, plan: &Plan, queued: Option<&QueueTicket>) -> usize {
-    let state = router.state();
+    ahead(router, plan, queued).requests
+}
+
+fn ahead(router: &Router, plan: &Plan, queued: Option<&QueueTicket>) -> scheduler::Ahead {
     let now = router.now();
+    let mut state = router.state();
     match queued {
-        Some(queued) => state.wait_queue.position(now, queued.ticket),
+        Some(queued) => state.scheduler.ahead(now, queued.ticket),
         None => state
-            .wait_queue
-            .position_of_new(now, &plan.service, plan.priority),
+            .scheduler
+            .ahead_of_new(now, &waiting(router, plan, plan.start_by)),
     }
 }
 
 /// Expected time until all requests ahead in the wait queue have a runner. The
 /// queues of other routers are assumed to be equally long.
 fn queued_wait(router: &Router, plan: &Plan, queued: Option<&QueueTicket>) -> time::Duration {
-    let ahead = queue_position(router, plan, queued);
+    let ahead = ahead(router, plan, queued);
     let state = router.state();
     let now = router.now();
     let demand = state.demand(&plan.service);
     let usable = state.runners().usable(now, &plan.service).len() as f64;
     let available = usable.max(1.0);
-    let per_prompt = demand.mean_long() / router.settings.placement.prefill_rate / 1e3;
-    let wait = (ahead * state.routers()) as f64 * per_prompt / available;
+    let tokens = match is_fair(router) {
+        true => ahead.tokens.0 as f64 * demand.computed_share() * state.routers() as f64,
+        false => (ahead.requests * state.routers()) as f64 * demand.mean_long(),
+    };
+    let wait = tokens / router.settings.placement.prefill_rate / 1e3 / available;
     time::Duration::try_from_secs_f64(wait).unwrap_or(time::Duration::MAX)
 }
 
+/// The request as it waits. `expires`: when it stops waiting.
+fn waiting(router: &Router, plan: &Plan, expires: Instant) -> scheduler::Waiting {
+    let rate = router.settings.placement.prefill_rate;
+    let compute = time::Duration::from_secs_f64(plan.tokens().0 as f64 / rate / 1e3);
+    let slack = plan.route.objective.saturating_sub(compute);
+    scheduler::Waiting {
+        service: plan.service.clone(),
+        rank: plan.priority,
+        team: plan.team.as_ref().map(|team| team.name.clone()),
+        tokens: plan.tokens(),
+        arrived: plan.received,
+        due: plan.received + slack,
+        expires,
+        returns: plan.returns.get(),
+    }
+}
+
 /// A place in the wait queue; dropping it dequeues the request.
 struct QueueTicket {
     router: rc::Rc<Router>,
-    ticket: wait_queue::Ticket,
+    ticket: scheduler::Ticket,
+    /// Whether the request got a runner.
+    was_sent: bool,
 }
 
 impl QueueTicket {
-    fn enqueue(router: rc::Rc<Router>, plan: &Plan) -> Self {
-        let rate = router.settings.placement.prefill_rate;
-        let compute = time::Duration::from_secs_f64(plan.tokens().0 as f64 / rate / 1e3);
-        let slack = plan.route.objective.saturating_sub(compute);
-        let due = plan.received + slack;
-        let mut state = router.state();
-        let ticket = state
-            .wait_queue
-            .enqueue(&plan.service, plan.priority, plan.received, due);
-        drop(state);
-        Self { router, ticket }
+    fn enqueue(
+        router: rc::Rc<Router>,
+        plan: &Plan,
+        expires: Instant,
+    ) -> Result<Self, placement::Refusal> {
+        let waiting = waiting(&router, plan, expires);
+        let now = router.now();
+        let ticket = router.state().scheduler.enqueue(now, waiting);
+        let ticket = ticket.map_err(|scheduler::Full| {
+            let wait = queued_wait(&router, plan, None);
+            placement::Refusal::Full { wait }
+        })?;
+        Ok(Self {
+            router,
+            ticket,
+            was_sent: false,
+        })
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.router.state().scheduler.contains(self.ticket)
     }
 
     fn is_first(&self) -> bool {
         let now = self.router.now();
-        self.router.state().wait_queue.position(now, self.ticket) == 0
+        self.router.state().scheduler.is_first(now, self.ticket)
     }
 }
 
 impl Drop for QueueTicket {
     fn drop(&mut self) {
-        self.router.state().wait_queue.remove(self.ticket);
+        let mut state = self.router.state();
+        state.scheduler.remove(self.ticket, self.was_sent);
+        drop(state);
         self.router.availability_changed.notify(usize::MAX);
     }
 }
--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -50,6 +50,8 @@
     pub(super) attempt_log: cell::RefCell<attempt_log::AttemptLog>,
     /// Whether an answer is being written.
     pub(super) is_answering: cell::Cell<bool>,
+    /// Whether the caller comes back after a refusal, as it was told to.
+    pub(super) returns: cell::Cell<bool>,
     /// Whether the request tries a refused segment.
     pub(super) is_trial: cell::Cell<bool>,
 }
@@ -95,6 +97,7 @@
             fingerprint: fingerprint(request, names),
             attempt_log: cell::RefCell::default(),
             is_answering: cell::Cell::new(false),
+            returns: cell::Cell::new(false),
             is_trial: cell::Cell::new(false),
             routing,
             route,
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -52,6 +52,8 @@
     Limited,
     /// Every runner is expected to answer too late.
     TooLate,
+    /// Too many requests wait for a runner.
+    QueueFull,
     /// The runner proved that it did not execute the request.
     Refused,
     Unreachable,
@@ -73,6 +75,7 @@
             Self::UnknownOrigin => Counter::OwnUnknownOrigin,
             Self::Limited => Counter::OwnLimited,
             Self::TooLate => Counter::OwnTooLate,
+            Self::QueueFull => Counter::OwnQueueFull,
             Self::Refused => Counter::OwnRefused,
             Self::Unreachable => Counter::OwnUnreachable,
             Self::RunnerFailed => Counter::OwnRunnerFailed,
@@ -102,6 +105,7 @@
         return finish(router, &plan, &progress, answer, end).await;
     }
     router.state().on_request(plan.received, &plan.service);
+    note_return(router, &plan);
     let end = {
         let run = run(router, &plan, request, &mut progress, answer);
         let timeout = async {
@@ -117,6 +121,13 @@
     finish(router, &plan, &progress, answer, end).await;
 }
 
+/// Notes whether the caller comes back after a refusal, as it was told to.
+fn note_return(router: &Router, plan: &Plan) {
+    let mut state = router.state();
+    let returns = state.refused.on_request(plan.received, plan.fingerprint);
+    plan.returns.set(returns);
+}
+
 /// Why and how a request is answered without being sent to any runner.
 struct Rejection {
     status: u16,
@@ -350,6 +361,11 @@
         attempt_log::ExecutionState::Unknown => Counter::OutcomeUnknown,
     });
     log_own_answer(router, plan, progress, reason, retry, Some(status));
+    if status == 503 && router.settings.sheds_load {
+        let now = router.now();
+        let mut state = router.state();
+        state.refused.on_refused(now, plan.fingerprint, retry);
+    }
     send_own_answer(router, answer, status, retry).await;
 }
 
@@ -428,6 +444,7 @@
     let reason = match refusal {
         placement::Refusal::NoRunner => Reason::NoRunner,
         placement::Refusal::Limited { .. } => Reason::Limited,
+        placement::Refusal::Full { .. } => Reason::QueueFull,
         placement::Refusal::Busy { .. } | placement::Refusal::TooLate { .. } => Reason::TooLate,
     };
     (reason, refusal.retry_after(router.settings.retry_after))
--- a/crates/lentil_forward/src/router/settings.rs
+++ b/crates/lentil_forward/src/router/settings.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use lentil_policy::forward::{
-    crash_blame, placement, retries, rollout_pacer, runners, save_budget,
+    crash_blame, placement, retries, rollout_pacer, runners, save_budget, scheduler,
 };
 use lentil_process::logs;
 
@@ -24,6 +24,11 @@
     pub pacing: rollout_pacer::Settings,
     /// Retry budget of the fleet.
     pub retries: retries::Settings,
+    /// Order and bounds of the requests that wait for a runner.
+    pub scheduler: scheduler::Settings,
+    /// Whether work that has lost its purpose is refused, and how much this router sends
+    /// to a runner is limited by what runners reject.
+    pub sheds_load: bool,
     /// Pool of connections to runners.
     pub pool: pool::Settings,
     /// Rate limit of log lines about single requests.
@@ -100,6 +105,8 @@
             saves: save_budget::Settings::default(),
             pacing: rollout_pacer::Settings::default(),
             retries: retries::Settings::default(),
+            scheduler: scheduler::Settings::default(),
+            sheds_load: false,
             pool: pool::Settings::default(),
             log_quota: logs::QuotaSettings::default(),
             log_sample: 64,
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -4,14 +4,14 @@
 
 use lentil_policy::{
     forward::{
-        backlog, crash_blame, placement, retries, rollout_pacer, routing,
+        backlog, crash_blame, demand, placement, refused_callers, retries, rollout_pacer, routing,
         runners::{self, SegmentKey},
-        save_budget, stream_origins, target_weights, wait_queue,
+        save_budget, scheduler, stream_origins, target_weights,
     },
     poison,
 };
 use lentil_types::{
-    ConfigVersion, Fingerprint, Instant, ModelName, ServiceName, Table, Tokens, WeightsVersion,
+    ConfigVersion, Fingerprint, Instant, ModelName, ServiceName, Table, WeightsVersion,
 };
 
 use super::Settings;
@@ -30,8 +30,10 @@
     /// Sorted keys of the segments in each followed cache store.
     contents: Table<net::SocketAddr, Vec<SegmentKey>>,
     /// Requests waiting for a runner.
-    pub wait_queue: wait_queue::WaitQueue,
-    demand: Table<ServiceName, wait_queue::Demand>,
+    pub scheduler: scheduler::Scheduler,
+    /// Callers that this router refused.
+    pub refused: refused_callers::RefusedCallers,
+    demand: Table<ServiceName, demand::Demand>,
     save_budget: save_budget::SaveBudget,
     pacers: Table<ServiceName, rollout_pacer::RolloutPacer>,
     pacing: rollout_pacer::Settings,
@@ -87,7 +89,8 @@
             routers: 1,
             rank: 0,
             contents: Table::new(),
-            wait_queue: wait_queue::WaitQueue::default(),
+            scheduler: scheduler::Scheduler::new(settings.scheduler),
+            refused: refused_callers::RefusedCallers::default(),
             demand: Table::new(),
             save_budget: save_budget::SaveBudget::new(settings.saves),
             pacers: Table::new(),
@@ -221,19 +224,26 @@
         self.retry_budget(service).on_request(now);
     }
 
-    /// Adds the uncached tokens of a sent request to the demand.
-    pub fn on_sent(&mut self, now: Instant, service: &ServiceName, uncached: Tokens) {
-        if uncached < runners::LONG_PROMPT {
+    /// Adds the tokens of a sent request to the demand.
+    pub fn on_sent(&mut self, now: Instant, service: &ServiceName, cost: runners::RequestCost) {
+        let is_queued =
+            self.scheduler.order() == scheduler::Order::Fair && cost.memory >= runners::LONG_PROMPT;
+        if cost.uncached < runners::LONG_PROMPT && !is_queued {
             return;
         }
         let demand = self
             .demand
-            .get_or_insert_with(service.clone(), wait_queue::Demand::default);
-        demand.on_sent(now, uncached);
+            .get_or_insert_with(service.clone(), demand::Demand::default);
+        if is_queued {
+            demand.on_queued_sent(now, cost.memory, cost.uncached);
+        }
+        if cost.uncached >= runners::LONG_PROMPT {
+            demand.on_sent(now, cost.uncached);
+        }
     }
 
     /// Recent demand for prompt tokens of a service.
-    pub fn demand(&self, service: &ServiceName) -> wait_queue::Demand {
+    pub fn demand(&self, service: &ServiceName) -> demand::Demand {
         self.demand.get(service).copied().unwrap_or_default()
     }
 
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -3,7 +3,9 @@
 //! - [`routing`]: the route, team and service of a request.
 //! - [`attempt_log`]: what the attempts at a request may have executed, and which
 //!   final answer that allows.
-//! - [`wait_queue`]: requests that wait at a router for a runner.
+//! - [`scheduler`]: requests that wait at a router for a runner.
+//! - [`refused_callers`]: callers that were refused and told when to come back.
+//! - [`demand`]: how many prompt tokens a service is asked to compute.
 //! - [`target_weights`]: the weights that models are to be served with.
 //! - [`team_limits`]: limits of teams, kept by all routers together.
 //! - [`retries`]: this router's share of the fleet's retry budget.
@@ -23,18 +25,20 @@
 pub mod attempt_log;
 pub mod backlog;
 pub mod crash_blame;
+pub mod demand;
 pub mod placement;
+pub mod refused_callers;
 pub mod retries;
 pub mod rollout_pacer;
 pub mod rollout_schedule;
 pub mod routing;
 pub mod runners;
 pub mod save_budget;
+pub mod scheduler;
 pub mod silence_watch;
 pub mod status_schedule;
 pub mod stream_origins;
 pub mod target_weights;
 pub mod team_limits;
-pub mod wait_queue;
 pub mod watch_doubts;
 pub mod weights_update;
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -227,6 +227,11 @@
         /// Mean time between two requests that they allow this router.
         interval: time::Duration,
     },
+    /// Too many requests wait for a runner.
+    Full {
+        /// Expected time until this one would have had its turn.
+        wait: time::Duration,
+    },
     /// Even the best runner is expected to answer too late.
     TooLate {
         /// Expected wait at the best runner.
@@ -240,9 +245,10 @@
     pub fn retry_after(self, min: time::Duration) -> time::Duration {
         match self {
             Self::NoRunner => min,
-            Self::Busy { wait } | Self::Limited { wait, .. } | Self::TooLate { wait } => {
-                wait.max(min)
-            }
+            Self::Busy { wait }
+            | Self::Limited { wait, .. }
+            | Self::Full { wait }
+            | Self::TooLate { wait } => wait.max(min),
         }
     }
 }
--- a/crates/lentil_policy/tests/forward_search.rs
+++ b/crates/lentil_policy/tests/forward_search.rs
@@ -316,6 +316,7 @@
                 | Refusal::Limited { .. }
                 | Refusal::TooLate { .. },
             ) => return,
+            Err(Refusal::Full { .. }) => panic!("seed {seed}: the choice has no queue"),
         };
         assert!(
             !exclude.contains(&choice.incarnation.name),
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -131,6 +131,8 @@
     OwnLimited,
     /// Router's own errors: every runner would answer too late.
     OwnTooLate,
+    /// Router's own errors: too many requests wait for a runner.
+    OwnQueueFull,
     /// Router's own errors: the runner refused the request.
     OwnRefused,
     /// Router's own errors: no runner could be reached.
