Learn a limit on a router's requests at each runner, and log rejections

Cause: routers count each other's work wrongly and send more to a runner than it takes; a rejection is final for a long prompt that may be sent once. The log did not say what a runner rejected.

Placement passes over a runner whose limit is reached while another has room; where none has, a long prompt waits. `attempt failed` has the runner's status and the kind of rejection, and each kind has a counter.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -3,7 +3,9 @@
 use std::{cell, net, rc, time};
 
 use compact_str::CompactString;
-use lentil_policy::forward::{attempt_log::AttemptOutcome, backlog, placement, runners};
+use lentil_policy::forward::{
+    attempt_log::AttemptOutcome, backlog, concurrency_limit, placement, runners,
+};
 use lentil_process::metrics::{Counter, Timing};
 use lentil_types::{Instant, SoftwareVersion, Tokens, WeightsVersion};
 
@@ -15,6 +17,7 @@
     crashes::DeathSign,
     in_flight::InFlight,
     plan::{Plan, Request},
+    rejection,
     state::BrokenRequest,
     stream_origin, upstream,
 };
@@ -53,6 +56,8 @@
     pub(super) source: Option<net::SocketAddr>,
     /// Store that the last runner was asked to save the prompt to.
     pub(super) save_to: Option<net::SocketAddr>,
+    /// What the last runner rejected, if it did.
+    pub(super) rejection: Option<concurrency_limit::Rejection>,
     /// Id of the last event sent to the caller.
     pub(super) last_event: Option<CompactString>,
 }
@@ -107,6 +112,7 @@
     progress.prefills = choice.prefills;
     progress.home_rank = choice.home_rank;
     progress.source = choice.source;
+    progress.rejection = None;
     router.metrics.count(Counter::Attempts);
     let in_flight = InFlight::new(router.clone(), choice);
     if choice.version.is_some() {
@@ -304,6 +310,8 @@
         self.on_head(&head, progress);
         let names = &self.router.names;
         if head.status == 421 || head.headers.get(names.not_run).is_some() {
+            let rejection = rejection::on_rejected(self.router, self.choice, self.sent_at, &head);
+            progress.rejection = Some(rejection);
             return self.on_refusal(&head).await;
         }
         let has_seal = head.headers.get(names.seal).is_some();
@@ -458,6 +466,7 @@
             }
             if was_run {
                 let took = now.since(self.sent_at).as_secs_f64() * 1e3;
+                runner.concurrency.on_answered();
                 runner.on_first_byte(took, self.choice.expected_ms);
                 let settings = &self.router.settings.placement;
                 let shared = placement::shared_prefix(settings, &self.plan.segments);
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -12,6 +12,7 @@
 mod pick;
 mod plan;
 mod pool;
+mod rejection;
 mod request;
 mod rollout;
 mod settings;
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -263,7 +263,7 @@
                 fallback = Some(complete);
             }
             attempt::AttemptEnd::Failed(failure) => {
-                log_failure(router, plan, &choice, failure);
+                log_failure(router, plan, progress, &choice, failure);
                 reason = failure_reason(failure);
                 unreachable += u32::from(failure == Failure::Unreachable);
                 if failure == Failure::Refused && answer.has_started() {
@@ -317,13 +317,21 @@
     complete.status >= 500 && is_safe && may_send
 }
 
-fn log_failure(router: &Router, plan: &Plan, choice: &placement::Choice, failure: Failure) {
+fn log_failure(
+    router: &Router,
+    plan: &Plan,
+    progress: &Progress,
+    choice: &placement::Choice,
+    failure: Failure,
+) {
     router.metrics.count(Counter::AttemptsFailed);
     if router.log_quota.try_take(router.now()) {
         let age = router.now().since(plan.received).as_millis();
+        let rejection = progress.rejection;
         log::info!(
             request = plan.id.as_str(), runner:% = choice.incarnation.name, born = choice.incarnation.boot_id,
-            software:% = choice.software, failure:%, age_ms = age, attempts = plan.attempt_log.borrow().sent();
+            software:% = choice.software, failure:%, status:% = or_dash(rejection.map(|rejection| rejection.status)),
+            rejection:% = or_dash(rejection.map(|rejection| rejection.kind())), age_ms = age, attempts = plan.attempt_log.borrow().sent();
             "attempt failed"
         );
     }
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -4,6 +4,7 @@
 //! - [`attempt_log`]: what the attempts at a request may have executed, and which
 //!   final answer that allows.
 //! - [`scheduler`]: requests that wait at a router for a runner.
+//! - [`concurrency_limit`]: how many requests a router has at one runner.
 //! - [`refused_callers`]: callers that were refused and told when to come back.
 //! - [`demand`]: how many prompt tokens a service is asked to compute.
 //! - [`target_weights`]: the weights that models are to be served with.
@@ -24,6 +25,7 @@
 
 pub mod attempt_log;
 pub mod backlog;
+pub mod concurrency_limit;
 pub mod crash_blame;
 pub mod demand;
 pub mod placement;
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -20,7 +20,7 @@
 
 use crate::forward::{
     routing,
-    runners::{Incarnation, RequestCost, Runner, Runners, SegmentId, SegmentKey},
+    runners::{self, Incarnation, RequestCost, Runner, Runners, SegmentId, SegmentKey},
     target_weights,
 };
 
@@ -277,6 +277,7 @@
     rng: &mut dyn rand::Rng,
 ) -> Result<Choice, Refusal> {
     let eligible = admitted(context, eligible(context, requirements, exclude))?;
+    let eligible = within_limits(requirements, eligible)?;
     let estimator = estimate::Estimator::new(context, requirements, &eligible);
     let candidates = eligible.iter().map(|runner| estimator.candidate(runner));
     let candidates = estimator.admissible(candidates.collect())?;
@@ -356,6 +357,28 @@
     Ok(admitted.collect())
 }
 
+/// Runners at which this router has fewer requests than its limit. Where it has reached
+/// all limits, a long prompt waits: its rejection may be final.
+fn within_limits<'a>(
+    requirements: &Requirements<'_>,
+    eligible: Vec<&'a Runner>,
+) -> Result<Vec<&'a Runner>, Refusal> {
+    let has_room = |runner: &&Runner| runner.concurrency.allows(runner.in_flight);
+    if eligible.iter().all(has_room) || requirements.only_runner.is_some() {
+        return Ok(eligible);
+    }
+    if eligible.iter().any(has_room) {
+        return Ok(eligible.into_iter().filter(has_room).collect());
+    }
+    let tokens = requirements.segments.iter().map(|(_, tokens)| *tokens);
+    if requirements.model.is_some() && tokens.sum::<Tokens>() >= runners::LONG_PROMPT {
+        return Err(Refusal::Busy {
+            wait: time::Duration::ZERO,
+        });
+    }
+    Ok(eligible)
+}
+
 /// Runners that may take the request, as far as they allow it.
 fn eligible<'a>(
     context: Context<'a>,
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -6,6 +6,8 @@
     Instant, ModelName, PlaceName, RunnerName, ServiceName, SoftwareVersion, Tokens, WeightsVersion,
 };
 
+use crate::forward::concurrency_limit;
+
 use super::{announcements::Announcements, health::Health, liveness::Liveness, segments};
 
 /// One start of a runner. Compared only for equality: the boot id derives from
@@ -101,6 +103,8 @@
     pub(super) pending: Vec<RequestCost>,
     pub(super) liveness: Liveness,
     pub(super) announcements: Announcements,
+    /// This router's limit on its own requests there.
+    pub concurrency: concurrency_limit::ConcurrencyLimit,
     /// Smoothed ratio of observed to expected time to the first byte.
     pub slowness: f64,
 }
@@ -129,6 +133,7 @@
             pending: Vec::new(),
             liveness: Liveness::new(now),
             announcements: Announcements::default(),
+            concurrency: concurrency_limit::ConcurrencyLimit::default(),
             slowness: 1.0,
         }
     }
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -634,6 +634,36 @@
     assert_eq!(chosen.len(), 2, "the silence has ended");
 }
 
+/// Guards against requests for a runner that has rejected some while another has room,
+/// and against a rejection of a long prompt where no runner has room.
+#[test]
+fn a_runner_whose_limit_is_reached_is_avoided_and_long_prompts_wait() {
+    let mut router = RouterFixture::new(2, 1);
+    for number in 0..2 {
+        router.report_status(number, Status::default());
+    }
+    let reach_limit = |router: &mut RouterFixture, number| {
+        let now = router.now;
+        let runner = router.runners.get_mut(&incarnation(number)).unwrap();
+        runner.on_sent(RequestCost::default());
+        runner.concurrency.on_rejected(now, now, 1);
+    };
+    reach_limit(&mut router, 0);
+    for prompt in [&SHORT, &LONG] {
+        for _ in 0..20 {
+            let choice = router.choose(prompt, &[]).unwrap();
+            assert_eq!(choice.incarnation, incarnation(1));
+        }
+    }
+    reach_limit(&mut router, 1);
+    let wait = time::Duration::ZERO;
+    assert_eq!(
+        router.choose(&LONG, &[]).unwrap_err(),
+        placement::Refusal::Busy { wait }
+    );
+    assert!(router.choose(&SHORT, &[]).is_ok());
+}
+
 #[test]
 fn a_request_that_may_run_once_avoids_a_runner_whose_agent_has_not_answered_yet() {
     let mut router = RouterFixture::new(2, 1);
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -113,6 +113,20 @@
     RetryAfterNamed,
     /// Invalid announcements of runners.
     AnnouncementsUnusable,
+    /// Requests that a full runner rejected.
+    RejectedFull,
+    /// Requests that a runner rejected while it changed its weights.
+    RejectedChanging,
+    /// Requests that a runner rejected with a time before which it wants nothing.
+    RejectedDeferred,
+    /// Requests rejected because another runner has the address.
+    RejectedRunner,
+    /// Requests that a runner rejected because it has other weights.
+    RejectedVersion,
+    /// Requests that a runner rejected because of their deadline.
+    RejectedDeadline,
+    /// Requests that a runner rejected for any other reason.
+    RejectedOther,
     /// Turns to change weights granted to runners.
     TurnsGranted,
     /// Router's own errors: no configuration.
