--- a/crates/lentil_forward/src/router/pick.rs
+++ b/crates/lentil_forward/src/router/pick.rs
@@ -2,7 +2,7 @@
 
 use std::{rc, time};
 
-use lentil_policy::forward::{placement, runners, scheduler};
+use lentil_policy::forward::{admission, placement, runners, scheduler};
 use lentil_types::{Instant, RunnerName};
 
 use super::{Router, plan::Plan};
@@ -63,10 +63,16 @@
             Err(placement::Refusal::NoRunner) if router.now() < wait_until => {}
             Err(placement::Refusal::Busy { wait }) => {
                 pause = pause.max(wait);
-                let wait = wait + queued_wait(router, plan, queued.as_ref());
-                if router.now() + wait > queue_until {
-                    return Err(placement::Refusal::TooLate { wait });
-                }
+                let limits = admission::Limits {
+                    queue_until,
+                    start_by: plan.start_by,
+                };
+                let prediction = admission::Prediction {
+                    wait: wait + queued_wait(router, plan, queued.as_ref()),
+                    first_byte: first_byte(router, plan),
+                };
+                admission::check(router.now(), &limits, &prediction)
+                    .map_err(|admission::TooLate { wait }| placement::Refusal::TooLate { wait })?;
                 if queued.is_none() {
                     queued = Some(QueueTicket::enqueue(router.clone(), plan, queue_until)?);
                 }
@@ -97,6 +103,23 @@
     }
 }
 
+/// Expected time to the first byte at a runner that has room, as far as it matters: only
+/// where load is shed.
+fn first_byte(router: &Router, plan: &Plan) -> time::Duration {
+    if !router.settings.sheds_load {
+        return time::Duration::ZERO;
+    }
+    let share = router.state().demand(&plan.service).computed_share();
+    let rate = router.settings.placement.prefill_rate;
+    let compute = plan.tokens().0 as f64 * share / rate;
+    fixed_first_byte(router) + time::Duration::from_secs_f64(compute / 1e3)
+}
+
+/// Time to the first byte of the smallest prompt at an idle runner.
+pub(super) fn fixed_first_byte(router: &Router) -> time::Duration {
+    time::Duration::from_secs_f64(router.settings.placement.per_request / 1e3)
+}
+
 /// Whether waiting requests are ordered by [`scheduler::Order::Fair`].
 fn is_fair(router: &Router) -> bool {
     router.settings.scheduler.order == scheduler::Order::Fair
@@ -210,7 +233,11 @@
     fn drop(&mut self) {
         let mut state = self.router.state();
         state.scheduler.remove(self.ticket, self.was_sent);
+        let is_empty = state.scheduler.is_empty();
         drop(state);
-        self.router.availability_changed.notify(usize::MAX);
+        // With the fair order every long prompt has a place, if only for a moment.
+        if !is_empty || !is_fair(&self.router) {
+            self.router.availability_changed.notify(usize::MAX);
+        }
     }
 }
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -245,6 +245,10 @@
         if plan.attempt_log.borrow().sent() > 0 && !may_retry(router, plan) {
             break;
         }
+        if router.settings.sheds_load && answer_would_be_late(router, plan) {
+            reason = Reason::TooLate;
+            break;
+        }
         let Some(permit) = router.admit(&choice.incarnation) else {
             // Not reached unless the choice is older than the runner's last word.
             smol::Timer::after(ADMISSION_PAUSE).await;
@@ -285,6 +289,12 @@
     }
 }
 
+/// Whether the caller leaves before a runner that is sent the request now can begin to
+/// answer.
+fn answer_would_be_late(router: &Router, plan: &Plan) -> bool {
+    plan.start_by.since(router.now()) < pick::fixed_first_byte(router)
+}
+
 async fn write_answer(plan: &Plan, answer: &mut Answer, complete: &CompleteAnswer) -> RequestEnd {
     plan.is_answering.set(true);
     match answer.write_complete(complete).await {
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -3,6 +3,7 @@
 //! - [`routing`]: the route, team and service of a request.
 //! - [`attempt_log`]: what the attempts at a request may have executed, and which
 //!   final answer that allows.
+//! - [`admission`]: whether a request that finds no runner may wait for one.
 //! - [`scheduler`]: requests that wait at a router for a runner.
 //! - [`concurrency_limit`]: how many requests a router has at one runner.
 //! - [`refused_callers`]: callers that were refused and told when to come back.
@@ -23,6 +24,7 @@
 //! - [`stream_origins`]: which service and software version began a stream.
 //! - [`watch_doubts`]: when a call that waits for changes of the store is ended.
 
+pub mod admission;
 pub mod attempt_log;
 pub mod backlog;
 pub mod concurrency_limit;
--- a/crates/lentil_policy/src/forward/scheduler.rs
+++ b/crates/lentil_policy/src/forward/scheduler.rs
@@ -18,6 +18,8 @@
 
 use lentil_types::{Instant, ServiceName, Table, TeamName, Tokens};
 
+use crate::forward::runners;
+
 /// Settings of a [`Scheduler`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -133,6 +135,10 @@
     pub oldest: Instant,
 }
 
+/// Service of a line, and whether its prompts are long. With [`Order::Fair`] long and short
+/// prompts wait apart, as runners have room for the one or the other.
+type LineKey = (ServiceName, bool);
+
 /// All waiting requests.
 type Entries = collections::BTreeMap<Ticket, Waiting>;
 
@@ -200,12 +206,17 @@
     }
 }
 
+fn line_key(order: Order, waiting: &Waiting) -> LineKey {
+    let is_long = order == Order::Fair && waiting.tokens >= runners::LONG_PROMPT;
+    (waiting.service.clone(), is_long)
+}
+
 /// The waiting requests of all services.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
     settings: Settings,
     entries: Entries,
-    lines: Table<ServiceName, Line>,
+    lines: Table<LineKey, Line>,
     /// All requests, the one to be refused first last.
     newest: collections::BTreeSet<(u8, Instant, Ticket)>,
     next: u64,
@@ -247,9 +258,10 @@
         }
         self.next += 1;
         let settings = &self.settings;
+        let key_of_line = line_key(settings.order, &waiting);
         let line = self
             .lines
-            .get_or_insert_with(waiting.service.clone(), || Line::new(settings));
+            .get_or_insert_with(key_of_line, || Line::new(settings));
         line.advance(now, &self.entries);
         line.insert(now, ticket, &waiting);
         self.newest.insert(key);
@@ -268,44 +280,59 @@
             return;
         };
         self.newest.remove(&(waiting.rank, waiting.arrived, ticket));
-        let Some(line) = self.lines.get_mut(&waiting.service) else {
+        let key = line_key(self.settings.order, &waiting);
+        let Some(line) = self.lines.get_mut(&key) else {
             return;
         };
         line.remove(ticket, &waiting, was_sent);
         if line.is_empty() {
-            self.lines.remove(&waiting.service);
+            self.lines.remove(&key);
         }
     }
 
-    /// Whether a request is the first of its service.
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Whether a request is the first of its service and, with [`Order::Fair`], of its
+    /// kind: long or short.
     pub fn is_first(&mut self, now: Instant, ticket: Ticket) -> bool {
         let Some(waiting) = self.entries.get(&ticket) else {
             return false;
         };
-        let Some(line) = self.lines.get_mut(&waiting.service) else {
+        let Some(line) = self.lines.get_mut(&line_key(self.settings.order, waiting)) else {
             return false;
         };
         line.advance(now, &self.entries);
         line.first() == Some(ticket)
     }
 
-    /// Requests of the same service that go before this one. With [`Order::Fair`] an
+    /// The first of the requests that wait with this one: of the same service and kind.
+    pub fn first(&mut self, now: Instant, waiting: &Waiting) -> Option<Ticket> {
+        let key = line_key(self.settings.order, waiting);
+        let line = self.lines.get_mut(&key)?;
+        line.advance(now, &self.entries);
+        line.first()
+    }
+
+    /// Requests of the same service and kind that go before this one. With [`Order::Fair`] an
     /// estimate: it leaves out aged requests, and is off by up to one request for each
     /// other team.
     pub fn ahead(&mut self, now: Instant, ticket: Ticket) -> Ahead {
         let Some(waiting) = self.entries.get(&ticket) else {
             return Ahead::default();
         };
-        let Some(line) = self.lines.get_mut(&waiting.service) else {
+        let Some(line) = self.lines.get_mut(&line_key(self.settings.order, waiting)) else {
             return Ahead::default();
         };
         line.advance(now, &self.entries);
         line.ahead(ticket, waiting)
     }
 
-    /// Requests of the same service that would go before one that arrives now.
+    /// Requests of the same service and kind that would go before one that arrives now.
     pub fn ahead_of_new(&mut self, now: Instant, waiting: &Waiting) -> Ahead {
-        let Some(line) = self.lines.get_mut(&waiting.service) else {
+        let Some(line) = self.lines.get_mut(&line_key(self.settings.order, waiting)) else {
             return Ahead::default();
         };
         line.advance(now, &self.entries);
--- a/crates/lentil_policy/src/forward/scheduler/fair.rs
+++ b/crates/lentil_policy/src/forward/scheduler/fair.rs
@@ -1,15 +1,16 @@
 //! Order by rank, fair between teams, with ageing.
 //!
-//! - The lowest rank goes first.
-//! - Within a rank, start-time fair queueing: each team has a virtual start time that
+//! - The lowest rank goes first, and in it requests that are not late: a late answer is
+//!   worth about as much a second later. Callers that return are never late.
+//! - Among these, start-time fair queueing: each team has a virtual start time that
 //!   grows by the tokens of its sent requests, and the team with the least one goes
-//!   first. A team that begins to wait starts at the virtual time of its rank, so the
-//!   time that it was idle earns it nothing.
+//!   first. A team that begins to wait starts at the virtual time of the others, so
+//!   the time that it was idle earns it nothing.
 //! - Within a team, callers that return go first, by arrival; then requests that can be
-//!   on time, earliest deadline first; then late ones, those that expire first.
+//!   on time, earliest deadline first. Late ones go by the time that they expire.
 //! - Ageing: every [`AGED_INTERVAL`]th request that is sent may be an aged one. It is of
-//!   the rank that has had no such turn for longest among those with an aged request,
-//!   and of the team whose turn it is in that rank; this keeps ageing from giving a
+//!   the rank and lateness that has had no such turn for longest among those with an aged
+//!   request, and of the team whose turn it is there; this keeps ageing from giving a
 //!   team more than its share. Of the team's aged requests, the one goes that expires
 //!   first: of all sizes and allowed times, each becomes that in its turn.
 
@@ -54,7 +55,14 @@
     aged: collections::BTreeSet<(Instant, Ticket)>,
 }
 
-/// The requests of one rank.
+/// Rank, and whether the requests are late.
+type LevelKey = (u8, bool);
+
+fn level_key(waiting: &Waiting, is_late: bool) -> LevelKey {
+    (waiting.rank, is_late && !waiting.returns)
+}
+
+/// The requests of one rank that are late, or those that are not.
 #[derive(Clone, Debug, Default)]
 struct Level {
     teams: collections::BTreeMap<Option<TeamName>, Team>,
@@ -150,7 +158,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Line {
     ageing: time::Duration,
-    levels: collections::BTreeMap<u8, Level>,
+    levels: collections::BTreeMap<LevelKey, Level>,
     /// Requests that are not late yet.
     due: collections::BTreeSet<(Instant, Ticket)>,
     /// Requests that are not aged yet, by arrival.
@@ -178,22 +186,17 @@
         while let Some(&(due, ticket)) = self.due.first()
             && now > due
         {
-            self.due.pop_first();
             let waiting = &entries[&ticket];
-            if let Some(level) = self.levels.get_mut(&waiting.rank) {
-                level.update(&waiting.team, |team| {
-                    team.order.remove(&key(ticket, waiting, false));
-                    let cost = waiting.cost();
-                    team.order.insert(key(ticket, waiting, true), cost);
-                });
-            }
+            self.take(ticket, waiting);
+            self.put(ticket, waiting, true);
         }
         while let Some(&(arrived, ticket)) = self.young.first()
             && now.since(arrived) > self.ageing
         {
             self.young.pop_first();
             let waiting = &entries[&ticket];
-            let Some(level) = self.levels.get_mut(&waiting.rank) else {
+            let is_late = !self.due.contains(&(waiting.due, ticket));
+            let Some(level) = self.levels.get_mut(&level_key(waiting, is_late)) else {
                 continue;
             };
             level.aged += 1;
@@ -210,30 +213,34 @@
         }
         // Those that are aged already are moved by the next `advance`.
         self.young.insert((waiting.arrived, ticket));
-        let level = self.levels.entry(waiting.rank).or_default();
+        self.put(ticket, waiting, is_late);
+    }
+
+    /// Adds a request to its level.
+    fn put(&mut self, ticket: Ticket, waiting: &Waiting, is_late: bool) {
+        let is_aged = !self.young.contains(&(waiting.arrived, ticket));
+        let level = level_key(waiting, is_late);
+        let level = self.levels.entry(level).or_default();
         level.total.requests += 1;
         level.total.tokens += lentil_types::Tokens(waiting.cost());
+        level.aged += usize::from(is_aged);
         level.update(&waiting.team, |team| {
             team.order
                 .insert(key(ticket, waiting, is_late), waiting.cost());
+            if is_aged {
+                team.aged.insert((waiting.expires, ticket));
+            }
         });
     }
 
-    pub(super) fn remove(&mut self, ticket: Ticket, waiting: &Waiting, was_sent: bool) {
-        let is_aged_turn = was_sent && self.aged_first() == Some(ticket);
+    /// Removes a request from its level.
+    fn take(&mut self, ticket: Ticket, waiting: &Waiting) {
         let is_late = !self.due.remove(&(waiting.due, ticket));
-        let is_aged = !self.young.remove(&(waiting.arrived, ticket));
-        let Some(level) = self.levels.get_mut(&waiting.rank) else {
+        let is_aged = !self.young.contains(&(waiting.arrived, ticket));
+        let level_key = level_key(waiting, is_late);
+        let Some(level) = self.levels.get_mut(&level_key) else {
             return;
         };
-        if was_sent {
-            self.sent += 1;
-            self.since_aged = if is_aged_turn { 0 } else { self.since_aged + 1 };
-            if is_aged_turn {
-                level.last_aged = self.sent;
-            }
-            level.on_sent(&waiting.team, waiting.cost());
-        }
         level.aged -= usize::from(is_aged);
         level.total.requests -= 1;
         level.total.tokens = level
@@ -246,10 +253,25 @@
         });
         // Teams that have nothing waiting are equal again.
         if level.total.requests == 0 {
-            self.levels.remove(&waiting.rank);
+            self.levels.remove(&level_key);
         }
     }
 
+    pub(super) fn remove(&mut self, ticket: Ticket, waiting: &Waiting, was_sent: bool) {
+        let is_aged_turn = was_sent && self.aged_first() == Some(ticket);
+        let is_late = !self.due.contains(&(waiting.due, ticket));
+        if was_sent && let Some(level) = self.levels.get_mut(&level_key(waiting, is_late)) {
+            self.sent += 1;
+            self.since_aged = if is_aged_turn { 0 } else { self.since_aged + 1 };
+            if is_aged_turn {
+                level.last_aged = self.sent;
+            }
+            level.on_sent(&waiting.team, waiting.cost());
+        }
+        self.take(ticket, waiting);
+        self.young.remove(&(waiting.arrived, ticket));
+    }
+
     pub(super) fn first(&self) -> Option<Ticket> {
         self.aged_first().or_else(|| {
             let level = self.levels.values().next()?;
@@ -277,20 +299,22 @@
 
     pub(super) fn ahead(&self, ticket: Ticket, waiting: &Waiting) -> Ahead {
         let is_late = !self.due.contains(&(waiting.due, ticket));
-        self.ahead_of_key(&key(ticket, waiting, is_late), waiting)
+        self.ahead_of_key(&key(ticket, waiting, is_late), waiting, is_late)
     }
 
     pub(super) fn ahead_of_new(&self, now: Instant, ticket: Ticket, waiting: &Waiting) -> Ahead {
-        self.ahead_of_key(&key(ticket, waiting, now > waiting.due), waiting)
+        let is_late = now > waiting.due;
+        self.ahead_of_key(&key(ticket, waiting, is_late), waiting, is_late)
     }
 
     /// Requests ahead of one with this key, apart from aged ones that overtake it.
-    fn ahead_of_key(&self, key: &Key, waiting: &Waiting) -> Ahead {
+    fn ahead_of_key(&self, key: &Key, waiting: &Waiting, is_late: bool) -> Ahead {
+        let level_key = level_key(waiting, is_late);
         let mut ahead = Ahead::default();
-        for (_, level) in self.levels.range(..waiting.rank) {
+        for (_, level) in self.levels.range(..level_key) {
             ahead += level.total;
         }
-        if let Some(level) = self.levels.get(&waiting.rank) {
+        if let Some(level) = self.levels.get(&level_key) {
             let team = level.teams.get(&waiting.team);
             let own = team.map_or_else(Ahead::default, |team| team.order.before(key).into());
             let start = team.map_or(0, |team| team.start).max(level.virtual_time);
