Add a benchmark of the wait queue with 10,000 waiting

Cause: the cost of an operation on a full queue was not measured.

Change: a Criterion case for both orders: a request joins, asks for its place and whether it is first, and is sent.

--- a/crates/lentil_policy/benches/decision.rs
+++ b/crates/lentil_policy/benches/decision.rs
@@ -1,4 +1,5 @@
-//! Time of one routing decision by number of runners and of prompt pieces.
+//! Time of one routing decision by number of runners and of prompt pieces, and of one
+//! operation on a full wait queue.
 
 #![expect(missing_docs, reason = "criterion_group makes a public function")]
 
@@ -6,6 +7,7 @@
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use lentil_policy::{
+    forward::scheduler,
     protocol,
     route::{self, RoutePolicy as _},
 };
@@ -87,5 +89,58 @@
     }
 }
 
-criterion_group!(benches, by_runners, by_pieces);
+/// Requests that wait in the measured queue, and their teams.
+const WAITING: u64 = 10_000;
+const TEAMS: u64 = 330;
+
+fn waiting(number: u64) -> scheduler::Waiting {
+    let arrived = Instant::from_millis(number);
+    scheduler::Waiting {
+        service: "sortmind".parse().expect("a valid name"),
+        rank: (number % 4) as u8,
+        team: Some(
+            format!("team-{}", number * 7 % TEAMS)
+                .parse()
+                .expect("a valid name"),
+        ),
+        tokens: Tokens(2_000 + number * 13 % 20_000),
+        arrived,
+        due: arrived + time::Duration::from_millis(number * 17 % 2_000),
+        expires: arrived + time::Duration::from_secs(10),
+        returns: number.is_multiple_of(50),
+    }
+}
+
+/// Measures one request that joins, asks for its place and whether it is first, and is
+/// sent, with 10,000 others waiting.
+fn wait_queue(c: &mut Criterion) {
+    let mut group = c.benchmark_group("wait queue");
+    for order in [scheduler::Order::Arrival, scheduler::Order::Fair] {
+        let mut queue = scheduler::Scheduler::new(scheduler::Settings {
+            order,
+            max_waiting: 2 * WAITING as usize,
+            ..scheduler::Settings::default()
+        });
+        for number in 0..WAITING {
+            let enqueued = queue.enqueue(Instant::from_millis(number), waiting(number));
+            enqueued.expect("the queue has room");
+        }
+        let mut number = WAITING;
+        group.bench_function(BenchmarkId::from_parameter(order), |b| {
+            b.iter(|| {
+                number += 1;
+                let now = Instant::from_millis(WAITING + number / 1_000);
+                let ticket = queue
+                    .enqueue(now, waiting(number))
+                    .expect("the queue has room");
+                hint::black_box(queue.ahead(now, ticket));
+                hint::black_box(queue.is_first(now, ticket));
+                queue.remove(ticket, true);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, by_runners, by_pieces, wait_queue);
 criterion_main!(benches);
