--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -13,6 +13,7 @@
 mod pick;
 mod plan;
 mod pool;
+mod rejection;
 mod request;
 mod rollout;
 mod settings;
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -54,6 +54,8 @@
     Limited,
     /// Every runner is expected to answer too late.
     TooLate,
+    /// Too many requests wait for a runner.
+    QueueFull,
     /// The runner proved that it did not execute the request.
     Refused,
     Unreachable,
@@ -76,6 +78,7 @@
             Self::UnknownOrigin => Counter::OwnUnknownOrigin,
             Self::Limited => Counter::OwnLimited,
             Self::TooLate => Counter::OwnTooLate,
+            Self::QueueFull => Counter::OwnQueueFull,
             Self::Refused => Counter::OwnRefused,
             Self::Unreachable => Counter::OwnUnreachable,
             Self::RunnerFailed => Counter::OwnRunnerFailed,
@@ -110,6 +113,7 @@
         return finish(router, &plan, &progress, answer, end).await;
     }
     router.state().on_request(plan.received, &plan.service);
+    note_return(router, &plan);
     let end = {
         let run = run(router, &plan, request, &mut progress, answer);
         let timeout = async {
@@ -127,6 +131,13 @@
     finish(router, &plan, &progress, answer, end).await;
 }
 
+/// Notes whether the caller comes back after a refusal, as it was told to.
+fn note_return(router: &Router, plan: &Plan) {
+    let mut state = router.state();
+    let returns = state.refused.on_request(plan.received, plan.fingerprint);
+    plan.returns.set(returns);
+}
+
 /// Why and how a request is answered without being sent to any runner.
 struct Rejection {
     status: u16,
@@ -274,6 +285,10 @@
         if plan.attempt_log.borrow().sent() > 0 && !may_retry(router, plan) {
             break;
         }
+        if router.settings.sheds_load && answer_would_be_late(router, plan) {
+            reason = Reason::TooLate;
+            break;
+        }
         let Some(permit) = router.admit(&choice.incarnation) else {
             // Not reached unless the choice is older than the runner's last word.
             smol::Timer::after(ADMISSION_PAUSE).await;
@@ -292,7 +307,7 @@
                 fallback = Some(complete);
             }
             attempt::AttemptEnd::Failed(failure) => {
-                log_failure(router, plan, &choice, failure);
+                log_failure(router, plan, progress, &choice, failure);
                 reason = failure_reason(failure);
                 unreachable += u32::from(failure == Failure::Unreachable);
                 if failure == Failure::Refused && answer.has_started() {
@@ -314,6 +329,12 @@
     }
 }
 
+/// Whether the caller leaves before a runner that is sent the request now can begin to
+/// answer.
+fn answer_would_be_late(router: &Router, plan: &Plan) -> bool {
+    plan.start_by.since(router.now()) < pick::fixed_first_byte(router)
+}
+
 async fn write_answer(plan: &Plan, answer: &mut Answer, complete: &CompleteAnswer) -> RequestEnd {
     plan.is_answering.set(true);
     match answer.write_complete(complete).await {
@@ -346,13 +367,21 @@
     complete.status >= 500 && is_safe && may_send
 }
 
-fn log_failure(router: &Router, plan: &Plan, choice: &placement::Choice, failure: Failure) {
+fn log_failure(
+    router: &Router,
+    plan: &Plan,
+    progress: &Progress,
+    choice: &placement::Choice,
+    failure: Failure,
+) {
     router.metrics.count(Counter::AttemptsFailed);
     if router.log_quota.try_take(router.now()) {
         let age = router.now().since(plan.received).as_millis();
+        let rejection = progress.rejection;
         log::info!(
             request = plan.id.as_str(), runner:% = choice.incarnation.name, born = choice.incarnation.boot_id,
-            software:% = choice.software, failure:%, age_ms = age, attempts = plan.attempt_log.borrow().sent();
+            software:% = choice.software, failure:%, status:% = or_dash(rejection.map(|rejection| rejection.status)),
+            rejection:% = or_dash(rejection.map(|rejection| rejection.kind())), age_ms = age, attempts = plan.attempt_log.borrow().sent();
             "attempt failed"
         );
     }
@@ -390,6 +419,11 @@
         attempt_log::ExecutionState::Unknown => Counter::OutcomeUnknown,
     });
     log_own_answer(router, plan, progress, reason, retry, Some(status));
+    if status == 503 && router.settings.sheds_load {
+        let now = router.now();
+        let mut state = router.state();
+        state.refused.on_refused(now, plan.fingerprint, retry);
+    }
     send_own_answer(router, answer, status, retry).await;
 }
 
@@ -473,6 +507,7 @@
     let reason = match refusal {
         placement::Refusal::NoRunner => Reason::NoRunner,
         placement::Refusal::Limited { .. } => Reason::Limited,
+        placement::Refusal::Full { .. } => Reason::QueueFull,
         placement::Refusal::Busy { .. } | placement::Refusal::TooLate { .. } => Reason::TooLate,
     };
     (reason, refusal.retry_after(router.settings.retry_after))
--- a/crates/lentil_forward/src/router/settings.rs
+++ b/crates/lentil_forward/src/router/settings.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use lentil_policy::forward::{
-    crash_blame, placement, retries, rollout_pacer, runners, save_budget, team_limits,
+    crash_blame, placement, retries, rollout_pacer, runners, save_budget, scheduler, team_limits,
 };
 use lentil_process::logs;
 
@@ -26,6 +26,11 @@
     pub retries: retries::Settings,
     /// Limits of teams.
     pub limits: team_limits::Settings,
+    /// Order and bounds of the requests that wait for a runner.
+    pub scheduler: scheduler::Settings,
+    /// Whether work that has lost its purpose is refused, and how much this router sends
+    /// to a runner is limited by what runners reject.
+    pub sheds_load: bool,
     /// Pool of connections to runners.
     pub pool: pool::Settings,
     /// Rate limit of log lines about single requests.
@@ -103,6 +108,8 @@
             pacing: rollout_pacer::Settings::default(),
             retries: retries::Settings::default(),
             limits: team_limits::Settings::default(),
+            scheduler: scheduler::Settings::default(),
+            sheds_load: false,
             pool: pool::Settings::default(),
             log_quota: logs::QuotaSettings::default(),
             log_sample: 64,
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -20,7 +20,7 @@
 
 use crate::forward::{
     pace, routing,
-    runners::{Incarnation, RequestCost, Runner, Runners, SegmentId, SegmentKey},
+    runners::{self, Incarnation, RequestCost, Runner, Runners, SegmentId, SegmentKey},
     target_weights,
 };
 
@@ -249,6 +249,11 @@
         /// Mean time between two requests that they allow this router.
         interval: time::Duration,
     },
+    /// Too many requests wait for a runner.
+    Full {
+        /// Expected time until this one would have had its turn.
+        wait: time::Duration,
+    },
     /// Even the best runner is expected to answer too late.
     TooLate {
         /// Expected wait at the best runner.
@@ -262,9 +267,10 @@
     pub fn retry_after(self, min: time::Duration) -> time::Duration {
         match self {
             Self::NoRunner => min,
-            Self::Busy { wait } | Self::Limited { wait, .. } | Self::TooLate { wait } => {
-                wait.max(min)
-            }
+            Self::Busy { wait }
+            | Self::Limited { wait, .. }
+            | Self::Full { wait }
+            | Self::TooLate { wait } => wait.max(min),
         }
     }
 }
@@ -293,6 +299,7 @@
     rng: &mut dyn rand::Rng,
 ) -> Result<Choice, Refusal> {
     let eligible = admitted(context, eligible(context, requirements, exclude))?;
+    let eligible = within_limits(requirements, eligible)?;
     let estimator = estimate::Estimator::new(context, requirements, &eligible);
     let candidates = eligible.iter().map(|runner| estimator.candidate(runner));
     let candidates = estimator.admissible(candidates.collect())?;
@@ -373,6 +380,28 @@
     Ok(admitted.collect())
 }
 
+/// Runners at which this router has fewer requests than its limit. Where it has reached
+/// all limits, a long prompt waits: its rejection may be final.
+fn within_limits<'a>(
+    requirements: &Requirements<'_>,
+    eligible: Vec<&'a Runner>,
+) -> Result<Vec<&'a Runner>, Refusal> {
+    let has_room = |runner: &&Runner| runner.concurrency.allows(runner.in_flight);
+    if eligible.iter().all(has_room) || requirements.only_runner.is_some() {
+        return Ok(eligible);
+    }
+    if eligible.iter().any(has_room) {
+        return Ok(eligible.into_iter().filter(has_room).collect());
+    }
+    let tokens = requirements.segments.iter().map(|(_, tokens)| *tokens);
+    if requirements.model.is_some() && tokens.sum::<Tokens>() >= runners::LONG_PROMPT {
+        return Err(Refusal::Busy {
+            wait: time::Duration::ZERO,
+        });
+    }
+    Ok(eligible)
+}
+
 /// Runners that may take the request, as far as they allow it.
 fn eligible<'a>(
     context: Context<'a>,
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -6,7 +6,7 @@
     Instant, ModelName, PlaceName, RunnerName, ServiceName, SoftwareVersion, Tokens, WeightsVersion,
 };
 
-use crate::forward::pace;
+use crate::forward::{concurrency_limit, pace};
 
 use super::{announcements::Announcements, health::Health, liveness::Liveness, segments};
 
@@ -103,6 +103,8 @@
     pub(super) pending: Vec<RequestCost>,
     pub(super) liveness: Liveness,
     pub(super) announcements: Announcements,
+    /// This router's limit on its own requests there.
+    pub concurrency: concurrency_limit::ConcurrencyLimit,
     /// Smoothed ratio of observed to expected time to the first byte.
     pub slowness: f64,
     /// Its speed, where that is learned.
@@ -133,6 +135,7 @@
             pending: Vec::new(),
             liveness: Liveness::new(now),
             announcements: Announcements::default(),
+            concurrency: concurrency_limit::ConcurrencyLimit::default(),
             slowness: 1.0,
             pace: pace::RunnerPace::default(),
         }
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -123,6 +123,20 @@
     UnitsBorrowed,
     /// Changes of the learned speed class of a runner.
     SpeedClassChanges,
+    /// Requests that a full runner rejected.
+    RejectedFull,
+    /// Requests that a runner rejected while it changed its weights.
+    RejectedChanging,
+    /// Requests that a runner rejected with a time before which it wants nothing.
+    RejectedDeferred,
+    /// Requests rejected because another runner has the address.
+    RejectedRunner,
+    /// Requests that a runner rejected because it has other weights.
+    RejectedVersion,
+    /// Requests that a runner rejected because of their deadline.
+    RejectedDeadline,
+    /// Requests that a runner rejected for any other reason.
+    RejectedOther,
     /// Turns to change weights granted to runners.
     TurnsGranted,
     /// Router's own errors: no configuration.
@@ -143,6 +157,8 @@
     OwnLimited,
     /// Router's own errors: every runner would answer too late.
     OwnTooLate,
+    /// Router's own errors: too many requests wait for a runner.
+    OwnQueueFull,
     /// Router's own errors: the runner refused the request.
     OwnRefused,
     /// Router's own errors: no runner could be reached.
