--- a/crates/lentil_policy/src/forward/pace.rs
+++ b/crates/lentil_policy/src/forward/pace.rs
@@ -55,8 +55,9 @@
 /// Distance from the middle of a class, in classes, at which a runner leaves it.
 const CLASS_HYSTERESIS: f64 = 0.7;
 
-/// Time after which the figure of the moment has half its weight.
-const MOMENT_HALF_LIFE: f64 = 0.3;
+/// Half-life of the weight of the runner's present pace, in seconds: it changes several
+/// times a second.
+const MOMENT_HALF_LIFE_SECS: f64 = 0.3;
 /// Bounds of that figure, as a factor of the usual time.
 const MOMENT_RANGE: (f64, f64) = (0.2, 20.0);
 
@@ -233,7 +234,7 @@
     pub fn moment(&self, now: Instant) -> f64 {
         self.moment.map_or(1.0, |(at, factor)| {
             let age = now.since(at).as_secs_f64();
-            1.0 + (factor - 1.0) * (-age / MOMENT_HALF_LIFE).exp2()
+            1.0 + (factor - 1.0) * (-age / MOMENT_HALF_LIFE_SECS).exp2()
         })
     }
 
--- a/crates/lentil_policy/src/forward/team_limits/lenders.rs
+++ b/crates/lentil_policy/src/forward/team_limits/lenders.rs
@@ -117,8 +117,9 @@
         self.estimates.keys().copied()
     }
 
-    /// Lenders to ask for `wanted` units, those with the most first. `most_each`: the most that one is asked for; `least`: lenders that are
-    /// not expected to have as much are not asked.
+    /// Lenders to ask for `wanted` units, those with the most first. `most_each`: the most
+    /// that one is asked for; `least`: lenders that are not expected to have as much are not
+    /// asked.
     pub(super) fn plan(
         &self,
         now: Instant,
