Log how long a runner was unheard when a request was sent, and why an origin is unknown

The incident's hypotheses differ in when requests were sent to a frozen runner and in what agents answered when the origin of a stream was asked for. Neither was in a line: `attempt abandoned` now has unheard_ms, and a refused take-up says how many agents and routers there were to ask, what they named and what could not be resolved.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -172,16 +172,20 @@
     plan: &'a Plan,
     choice: &'a placement::Choice,
     started_at: Instant,
+    /// Time since the runner or its agent had sent anything when the request was sent.
+    unheard: time::Duration,
     has_ended: bool,
 }
 
 impl<'a> Abandonment<'a> {
     fn new(router: &'a Router, plan: &'a Plan, choice: &'a placement::Choice) -> Self {
+        let started_at = router.now();
         Self {
             router,
             plan,
             choice,
-            started_at: router.now(),
+            started_at,
+            unheard: started_at.since(router.last_heard(&choice.incarnation)),
             has_ended: false,
         }
     }
@@ -194,13 +198,11 @@
             return;
         }
         let incarnation = &self.choice.incarnation;
-        let state = self.router.state();
-        let runner = state.runners().get(incarnation);
-        let heard_at = runner.map_or(Instant::ZERO, runners::Runner::last_heard);
+        let heard_at = self.router.last_heard(incarnation);
         log::info!(
             request = self.plan.id.as_str(), runner:% = incarnation.name, born = incarnation.boot_id,
             sent_ms = now.since(self.started_at).as_millis(), heard_ms = now.since(heard_at).as_millis(),
-            has_answer = self.plan.is_answering.get();
+            unheard_ms = self.unheard.as_millis(), has_answer = self.plan.is_answering.get();
             "attempt abandoned"
         );
     }
--- a/crates/lentil_forward/src/router/stream_origin.rs
+++ b/crates/lentil_forward/src/router/stream_origin.rs
@@ -85,7 +85,32 @@
     // Agents of several versions may answer, and a router knows better.
     let confirmed = lookup.wait_until(OriginLookup::is_confirmed);
     within(settings.ask_timeout, confirmed).await;
-    lookup.finish()
+    let origin = lookup.origin();
+    if origin.is_none() {
+        log_unknown(router, plan);
+    }
+    origin
+}
+
+/// Logs that the question for a stream's origin had no answer that decides it.
+fn log_unknown(router: &Router, plan: &Plan) {
+    let now = router.now();
+    if !router.log_quota.try_take(now) {
+        return;
+    }
+    let state = router.state();
+    let agents = state.runners().iter().filter(|runner| {
+        let mut targets = plan.route.targets.iter();
+        runner.has_agent() && targets.any(|target| target.service == runner.registration.service)
+    });
+    let lookup = state.lookups.get(&plan.stream());
+    log::info!(
+        request = plan.id.as_str(), resumes:% = plan.resumes.as_deref().unwrap_or("-"),
+        agents = agents.count(), routers = state.routers(),
+        origins = lookup.map_or(0, OriginLookup::candidates),
+        unresolved = lookup.map_or(0, OriginLookup::unresolved), age_ms = now.since(plan.received).as_millis();
+        "the origin of a stream is not known"
+    );
 }
 
 async fn within(limit: time::Duration, event: impl Future<Output = ()>) {
@@ -126,7 +151,7 @@
         }
     }
 
-    fn finish(self) -> Option<Origin> {
+    fn origin(&self) -> Option<Origin> {
         let lookup = self.router.state().lookups.get(&self.stream).cloned();
         let origin = lookup.and_then(OriginLookup::into_origin);
         // Another request that took up the same stream may have ended the question.
@@ -190,8 +215,10 @@
         let mut state = self.state();
         let origin = state.runners().origin(&run.incarnation);
         let lookup = state.lookups.get_mut(&run.stream);
-        if let (Some(lookup), Some(origin)) = (lookup, origin) {
-            lookup.on_agent(origin);
+        match (lookup, origin) {
+            (Some(lookup), Some(origin)) => lookup.on_agent(origin),
+            (Some(lookup), None) => lookup.on_unresolved(),
+            (None, _) => {}
         }
         drop(state);
         self.origin_received.notify(usize::MAX);
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -261,6 +261,14 @@
         now.since(last.map_or(since, |last| last.max(since)))
     }
 
+    /// When a runner or its agent last sent anything; the start of the router if it is not
+    /// known.
+    pub(super) fn last_heard(&self, incarnation: &runners::Incarnation) -> Instant {
+        let state = self.state();
+        let runner = state.runners().get(incarnation);
+        runner.map_or(Instant::ZERO, runners::Runner::last_heard)
+    }
+
     /// Asks a runner's agent for a status report.
     pub(crate) fn ask_agent(&self, incarnation: &runners::Incarnation) {
         let state = self.state();
--- a/crates/lentil_policy/src/forward/stream_origins.rs
+++ b/crates/lentil_policy/src/forward/stream_origins.rs
@@ -175,6 +175,8 @@
     confirmed: Option<Origin>,
     /// By agents whose runners ran its first request. More than one may have.
     candidates: Vec<Origin>,
+    /// Answers of agents that name a runner which this router does not know.
+    unresolved: usize,
 }
 
 impl OriginLookup {
@@ -190,6 +192,21 @@
         }
     }
 
+    /// An agent names a runner that this router does not know.
+    pub fn on_unresolved(&mut self) {
+        self.unresolved += 1;
+    }
+
+    /// Answers of agents that name a runner which this router does not know.
+    pub fn unresolved(&self) -> usize {
+        self.unresolved
+    }
+
+    /// Different origins that agents have named.
+    pub fn candidates(&self) -> usize {
+        self.candidates.len()
+    }
+
     /// Whether a router has answered.
     pub fn is_confirmed(&self) -> bool {
         self.confirmed.is_some()
