Ping the agent before a request that may run once is sent to an unheard runner

Callers of streams that may run once lost them at an instance that had frozen some milliseconds before; they left after two seconds, and their requests were read when the instance went on (GONE, "sent on").

Cause: silence is the only sign that a runner does not respond, and it takes 80 ms to notice. In that time the runner looks idle to all routers, and none knows what the others send. Class: a belief that is kept until the contrary is noticed, by many at once.

A request that may run once is now sent only to a runner that was heard so lately that all routers together are expected to have sent it 0.3 requests since, and that this router has sent none since; else its agent is pinged first (100 bytes with the answer). The time follows from the router's own rate, the number of routers and of runners. Where it is longer than silence takes to be noticed, as at the design size, nothing is asked.

--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -147,6 +147,7 @@
                 (from, Datagram::StatusRequest(incarnation)) => {
                     self.on_status_request(from, &incarnation).await;
                 }
+                (from, Datagram::Ping(incarnation)) => self.on_ping(from, incarnation).await,
                 (from, Datagram::Turn(turn)) => self.on_turn(from, turn),
                 (from, Datagram::StreamQuery(stream)) => {
                     self.on_stream_query(from, stream).await;
@@ -167,7 +168,8 @@
                     | Datagram::Announcement(_)
                     | Datagram::DocumentChanged(_)
                     | Datagram::StreamOrigin(_)
-                    | Datagram::StreamSeen(_),
+                    | Datagram::StreamSeen(_)
+                    | Datagram::Pong(_),
                 ) => {
                     log::debug!(from:%; "ignored a datagram that is not meant for an agent");
                 }
@@ -291,6 +293,17 @@
         }
     }
 
+    /// Answers a router that is about to send the runner a request.
+    async fn on_ping(&self, from: net::SocketAddr, incarnation: runners::Incarnation) {
+        let responds = {
+            let state = self.state.borrow();
+            state.incarnation.as_ref() == Some(&incarnation) && !state.silence.is_silent()
+        };
+        if responds {
+            self.socket.send(&[from], Datagram::Pong(incarnation)).await;
+        }
+    }
+
     fn on_stream_noted(&self, run: StreamRun) {
         let now = self.clock.now();
         let retention = self.settings.stream_retention;
--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -208,6 +208,11 @@
     LimitAsk(Vec<team_limits::Ask>),
     /// Answer to a [`Self::LimitAsk`].
     LimitGrant(Vec<team_limits::Grant>),
+    /// From a router to an agent: asks whether the runner still responds. Smaller than a
+    /// status request and its answer, since it precedes single requests.
+    Ping(runners::Incarnation),
+    /// Answer to a [`Self::Ping`].
+    Pong(runners::Incarnation),
 }
 
 /// A datagram that cannot be decoded or encoded.
@@ -286,6 +291,14 @@
             Self::LimitAsk(asks) => generated::Body::LimitAsk(generated::LimitAsk {
                 asks: asks.into_iter().map(Into::into).collect(),
             }),
+            Self::Ping(incarnation) => generated::Body::Ping(generated::Ping {
+                runner: incarnation.name.to_string(),
+                born: incarnation.boot_id,
+            }),
+            Self::Pong(incarnation) => generated::Body::Pong(generated::Pong {
+                runner: incarnation.name.to_string(),
+                born: incarnation.boot_id,
+            }),
             Self::LimitGrant(grants) => generated::Body::LimitGrant(generated::LimitGrant {
                 grants: grants.into_iter().map(Into::into).collect(),
             }),
@@ -354,6 +367,8 @@
                 remaining: time::Duration::from_millis(refused.left_ms.into()),
                 crashes: refused.crashes,
             }),
+            generated::Body::Ping(ping) => Self::Ping(incarnation(&ping.runner, ping.born)?),
+            generated::Body::Pong(pong) => Self::Pong(incarnation(&pong.runner, pong.born)?),
             generated::Body::LimitAsk(ask) => {
                 Self::LimitAsk(ask.asks.into_iter().map(Into::into).collect())
             }
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -189,12 +189,14 @@
             Datagram::StreamQuery(stream) => self.on_stream_query(from, stream),
             Datagram::StreamOrigin(origin) => self.router.on_stream_origin(origin),
             Datagram::StreamSeen(run) => self.router.on_stream_seen(&run),
+            Datagram::Pong(incarnation) => self.router.on_pong(&incarnation),
             Datagram::LimitAsk(asks) => self.router.on_limit_ask(from.ip(), &asks),
             Datagram::LimitGrant(grants) => self.router.on_limit_grant(from.ip(), &grants),
             Datagram::Subscribe(_)
             | Datagram::LongPrompt(_)
             | Datagram::StatusRequest(_)
             | Datagram::StreamNoted(_)
+            | Datagram::Ping(_)
             | Datagram::Turn(_) => {
                 log::debug!("ignored a datagram that is not meant for a router");
             }
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod body_memory;
 mod caller;
+mod confirmation;
 mod connect;
 mod crashes;
 mod in_flight;
@@ -63,6 +64,8 @@
     refusals_changed: event_listener::Event,
     /// Notified when an agent sent a status report.
     pub(crate) status_received: event_listener::Event,
+    /// Notified when a runner or its agent sent anything.
+    runner_heard: event_listener::Event,
     /// Notified when another router has answered a question for units of a team's limit.
     units_received: event_listener::Event,
     /// Units lent of all teams with a limit, as of the last tick.
@@ -106,6 +109,7 @@
             origin_received: event_listener::Event::new(),
             refusals_changed: event_listener::Event::new(),
             status_received: event_listener::Event::new(),
+            runner_heard: event_listener::Event::new(),
             units_received: event_listener::Event::new(),
             units_lent: cell::Cell::new(0),
             agents_listed: event_listener::Event::new(),
--- a/crates/lentil_forward/src/router/pick.rs
+++ b/crates/lentil_forward/src/router/pick.rs
@@ -5,10 +5,13 @@
 use lentil_policy::forward::{admission, placement, runners, scheduler};
 use lentil_types::{Instant, RunnerName};
 
-use super::{Router, plan::Plan};
+use super::{Router, confirmation, plan::Plan};
 
 /// Shortest pause of a waiting request that is not notified of changes.
 const RECHECK_INTERVAL: time::Duration = time::Duration::from_millis(40);
+/// Runners that are asked in vain whether they respond before one of them is used all the
+/// same: agents may be cut off where runners are not.
+const MAX_UNANSWERED: usize = 4;
 
 /// Chooses a runner. While none can take requests, as during a weights update, the
 /// request waits a short time; a long prompt is queued while all runners have
@@ -29,6 +32,13 @@
     let mut queued: Option<QueueTicket> = None;
     let mut last_asked = None;
     let mut has_waited = false;
+    let mut unanswered: Vec<RunnerName> = Vec::new();
+    let runs_once = !plan.route.repeat.is_repeatable();
+    if runs_once {
+        let now = router.now();
+        let mut state = router.state();
+        state.runners_mut().on_once_request(now, &plan.service);
+    }
     let is_long = plan.model.is_some() && plan.tokens() >= runners::LONG_PROMPT;
     if is_long && only_runner.is_none() && is_fair(router) {
         // It must not overtake those that wait.
@@ -44,20 +54,36 @@
         if is_first && has_waited && queued.is_some() {
             smol::Timer::after(router.jitter(router.settings.queue_jitter)).await;
         }
+        let excluded = [exclude, &unanswered].concat();
         let end = match is_first {
             true if is_long && only_runner.is_none() => {
                 if router.may_ask(last_asked) {
                     last_asked = Some(router.now());
-                    router.choose_refreshed(plan, exclude).await
+                    router.choose_refreshed(plan, &excluded).await
                 } else {
-                    choose_between_asks(router, plan, exclude)
+                    choose_between_asks(router, plan, &excluded)
                 }
             }
-            true => router.choose(plan, exclude, only_runner),
+            true => router.choose(plan, &excluded, only_runner),
             false => Err(placement::Refusal::Busy {
                 wait: time::Duration::ZERO,
             }),
         };
+        let end = match end {
+            Ok(choice) if runs_once && unanswered.len() < MAX_UNANSWERED => {
+                if !confirmation::responds(router, &choice.incarnation).await {
+                    unanswered.push(choice.incarnation.name);
+                    continue;
+                }
+                Ok(choice)
+            }
+            Err(placement::Refusal::NoRunner) if !unanswered.is_empty() => {
+                // None answers; the one that was heard last is the most likely to respond.
+                let last_heard = confirmation::last_heard(router, &unanswered);
+                router.choose(plan, exclude, last_heard.as_ref())
+            }
+            end => end,
+        };
         let mut pause = RECHECK_INTERVAL;
         match end {
             Err(placement::Refusal::NoRunner) if router.now() < wait_until => {}
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -302,6 +302,15 @@
         let now = self.now();
         let was_unresponsive = self.state().runners_mut().on_heard(now, incarnation);
         self.log_recovery(incarnation, was_unresponsive);
+        self.runner_heard.notify(usize::MAX);
+    }
+
+    /// The agent of a runner answered a ping.
+    pub(crate) fn on_pong(&self, incarnation: &runners::Incarnation) {
+        let now = self.now();
+        let was_unresponsive = self.state().runners_mut().on_answer(now, incarnation);
+        self.log_recovery(incarnation, was_unresponsive);
+        self.runner_heard.notify(usize::MAX);
     }
 
     /// An unresponsive runner answered a probe.
@@ -466,6 +475,7 @@
         drop(state);
         self.log_recovery(&incarnation, was_unresponsive);
         self.status_received.notify(usize::MAX);
+        self.runner_heard.notify(usize::MAX);
         let is_same =
             |(was_changing, old): &(bool, _)| *was_changing == changing && *old == weights;
         let has_new_weights = is_known && !previous.as_ref().is_some_and(is_same);
--- a/crates/lentil_forward/tests/messages.rs
+++ b/crates/lentil_forward/tests/messages.rs
@@ -156,6 +156,8 @@
         }),
         Datagram::LimitAsk(vec![limit_ask(1), limit_ask(u64::MAX)]),
         Datagram::LimitGrant(vec![limit_grant(1), limit_grant(u64::MAX)]),
+        Datagram::Ping(incarnation()),
+        Datagram::Pong(incarnation()),
     ]
 }
 
@@ -243,10 +245,12 @@
         "segment-refused",
         "limit-ask",
         "limit-grant",
+        "ping",
+        "pong",
     ];
     assert_eq!(names, expected);
     let numbers: Vec<_> = kinds.iter().map(|(_, number)| *number).collect();
-    assert!(numbers.iter().copied().eq(0..20));
+    assert!(numbers.iter().copied().eq(0..22));
 }
 
 #[test]
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -6,6 +6,7 @@
 mod liveness;
 mod runner;
 mod segments;
+mod trust;
 
 use std::time;
 
@@ -114,6 +115,8 @@
     is_restored: bool,
     /// Paces of the services for which they are learned.
     paces: Table<ServiceName, pace::ServiceState>,
+    /// Rates of the requests to each service that may run once.
+    once_rates: Table<ServiceName, trust::OnceRate>,
 }
 
 /// Most runners kept that are not registered any more.
@@ -131,6 +134,7 @@
             software: SoftwareHistory::default(),
             is_restored: false,
             paces: Table::new(),
+            once_rates: Table::new(),
         }
     }
 
@@ -614,6 +618,57 @@
         }
     }
 
+    /// A request that may run once is to be sent to a runner of a service.
+    pub fn on_once_request(&mut self, now: Instant, service: &ServiceName) {
+        let new_rate = trust::OnceRate::default;
+        self.once_rates
+            .get_or_insert_with(service.clone(), new_rate)
+            .on_request(now);
+    }
+
+    /// Whether a runner's agent is to be asked before the runner is sent a request that may
+    /// run once. A runner that has just frozen would not be known as such, and all routers
+    /// together would send it more than [`LivenessSettings::max_unheard`].
+    pub fn needs_confirmation(&self, now: Instant, incarnation: &Incarnation) -> bool {
+        let settings = &self.settings.liveness;
+        let runner = self.get(incarnation).filter(|runner| runner.is_checked());
+        let Some(runner) = runner else {
+            return false;
+        };
+        let service = &runner.registration.service;
+        let rate = self.once_rates.get(service);
+        let rate = rate.map_or(0.0, |rate| rate.per_second(now));
+        let routers = self.share.routers.unwrap_or(1);
+        let members = self.table.values().filter(|other| other.is_member(service));
+        let trust = trust::trust(settings.max_unheard, rate, routers, members.count());
+        runner.liveness.needs_confirmation(now, settings, trust)
+    }
+
+    /// A runner's agent is to be asked before a request is sent. Returns whether the
+    /// question is to be sent: one that has no answer yet is not repeated here.
+    pub fn on_question(&mut self, now: Instant, incarnation: &Incarnation) -> bool {
+        let runner = self.get_mut(incarnation);
+        runner.is_some_and(|runner| runner.liveness.on_question(now))
+    }
+
+    /// Longest wait for the answer to a question before another runner is chosen.
+    pub fn confirmation_wait(&self, incarnation: &Incarnation) -> time::Duration {
+        let settings = &self.settings.liveness;
+        let runner = self.get(incarnation);
+        runner.map_or(settings.confirmation_range.0, |runner| {
+            runner.liveness.confirmation_wait(settings)
+        })
+    }
+
+    /// A runner's agent answered the question. Returns whether the runner was unresponsive.
+    pub fn on_answer(&mut self, now: Instant, incarnation: &Incarnation) -> bool {
+        let settings = self.settings.liveness;
+        if let Some(runner) = self.get_mut(incarnation) {
+            runner.liveness.on_status(now, &settings);
+        }
+        self.on_heard(now, incarnation)
+    }
+
     /// A runner or its agent sent something. Returns whether it was unresponsive.
     pub fn on_heard(&mut self, now: Instant, incarnation: &Incarnation) -> bool {
         let settings = self.settings.liveness;
--- a/crates/lentil_policy/src/forward/runners/liveness.rs
+++ b/crates/lentil_policy/src/forward/runners/liveness.rs
@@ -26,6 +26,11 @@
     pub max_answer: time::Duration,
     /// Interval between checks of an unresponsive runner.
     pub probe_interval: time::Duration,
+    /// Requests that all routers together may be expected to send to a runner since it was
+    /// last heard. Beyond them its agent is asked before each request that may run once.
+    pub max_unheard: f64,
+    /// Shortest and longest wait for that answer. Another runner is chosen after it.
+    pub confirmation_range: (time::Duration, time::Duration),
 }
 
 impl Default for LivenessSettings {
@@ -37,6 +42,11 @@
             min_answer: time::Duration::from_millis(40),
             max_answer: time::Duration::from_millis(500),
             probe_interval: time::Duration::from_millis(500),
+            max_unheard: 0.3,
+            confirmation_range: (
+                time::Duration::from_millis(12),
+                time::Duration::from_millis(40),
+            ),
         }
     }
 }
@@ -70,6 +80,8 @@
     probe_answered: Option<Instant>,
     /// Since when it owes an answer to a request or a question.
     owed_since: Option<Instant>,
+    /// Requests sent to it since it was heard.
+    sent_unheard: u32,
     /// Time that its agent takes to answer; kept over everything else. `None` before the
     /// first answer.
     answer_time: Option<time::Duration>,
@@ -88,6 +100,7 @@
             heard_at: now,
             probe_answered: None,
             owed_since: None,
+            sent_unheard: 0,
             answer_time: None,
             asked: None,
             probed_at: None,
@@ -99,6 +112,44 @@
     /// A request was sent to it.
     pub(super) fn on_sent(&mut self, now: Instant) {
         self.owed_since.get_or_insert(now);
+        self.sent_unheard += 1;
+    }
+
+    /// Whether its agent is to be asked before it gets a request that may run once: it has
+    /// had another since it was heard, or was not heard for `trust`. Not where silence is
+    /// noticed sooner, or only the agent has stopped.
+    pub(super) fn needs_confirmation(
+        &self,
+        now: Instant,
+        settings: &LivenessSettings,
+        trust: time::Duration,
+    ) -> bool {
+        let is_noticed_sooner = trust >= settings.ask_after + self.answer_limit(settings);
+        if is_noticed_sooner || self.is_trusted(now, settings) {
+            return false;
+        }
+        self.sent_unheard > 0 || now.since(self.heard_at) > trust
+    }
+
+    /// Its agent is to be asked before a request is sent. Returns whether it was not asked
+    /// already.
+    pub(super) fn on_question(&mut self, now: Instant) -> bool {
+        let is_new = self.asked.is_none();
+        self.owed_since.get_or_insert(now);
+        self.asked.get_or_insert((now, now));
+        is_new
+    }
+
+    /// Longest wait for its agent's answer before another runner is chosen.
+    pub(super) fn confirmation_wait(&self, settings: &LivenessSettings) -> time::Duration {
+        let (min, max) = settings.confirmation_range;
+        (self.answer_time.unwrap_or_default() * 2).clamp(min, max)
+    }
+
+    /// Whether it has answered a probe lately: only its agent has stopped.
+    fn is_trusted(&self, now: Instant, settings: &LivenessSettings) -> bool {
+        let is_recent = |answered: Instant| now.since(answered) < settings.probe_interval;
+        self.probe_answered.is_some_and(is_recent)
     }
 
     /// It or its agent sent something. `is_busy`: it still has requests.
@@ -110,8 +161,8 @@
         };
     }
 
-    /// Its agent sent a status; [`Self::on_heard`] follows. Answers are learned from:
-    /// longer ones at once, shorter ones slowly, since a status may not be the answer.
+    /// Its agent sent a status or answered; [`Self::on_heard`] follows. Answers are learned
+    /// from: longer ones at once, shorter ones slowly, since a status may not be the answer.
     pub(super) fn on_status(&mut self, now: Instant, settings: &LivenessSettings) {
         let Some((asked_at, _)) = self.asked else {
             return;
@@ -239,8 +290,7 @@
         settings: &LivenessSettings,
         reported_at: Option<Instant>,
     ) -> bool {
-        let is_trusted = |answered: Instant| now.since(answered) < settings.probe_interval;
-        if self.probe_answered.is_some_and(is_trusted) {
+        if self.is_trusted(now, settings) {
             return false;
         }
         if let Some((_, last)) = self.asked {
--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -2,7 +2,7 @@
 
 use lentil_policy::forward::runners::{
     ChangeKind, HealthSignal, Incarnation, LivenessAction, Registration, RequestCost, Runners,
-    SaltHash, SegmentId, SegmentKey, Settings, Status, salt,
+    SaltHash, SegmentId, SegmentKey, Settings, Share, Status, salt,
 };
 use lentil_types::{Instant, ServiceName, SoftwareVersion, Tokens, WeightsVersion};
 use rstest::rstest;
@@ -419,6 +419,12 @@
     const PATIENCE_MS: u64 = 2_000;
     let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
     let mut tables: Vec<_> = (0..routers).map(|_| runners(&RUNNERS)).collect();
+    for (rank, table) in tables.iter_mut().enumerate() {
+        table.set_share(Share {
+            routers: Some(routers),
+            rank,
+        });
+    }
     let frozen = incarnation("a", 1);
     let freeze = rng.random_range(1_000..1_100);
     let (mut sent, mut last_sent) = (0, 0);
@@ -435,8 +441,9 @@
         }
         if rng.random_range(0..1_000) < requests_per_second {
             let router = rng.random_range(0..routers);
-            let candidates = usable(&tables[router], at(ms));
-            let name = candidates[rng.random_range(0..candidates.len())].clone();
+            let responds = |name: &str| name != "a" || ms < freeze;
+            let pick = |among: &[String]| among[rng.random_range(0..among.len())].clone();
+            let name = confirmed(&mut tables[router], at(ms), responds, pick);
             let is_lost = name == "a" && ms >= freeze;
             if is_lost {
                 (sent, last_sent) = (sent + 1, ms - freeze);
@@ -487,6 +494,38 @@
     (sent, last_sent)
 }
 
+/// Chooses a runner for a request that may run once as a router does: it asks the agent of a
+/// runner that may have frozen, and chooses another one if there is no answer.
+fn confirmed(
+    runners: &mut Runners,
+    now: Instant,
+    responds: impl Fn(&str) -> bool,
+    mut pick: impl FnMut(&[String]) -> String,
+) -> String {
+    runners.on_once_request(now, &service());
+    let mut candidates = usable(runners, now);
+    let is_asked = |name: &String| {
+        let runner = runners.get(&incarnation(name, 1));
+        runner.is_some_and(|runner| runner.is_being_checked())
+    };
+    if !candidates.iter().all(is_asked) {
+        candidates.retain(|name| !is_asked(name));
+    }
+    loop {
+        let name = pick(&candidates);
+        let runner = incarnation(&name, 1);
+        if !runners.needs_confirmation(now, &runner) {
+            return name;
+        }
+        runners.on_question(now, &runner);
+        if responds(&name) {
+            runners.on_answer(now, &runner);
+            return name;
+        }
+        candidates.retain(|other| *other != name);
+    }
+}
+
 /// The operators count more than a few requests that reach a runner after their callers
 /// have left. The traffic of nine runners, as in a deployment of five routers on two days
 /// and in one of 103 routers.
@@ -504,6 +543,43 @@
     let most = plays.iter().map(|(sent, _)| *sent).max().unwrap();
     let mean = f64::from(sum) / plays.len() as f64;
     assert!(mean <= 3.0, "{mean} on average, {most} at most");
+    assert!(most <= 3, "{most} of all routers together");
+}
+
+/// At the size to design for, silence is noticed before a runner has had another request.
+#[test]
+fn agents_are_not_asked_for_each_request_where_runners_get_few() {
+    let names: Vec<_> = (0..40).map(|number| format!("r{number}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let mut runners = runners(&names);
+    runners.set_share(Share {
+        routers: Some(20),
+        rank: 0,
+    });
+    // Three requests a second for each runner, of all routers.
+    for number in 0..60 {
+        let now = at(10_000 + number * 167);
+        runners.on_once_request(now, &service());
+        let name = names[(number * 7 % 40) as usize];
+        assert!(!runners.needs_confirmation(now, &incarnation(name, 1)));
+        send(&mut runners, name, now);
+    }
+}
+
+/// A runner without an agent would be asked in vain before each request.
+#[test]
+fn a_runner_that_answers_probes_is_not_asked_for_each_request() {
+    let mut runners = runners(&["a", "b"]);
+    let a = incarnation("a", 1);
+    for ms in 0..200 {
+        runners.on_once_request(at(ms), &service());
+    }
+    assert!(runners.needs_confirmation(at(200), &a));
+    assert!(runners.on_question(at(200), &a));
+    assert!(!runners.on_question(at(201), &a), "one question at a time");
+    assert!(due(&mut runners, at(260)).contains(&("a".to_owned(), LivenessAction::Probe)));
+    runners.on_probe_answered(at(262), &a);
+    assert!(!runners.needs_confirmation(at(300), &a));
 }
 
 /// An older copy of the store shows a runner as ready that is leaving. The same
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -100,6 +100,10 @@
     Orders,
     /// Status queries to agents.
     AgentsAsked,
+    /// Runners asked whether they respond before a request that may run once was sent.
+    RunnersPinged,
+    /// Those of them that did not answer in time, so that another one was chosen.
+    PingsUnanswered,
     /// Runners found unresponsive: they owed an answer, and neither they nor their
     /// agents sent anything.
     RunnersUnresponsive,
