Let callers that take a stream up go before new requests

Cause: after all routers are back the queue fills with new requests, which have all their time left; a caller that comes back has less, and is predicted to be too late behind them. Class: an order that ignores what a caller has invested. The fair order has a class for returning callers; the order by arrival had none. Now both have, and taking a stream up is returning.

The reference model of the tests has the new order; the new test failed without it.

--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -50,7 +50,8 @@
     pub(super) attempt_log: rc::Rc<cell::RefCell<attempt_log::AttemptLog>>,
     /// Whether an answer is being written.
     pub(super) is_answering: cell::Cell<bool>,
-    /// Whether the caller comes back after a refusal, as it was told to.
+    /// Whether the caller comes back: after a refusal, as it was told to, or for the rest of
+    /// a stream that broke off.
     pub(super) returns: cell::Cell<bool>,
     /// Whether the request tries a refused segment.
     pub(super) is_trial: cell::Cell<bool>,
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -131,11 +131,12 @@
     finish(router, &plan, &progress, answer, end).await;
 }
 
-/// Notes whether the caller comes back after a refusal, as it was told to.
+/// Notes whether the caller comes back: after a refusal, as it was told to, or for the rest
+/// of a stream that broke off.
 fn note_return(router: &Router, plan: &Plan) {
     let mut state = router.state();
     let returns = state.refused.on_request(plan.received, plan.fingerprint);
-    plan.returns.set(returns);
+    plan.returns.set(returns || plan.resumes.is_some());
 }
 
 /// Why and how a request is answered without being sent to any runner.
--- a/crates/lentil_policy/src/forward/scheduler.rs
+++ b/crates/lentil_policy/src/forward/scheduler.rs
@@ -49,7 +49,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Order {
-    /// Rank, then whether the request is late, then arrival.
+    /// Rank, then returning callers, then whether the request is late, then arrival.
     Arrival,
     /// Rank, then fair between teams in tokens, then within a team returning callers,
     /// the earliest deadline and late requests, with ageing.
@@ -73,7 +73,8 @@
     pub due: Instant,
     /// When it stops waiting for a runner.
     pub expires: Instant,
-    /// Whether the caller comes back after a refusal, as it was told to.
+    /// Whether the caller comes back: after a refusal, as it was told to, or for the rest of
+    /// a stream that broke off.
     pub returns: bool,
 }
 
--- a/crates/lentil_policy/src/forward/scheduler/arrival.rs
+++ b/crates/lentil_policy/src/forward/scheduler/arrival.rs
@@ -1,4 +1,4 @@
-//! Order by rank, lateness and arrival.
+//! Order by rank, returning callers, lateness and arrival.
 
 use std::collections;
 
@@ -6,10 +6,22 @@
 
 use super::{Ahead, Entries, Ticket, Waiting, sum_tree::SumTree};
 
-type Key = (u8, bool, Instant, Ticket);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    Returning,
+    OnTime,
+    Late,
+}
+
+type Key = (u8, Class, Instant, Ticket);
 
 fn key(ticket: Ticket, waiting: &Waiting, is_late: bool) -> Key {
-    (waiting.rank, is_late, waiting.arrived, ticket)
+    let class = match (waiting.returns, is_late) {
+        (true, _) => Class::Returning,
+        (false, false) => Class::OnTime,
+        (false, true) => Class::Late,
+    };
+    (waiting.rank, class, waiting.arrived, ticket)
 }
 
 /// The waiting requests of one service.
@@ -60,9 +72,11 @@
 
     /// Requests ahead of one that would arrive now and is not late.
     pub(super) fn ahead_of_new(&self, now: Instant, ticket: Ticket, waiting: &Waiting) -> Ahead {
-        self.order
-            .before(&(waiting.rank, false, now, ticket))
-            .into()
+        let new = Waiting {
+            arrived: now,
+            ..waiting.clone()
+        };
+        self.order.before(&key(ticket, &new, false)).into()
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/lentil_policy/tests/forward_scheduler.rs
+++ b/crates/lentil_policy/tests/forward_scheduler.rs
@@ -214,6 +214,25 @@
     assert_eq!(send_all(&mut queue, at(500), &tickets), [4, 3, 2, 1, 0]);
 }
 
+/// Guards against streams that broke off and are refused because new requests, which have all
+/// their time left, fill the queue first.
+#[test]
+fn callers_that_take_a_stream_up_go_before_new_requests() {
+    let mut queue = Scheduler::new(Settings::default());
+    for number in 0..20 {
+        queue.enqueue(at(number), request(1, "a", number)).unwrap();
+    }
+    let take_up = Waiting {
+        returns: true,
+        ..request(1, "a", 30)
+    };
+    assert_eq!(queue.ahead_of_new(at(30), &take_up).requests, 0);
+    let ticket = queue.enqueue(at(30), take_up).unwrap();
+    assert!(queue.is_first(at(30), ticket));
+    let urgent = queue.enqueue(at(31), request(0, "a", 31)).unwrap();
+    assert!(queue.is_first(at(31), urgent), "rank comes first");
+}
+
 /// Guards against starvation: requests that are late from the start, of lower ranks and
 /// of any size are passed over only a bounded number of times, and ageing costs others
 /// no more than one turn in sixteen.
@@ -459,7 +478,12 @@
             .filter(|(_, row)| row.service == *service)
             .collect();
         if self.settings.order == Order::Arrival {
-            rows.sort_by_key(|(ticket, row)| (row.rank, now > row.due, row.arrived, *ticket));
+            let class = |row: &Waiting| match (row.returns, now > row.due) {
+                (true, _) => 0,
+                (false, false) => 1,
+                (false, true) => 2,
+            };
+            rows.sort_by_key(|(ticket, row)| (row.rank, class(row), row.arrived, *ticket));
             return rows.into_iter().map(|(ticket, _)| *ticket).collect();
         }
         rows.sort_by_key(|row| Self::own_key(now, row));
