Keep at agents where streams began, and ask again

After all routers were killed, streams were refused though runners of their version were there, and one was joined from two versions with status 200.

Causes: agents remembered the runner of a stream and not its software. A router that starts later resolves the runner by its own registrations: one that has left is unknown (refused), and one that has restarted with other software under its name and boot is taken for what it is now (joined). Only the agent beside the runner knew, so it was lost with its instance, and only if several versions served when the stream began. The question was sent once. Class: a fact kept as a reference that is resolved later.

Now a router tells the agent beside the runner and one other by rendezvous hash (two while several versions serve) the service and version themselves. A router that does not know a stream asks the other routers and the agents that its hash names, then all, every 40 ms for 300 ms.

--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -12,7 +12,7 @@
 use super::{OrderReply, Runner, Settings};
 use crate::{
     cache,
-    datagram::{Datagram, Loaded, StatusReport, StreamRun, Subscribe, Turn},
+    datagram::{Datagram, Loaded, StatusReport, StreamOrigin, StreamRun, Subscribe, Turn},
     datagram_socket::DatagramSocket,
 };
 
@@ -57,6 +57,8 @@
     silence: silence_watch::SilenceWatch,
     /// Requests that the runner has run and that made events.
     streams: stream_origins::RecentStreams<runners::Incarnation>,
+    /// Where streams began, as routers told: also those of other runners.
+    origins: stream_origins::RecentStreams<stream_origins::Origin>,
 }
 
 impl State {
@@ -120,6 +122,7 @@
             backlog: backlog::Backlog::default(),
             silence: silence_watch::SilenceWatch::new(settings.silence),
             streams: stream_origins::RecentStreams::default(),
+            origins: stream_origins::RecentStreams::default(),
         };
         Ok(rc::Rc::new(Self {
             settings,
@@ -153,6 +156,7 @@
                     self.on_stream_query(from, stream).await;
                 }
                 (_, Datagram::StreamNoted(run)) => self.on_stream_noted(run),
+                (_, Datagram::StreamKept(origin)) => self.on_stream_kept(origin),
                 (
                     from,
                     Datagram::StatusReport(_)
@@ -311,16 +315,31 @@
         state.note_stream(now, run.stream, run.incarnation, retention);
     }
 
-    /// Answers a router whose caller takes a stream up again, if the runner began it.
+    fn on_stream_kept(&self, kept: StreamOrigin) {
+        let now = self.clock.now();
+        let retention = self.settings.stream_retention;
+        let mut state = self.state.borrow_mut();
+        state.origins.note(now, kept.stream, kept.origin, retention);
+    }
+
+    /// Answers a router whose caller takes a stream up again, if the agent knows where it
+    /// began.
     async fn on_stream_query(&self, from: net::SocketAddr, stream: backlog::RequestHash) {
         let now = self.clock.now();
-        let incarnation = self.state.borrow().streams.get(now, stream).cloned();
-        if let Some(incarnation) = incarnation {
-            let run = StreamRun {
-                stream,
-                incarnation,
-            };
-            self.socket.send(&[from], Datagram::StreamSeen(run)).await;
+        let known = {
+            let state = self.state.borrow();
+            let told = state.origins.get(now, stream).cloned();
+            let told = told.map(|origin| Datagram::StreamOrigin(StreamOrigin { stream, origin }));
+            told.or_else(|| {
+                let incarnation = state.streams.get(now, stream)?.clone();
+                Some(Datagram::StreamSeen(StreamRun {
+                    stream,
+                    incarnation,
+                }))
+            })
+        };
+        if let Some(known) = known {
+            self.socket.send(&[from], known).await;
         }
     }
 
--- a/crates/lentil_forward/src/datagram.rs
+++ b/crates/lentil_forward/src/datagram.rs
@@ -139,7 +139,7 @@
     pub version: ObjectVersion,
 }
 
-/// A router has passed on events of a stream.
+/// Where a stream began of which a router has passed on events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamOrigin {
     /// The stream.
@@ -188,11 +188,12 @@
     DocumentChanged(DocumentNotice),
     /// From a router to the others and to agents: asks where a stream began.
     StreamQuery(backlog::RequestHash),
-    /// Answer of a router to a [`Self::StreamQuery`].
+    /// Answer to a [`Self::StreamQuery`] of a router, or of an agent that a router told.
     StreamOrigin(StreamOrigin),
-    /// Answer of an agent to a [`Self::StreamQuery`].
+    /// Answer to a [`Self::StreamQuery`] of an agent whose runner's report has shown the
+    /// stream.
     StreamSeen(StreamRun),
-    /// From a router to the agent of the runner that has begun a stream.
+    /// From a router of an older version to the agent of the runner that has begun a stream.
     StreamNoted(StreamRun),
     /// From a router to every other.
     CrashEvidence(CrashEvidence),
@@ -213,6 +214,9 @@
     Ping(runners::Incarnation),
     /// Answer to a [`Self::Ping`].
     Pong(runners::Incarnation),
+    /// From a router to agents, which remember it in case all routers are gone when the
+    /// stream's caller comes back.
+    StreamKept(StreamOrigin),
 }
 
 /// A datagram that cannot be decoded or encoded.
@@ -263,6 +267,11 @@
                 service: origin.origin.service.to_string(),
                 software: origin.origin.software.to_string(),
             }),
+            Self::StreamKept(origin) => generated::Body::StreamKept(generated::StreamKept {
+                stream: origin.stream.0,
+                service: origin.origin.service.to_string(),
+                software: origin.origin.software.to_string(),
+            }),
             Self::StreamSeen(run) => generated::Body::StreamSeen(generated::StreamSeen {
                 stream: run.stream.0,
                 runner: run.incarnation.name.to_string(),
@@ -339,14 +348,12 @@
             generated::Body::StreamAsked(asked) => {
                 Self::StreamQuery(backlog::RequestHash(asked.stream))
             }
-            generated::Body::StreamBegun(begun) => Self::StreamOrigin(StreamOrigin {
-                stream: backlog::RequestHash(begun.stream),
-                origin: stream_origins::Origin {
-                    service: ServiceName::new(&begun.service)
-                        .map_err(|_| DatagramError::Field("service"))?,
-                    software: SoftwareVersion(begun.software.into()),
-                },
-            }),
+            generated::Body::StreamBegun(begun) => {
+                Self::StreamOrigin(stream_origin(begun.stream, &begun.service, begun.software)?)
+            }
+            generated::Body::StreamKept(kept) => {
+                Self::StreamKept(stream_origin(kept.stream, &kept.service, kept.software)?)
+            }
             generated::Body::StreamSeen(seen) => Self::StreamSeen(StreamRun {
                 stream: backlog::RequestHash(seen.stream),
                 incarnation: incarnation(&seen.runner, seen.born)?,
@@ -673,6 +680,20 @@
     }
 }
 
+fn stream_origin(
+    stream: u64,
+    service: &str,
+    software: String,
+) -> Result<StreamOrigin, DatagramError> {
+    Ok(StreamOrigin {
+        stream: backlog::RequestHash(stream),
+        origin: stream_origins::Origin {
+            service: ServiceName::new(service).map_err(|_| DatagramError::Field("service"))?,
+            software: SoftwareVersion(software.into()),
+        },
+    })
+}
+
 fn segment_age(part: u64, age_ms: u32) -> SegmentAge {
     SegmentAge {
         segment: runners::SegmentId(part),
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -196,6 +196,7 @@
             | Datagram::LongPrompt(_)
             | Datagram::StatusRequest(_)
             | Datagram::StreamNoted(_)
+            | Datagram::StreamKept(_)
             | Datagram::Ping(_)
             | Datagram::Turn(_) => {
                 log::debug!("ignored a datagram that is not meant for a router");
--- a/crates/lentil_forward/src/router/settings.rs
+++ b/crates/lentil_forward/src/router/settings.rs
@@ -70,6 +70,11 @@
     /// Wait for the agent's answer before its runner counts as silent: a few
     /// milliseconds, plus delay on a busy instance.
     pub probe_timeout: time::Duration,
+    /// Longest wait for an answer to the question where a stream began that is taken up.
+    /// Then the request is refused.
+    pub origin_wait: time::Duration,
+    /// Interval at which the question is repeated.
+    pub origin_interval: time::Duration,
     /// A stream without bytes for this multiple of the route's `max_gap` is resumed at
     /// another runner, if the route allows it.
     pub stall_factor: f64,
@@ -128,6 +133,8 @@
                 time::Duration::from_millis(1_000),
             ),
             probe_timeout: time::Duration::from_millis(100),
+            origin_wait: time::Duration::from_millis(300),
+            origin_interval: time::Duration::from_millis(40),
             stall_factor: 4.0,
             answer_bytes: 4 << 20,
             answer_margin: time::Duration::from_millis(40),
--- a/crates/lentil_forward/src/router/stream_origin.rs
+++ b/crates/lentil_forward/src/router/stream_origin.rs
@@ -22,6 +22,12 @@
 /// How long streams of a route are remembered, as a multiple of its timeout: a caller that
 /// takes one up may have waited as long for it already.
 const RETENTION_TIMEOUTS: u32 = 2;
+/// Agents that keep where a stream began, besides that of its runner: while a single version
+/// serves, and while several do, since runners of the old one leave.
+const KEEPERS: (usize, usize) = (1, 2);
+/// Agents that are asked first: more than keep a stream, since runners may have come or
+/// left since.
+const KEEPERS_ASKED: usize = 4;
 
 fn retention(plan: &Plan) -> time::Duration {
     plan.route.timeout.saturating_mul(RETENTION_TIMEOUTS)
@@ -69,22 +75,31 @@
     })
 }
 
-/// Asks the other routers and the agents of the route's services.
+/// Asks the other routers and those agents that should know, then all agents of the route's
+/// services, again and again: datagrams may be lost, and after a start of all routers
+/// everything is slow.
 async fn ask(router: &rc::Rc<Router>, plan: &Plan) -> Option<Origin> {
     let stream = plan.stream();
     let lookup = Lookup::start(router.clone(), stream);
-    let targets = plan.route.targets.iter();
-    let agents = targets.map(|target| Recipient::AgentsOf(target.service.clone()));
-    for recipient in std::iter::once(Recipient::Routers).chain(agents) {
-        router.outbox.put(recipient, Datagram::StreamQuery(stream));
-    }
     let settings = &router.settings;
     let time_left = plan.time_to_start(router.now(), settings.answer_margin);
-    let first = lookup.wait_until(OriginLookup::has_answer);
-    within(settings.probe_timeout.min(time_left), first).await;
+    let ask_until = router.now() + settings.origin_wait.min(time_left);
+    put_query(router, plan, &keepers(router, plan));
+    loop {
+        let wait = ask_until.since(router.now()).min(settings.origin_interval);
+        within(wait, lookup.wait_until(OriginLookup::has_answer)).await;
+        if lookup.has_answer() || router.now() >= ask_until {
+            break;
+        }
+        let targets = plan.route.targets.iter();
+        let agents = targets.map(|target| Recipient::AgentsOf(target.service.clone()));
+        put_query(router, plan, &agents.collect::<Vec<_>>());
+    }
     // Agents of several versions may answer, and a router knows better.
     let confirmed = lookup.wait_until(OriginLookup::is_confirmed);
-    within(settings.ask_timeout, confirmed).await;
+    if lookup.has_answer() {
+        within(settings.ask_timeout, confirmed).await;
+    }
     let origin = lookup.origin();
     if origin.is_none() {
         log_unknown(router, plan);
@@ -92,6 +107,25 @@
     origin
 }
 
+fn put_query(router: &Router, plan: &Plan, agents: &[Recipient]) {
+    for recipient in std::iter::once(&Recipient::Routers).chain(agents) {
+        let query = Datagram::StreamQuery(plan.stream());
+        router.outbox.put(recipient.clone(), query);
+    }
+}
+
+/// The agents that should know where the stream began.
+fn keepers(router: &Router, plan: &Plan) -> Vec<Recipient> {
+    let state = router.state();
+    let targets = plan.route.targets.iter();
+    let keepers = targets.flat_map(|target| {
+        let runners = state.runners();
+        runners.stream_keepers(&target.service, plan.stream(), KEEPERS_ASKED)
+    });
+    let agents = keepers.map(|runner| Recipient::Agent(runner.registration.address.ip()));
+    agents.collect()
+}
+
 /// Logs that the question for a stream's origin had no answer that decides it.
 fn log_unknown(router: &Router, plan: &Plan) {
     let now = router.now();
@@ -151,6 +185,13 @@
         }
     }
 
+    fn has_answer(&self) -> bool {
+        let state = self.router.state();
+        let lookup = state.lookups.get(&self.stream);
+        // Another request that took up the same stream may have ended the question.
+        lookup.is_none_or(OriginLookup::has_answer)
+    }
+
     fn origin(&self) -> Option<Origin> {
         let lookup = self.router.state().lookups.get(&self.stream).cloned();
         let origin = lookup.and_then(OriginLookup::into_origin);
@@ -165,9 +206,8 @@
     }
 }
 
-/// Remembers where a stream began, before its caller gets the first event. While several
-/// versions serve, the agent of the runner remembers it too, in case this router is gone
-/// when the caller comes back.
+/// Remembers where a stream began, before its caller gets the first event. Agents remember
+/// it too, in case this router, or every router, is gone when the caller comes back.
 pub(super) fn note(router: &Router, plan: &Plan, choice: &placement::Choice) {
     plan.software.replace(Some(choice.software.clone()));
     if plan.route.repeat != routing::Repeat::Resumable {
@@ -180,18 +220,22 @@
         software: choice.software.clone(),
     };
     let mut state = router.state();
-    state.streams.note(now, stream, origin, retention);
-    let versions = state
-        .runners()
-        .recent_software(now, &plan.service, retention);
+    state.streams.note(now, stream, origin.clone(), retention);
+    let runners = state.runners();
+    let versions = runners.recent_software(now, &plan.service, retention);
     let is_ambiguous = versions.len() > 1 || plan.route.targets.len() > 1;
-    if is_ambiguous && choice.version.is_some() {
-        let run = StreamRun {
-            stream,
-            incarnation: choice.incarnation.clone(),
-        };
-        let agent = Recipient::Agent(choice.address.ip());
-        router.outbox.put(agent, Datagram::StreamNoted(run));
+    let count = if is_ambiguous { KEEPERS.1 } else { KEEPERS.0 };
+    let own = choice.address.ip();
+    let keepers = runners.stream_keepers(&plan.service, stream, count + 1);
+    let keepers = keepers
+        .into_iter()
+        .map(|runner| runner.registration.address.ip());
+    let others = keepers.filter(|keeper| *keeper != own).take(count);
+    let beside = choice.version.is_some().then_some(own);
+    for agent in beside.into_iter().chain(others) {
+        let origin = origin.clone();
+        let kept = Datagram::StreamKept(StreamOrigin { stream, origin });
+        router.outbox.put(Recipient::Agent(agent), kept);
     }
 }
 
@@ -202,7 +246,7 @@
         self.state().streams.get(now, stream).cloned()
     }
 
-    /// Another router knows where a stream began.
+    /// Another router, or an agent that a router told, knows where a stream began.
     pub(crate) fn on_stream_origin(&self, known: StreamOrigin) {
         if let Some(lookup) = self.state().lookups.get_mut(&known.stream) {
             lookup.on_router(known.origin);
--- a/crates/lentil_forward/tests/messages.rs
+++ b/crates/lentil_forward/tests/messages.rs
@@ -29,6 +29,16 @@
     }
 }
 
+fn stream_origin() -> StreamOrigin {
+    StreamOrigin {
+        stream: backlog::RequestHash(5),
+        origin: stream_origins::Origin {
+            service: "sort".parse().unwrap(),
+            software: "v1.1".parse().unwrap(),
+        },
+    }
+}
+
 fn segment_age() -> SegmentAge {
     SegmentAge {
         segment: SegmentId(7),
@@ -139,13 +149,7 @@
             version: ObjectVersion(3 << 40 | 17),
         }),
         Datagram::StreamQuery(backlog::RequestHash(u64::MAX)),
-        Datagram::StreamOrigin(StreamOrigin {
-            stream: backlog::RequestHash(5),
-            origin: stream_origins::Origin {
-                service: "sort".parse().unwrap(),
-                software: "v1.1".parse().unwrap(),
-            },
-        }),
+        Datagram::StreamOrigin(stream_origin()),
         Datagram::StreamSeen(StreamRun {
             stream: backlog::RequestHash(5),
             incarnation: incarnation(),
@@ -158,6 +162,7 @@
         Datagram::LimitGrant(vec![limit_grant(1), limit_grant(u64::MAX)]),
         Datagram::Ping(incarnation()),
         Datagram::Pong(incarnation()),
+        Datagram::StreamKept(stream_origin()),
     ]
 }
 
@@ -247,10 +252,11 @@
         "limit-grant",
         "ping",
         "pong",
+        "stream-kept",
     ];
     assert_eq!(names, expected);
     let numbers: Vec<_> = kinds.iter().map(|(_, number)| *number).collect();
-    assert!(numbers.iter().copied().eq(0..22));
+    assert!(numbers.iter().copied().eq(0..23));
 }
 
 #[test]
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -13,6 +13,7 @@
 use lentil_types::{Instant, RunnerName, ServiceName, SoftwareVersion, Table, Tokens};
 
 use crate::forward::{
+    backlog::RequestHash,
     lanes, pace,
     stream_origins::{Origin, SoftwareHistory},
 };
@@ -397,6 +398,32 @@
         registered.or_else(|| self.software.departed(incarnation).cloned())
     }
 
+    /// The `count` runners whose agents keep where a stream of the service began, best
+    /// first. Rendezvous hashing: a router that starts later finds most of them.
+    pub fn stream_keepers(
+        &self,
+        service: &ServiceName,
+        stream: RequestHash,
+        count: usize,
+    ) -> Vec<&Runner> {
+        let members = self.table.values();
+        let members = members.filter(|runner| runner.is_member(service) && runner.has_agent());
+        let scored = members.map(|runner| {
+            let name = runner.registration.incarnation.name.as_bytes();
+            (xxhash_rust::xxh3::xxh3_64_with_seed(name, stream.0), runner)
+        });
+        let mut scored: Vec<_> = scored.collect();
+        scored.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
+        scored.truncate(count);
+        scored.into_iter().map(|(_, runner)| runner).collect()
+    }
+
+    /// Whether a runner of a service that stays there has this software version.
+    pub fn has_software(&self, service: &ServiceName, software: &SoftwareVersion) -> bool {
+        let mut members = self.table.values().filter(|other| other.is_member(service));
+        members.any(|runner| runner.registration.software == *software)
+    }
+
     /// Software versions that runners of a service have had within `span`.
     pub fn recent_software(
         &self,
--- a/crates/lentil_policy/tests/forward_stream_origins.rs
+++ b/crates/lentil_policy/tests/forward_stream_origins.rs
@@ -7,7 +7,7 @@
     runners::{Incarnation, Registration, Runners, Settings},
     stream_origins::{Origin, OriginLookup, RecentStreams},
 };
-use lentil_types::{Instant, ServiceName, SoftwareVersion};
+use lentil_types::{Instant, ServiceName, SoftwareVersion, WeightsVersion};
 
 const SPAN: time::Duration = time::Duration::from_secs(6);
 
@@ -105,3 +105,64 @@
     assert!(lookup.is_confirmed());
     assert_eq!(lookup.into_origin(), Some(origin("v2")));
 }
+
+/// Guards against waits for a version whose runners leave: they take no more requests.
+#[test]
+fn a_version_is_there_until_all_its_runners_leave() {
+    let mut runners = Runners::new(Settings::default());
+    let has = |runners: &Runners, software| runners.has_software(&service(), &version(software));
+    runners.on_registration(at(0), registration("a", "v1"));
+    runners.on_registration(at(0), registration("bb", "v2"));
+    assert!(has(&runners, "v1"));
+    let leaving = Registration {
+        is_leaving: true,
+        ..registration("a", "v1")
+    };
+    runners.on_registration(at(1), leaving);
+    assert!(!has(&runners, "v1"));
+    assert!(has(&runners, "v2"));
+}
+
+/// Guards against a stream that no router finds again because runners came or left since it
+/// began.
+#[test]
+fn routers_that_know_different_runners_ask_one_that_keeps_the_stream() {
+    let mut before = Runners::new(Settings::default());
+    let mut after = Runners::new(Settings::default());
+    for number in 0..24 {
+        let registration = Registration {
+            weights: vec![("model".parse().unwrap(), WeightsVersion(1))],
+            ..registration(&format!("r{number:02}"), "v1")
+        };
+        // A third has left since, and as many have come.
+        if number < 16 {
+            before.on_registration(at(0), registration.clone());
+        }
+        if number >= 8 {
+            after.on_registration(at(0), registration);
+        }
+    }
+    let names = |runners: &Runners, stream, count| -> Vec<_> {
+        let keepers = runners.stream_keepers(&service(), stream, count);
+        let incarnations = keepers
+            .iter()
+            .map(|runner| &runner.registration.incarnation);
+        incarnations
+            .map(|incarnation| incarnation.name.clone())
+            .collect()
+    };
+    let mut missed = 0;
+    for number in 0..1_000 {
+        let stream = RequestHash(number);
+        let kept = names(&before, stream, 3);
+        assert_eq!(kept.len(), 3);
+        let asked = names(&after, stream, 4);
+        let is_there = |name| after.incarnation(name).is_some();
+        let is_kept = kept.iter().any(|name| is_there(name));
+        missed += u32::from(is_kept && !kept.iter().any(|name| asked.contains(name)));
+    }
+    assert!(
+        missed <= 50,
+        "{missed} of 1,000 streams are asked of all agents"
+    );
+}
