Refuse a stream at once when all runners of its version have left

A caller that takes a stream up waited half a second for a runner of its version before it was refused, also when none is registered that stays. That is known at once. What is refused is the same; runners that are busy, ejected or change weights are waited for as before.

--- a/crates/lentil_forward/src/router/pick.rs
+++ b/crates/lentil_forward/src/router/pick.rs
@@ -86,7 +86,8 @@
         };
         let mut pause = RECHECK_INTERVAL;
         match end {
-            Err(placement::Refusal::NoRunner) if router.now() < wait_until => {}
+            Err(placement::Refusal::NoRunner)
+                if router.now() < wait_until && may_get_runner(router, plan) => {}
             Err(placement::Refusal::Busy { wait }) => {
                 pause = pause.max(wait);
                 let limits = admission::Limits {
@@ -129,6 +130,15 @@
     }
 }
 
+/// Whether waiting may help: a stream that has begun is not continued once all runners of
+/// its software version leave.
+fn may_get_runner(router: &Router, plan: &Plan) -> bool {
+    let software = plan.software.borrow();
+    let state = router.state();
+    let mut versions = software.iter();
+    versions.all(|software| state.runners().has_software(&plan.service, software))
+}
+
 /// Expected time to the first byte at a runner that has room, as far as it matters: only
 /// where load is shed.
 fn first_byte(router: &Router, plan: &Plan) -> time::Duration {
