--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -413,8 +413,13 @@
             (xxhash_rust::xxh3::xxh3_64_with_seed(name, stream.0), runner)
         });
         let mut scored: Vec<_> = scored.collect();
-        scored.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
-        scored.truncate(count);
+        let best_first = |(score, _): &(u64, &Runner)| std::cmp::Reverse(*score);
+        if count < scored.len() {
+            // The rest of thousands need not be sorted for each stream.
+            scored.select_nth_unstable_by_key(count, best_first);
+            scored.truncate(count);
+        }
+        scored.sort_by_key(best_first);
         scored.into_iter().map(|(_, runner)| runner).collect()
     }
 
