Answer pings for any start of the runner

After a runner has restarted, routers ping its new incarnation, and its agent, which learns it with a router's next subscription (0.7 to 5 s), did not answer. Requests that may run once avoided the runner meanwhile and met at the others: under load, where a bad segment crashed runners, all of them went down again and again. A ping asks whether the instance goes on, so it is answered for any incarnation; a request that reaches another runner there is refused by its X-Expect-Instance.

--- a/crates/lentil_forward/src/agent/event_loop.rs
+++ b/crates/lentil_forward/src/agent/event_loop.rs
@@ -297,13 +297,12 @@
         }
     }
 
-    /// Answers a router that is about to send the runner a request.
+    /// Answers a router that is about to send the runner a request. For any incarnation: the
+    /// question is whether the instance goes on, and after a start routers know the new one
+    /// sooner than the agent, which is told with their subscriptions.
     async fn on_ping(&self, from: net::SocketAddr, incarnation: runners::Incarnation) {
-        let responds = {
-            let state = self.state.borrow();
-            state.incarnation.as_ref() == Some(&incarnation) && !state.silence.is_silent()
-        };
-        if responds {
+        let is_silent = self.state.borrow().silence.is_silent();
+        if !is_silent {
             self.socket.send(&[from], Datagram::Pong(incarnation)).await;
         }
     }
