Ping only agents that have been heard

Where a runner has no agent, or its agent never ran, each router pinged it in vain every half second, and avoided it meanwhile for requests that may run once. Only an agent that has reported a status is pinged now.

--- a/crates/lentil_policy/src/forward/runners/liveness.rs
+++ b/crates/lentil_policy/src/forward/runners/liveness.rs
@@ -82,6 +82,8 @@
     owed_since: Option<Instant>,
     /// Requests sent to it since it was heard.
     sent_unheard: u32,
+    /// Whether its agent has ever sent anything; kept over everything else.
+    has_reported: bool,
     /// Time that its agent takes to answer; kept over everything else. `None` before the
     /// first answer.
     answer_time: Option<time::Duration>,
@@ -101,6 +103,7 @@
             probe_answered: None,
             owed_since: None,
             sent_unheard: 0,
+            has_reported: false,
             answer_time: None,
             asked: None,
             probed_at: None,
@@ -117,7 +120,7 @@
 
     /// Whether its agent is to be asked before it gets a request that may run once: it has
     /// had another since it was heard, or was not heard for `trust`. Not where silence is
-    /// noticed sooner, or only the agent has stopped.
+    /// noticed sooner, there is no agent, or only the agent has stopped.
     pub(super) fn needs_confirmation(
         &self,
         now: Instant,
@@ -125,7 +128,7 @@
         trust: time::Duration,
     ) -> bool {
         let is_noticed_sooner = trust >= settings.ask_after + self.answer_limit(settings);
-        if is_noticed_sooner || self.is_trusted(now, settings) {
+        if is_noticed_sooner || !self.has_reported || self.is_trusted(now, settings) {
             return false;
         }
         self.sent_unheard > 0 || now.since(self.heard_at) > trust
@@ -156,6 +159,7 @@
     pub(super) fn on_heard(&mut self, now: Instant, is_busy: bool) {
         *self = Self {
             owed_since: is_busy.then_some(now),
+            has_reported: self.has_reported,
             answer_time: self.answer_time,
             ..Self::new(now)
         };
@@ -164,6 +168,7 @@
     /// Its agent sent a status or answered; [`Self::on_heard`] follows. Answers are learned
     /// from: longer ones at once, shorter ones slowly, since a status may not be the answer.
     pub(super) fn on_status(&mut self, now: Instant, settings: &LivenessSettings) {
+        self.has_reported = true;
         let Some((asked_at, _)) = self.asked else {
             return;
         };
@@ -181,6 +186,7 @@
         *self = Self {
             probe_answered: Some(now),
             owed_since: self.owed_since,
+            has_reported: self.has_reported,
             answer_time: self.answer_time,
             ..Self::new(self.heard_at)
         };
--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -424,6 +424,9 @@
             routers: Some(routers),
             rank,
         });
+        for name in RUNNERS {
+            table.on_status(Instant::ZERO, &incarnation(name, 1), report());
+        }
     }
     let frozen = incarnation("a", 1);
     let freeze = rng.random_range(1_000..1_100);
@@ -556,6 +559,9 @@
         routers: Some(20),
         rank: 0,
     });
+    for name in &names {
+        runners.on_status(Instant::ZERO, &incarnation(name, 1), report());
+    }
     // Three requests a second for each runner, of all routers.
     for number in 0..60 {
         let now = at(10_000 + number * 167);
@@ -574,6 +580,8 @@
     for ms in 0..200 {
         runners.on_once_request(at(ms), &service());
     }
+    assert!(!runners.needs_confirmation(at(200), &a), "no agent yet");
+    runners.on_status(at(100), &a, report());
     assert!(runners.needs_confirmation(at(200), &a));
     assert!(runners.on_question(at(200), &a));
     assert!(!runners.on_question(at(201), &a), "one question at a time");
