--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod runner;
 mod stale;
 mod store;
+mod twice;
 mod walls;
 
 use std::{
@@ -107,6 +108,7 @@
         "drain" => drain::run(&case),
         "poison" => poison::run(&case),
         "stale" => stale::run(&case),
+        "twice" => twice::run(&case),
         "walls" => walls::run(&case),
         _ => Verdict::Failed("there is no such case"),
     };
