--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -35,6 +35,8 @@
     pub tokens: u64,
 }
 
+/// Prompt tokens that a runner reads in a millisecond, for its reports.
+const REPORTED_RATE: f64 = 45.0;
 /// Time that new weights take.
 const LOAD_TIME: Duration = Duration::from_millis(290);
 
@@ -45,7 +47,8 @@
     sequence: u64,
     /// The order that is being carried out: when it is complete, and its version.
     order: Option<(Instant, u64)>,
-    running: usize,
+    /// Requests that run: id, begin and tokens of the prompt.
+    runs: Vec<(String, Instant, u64)>,
     /// By salt and id.
     pub parts: BTreeMap<(String, String), Part>,
     /// Salt, id and tokens of each change of the cache, in order.
@@ -230,11 +233,14 @@
                 return Some((421, fields + "X-Not-Run: 1\r\n", String::new()));
             }
             fields += &format!("X-Weight-Versions: {own}\r\n");
-            engine.running += 1;
+            let prefix = request.field("X-Prefix-Hash").unwrap_or_default();
+            let parts = prefix.split(',').filter_map(|part| part.split_once(':'));
+            let tokens = parts.filter_map(|(_, tokens)| tokens.parse::<u64>().ok());
+            engine.runs.push((id.to_owned(), Instant::now(), tokens.sum()));
         }
         let outcome = (self.handler)(self, request);
         if self.model.is_some() {
-            self.engine().running -= 1;
+            self.engine().runs.retain(|(run, _, _)| run != id);
         }
         match outcome {
             Outcome::Answer(body) => {
@@ -249,10 +255,19 @@
     fn report(&self) -> String {
         let models = self.models();
         let engine = self.engine();
-        let (sequence, busy, running) = (engine.sequence, engine.order.is_some(), engine.running);
+        let (sequence, busy, running) =
+            (engine.sequence, engine.order.is_some(), engine.runs.len());
+        let mut used = 0;
+        let runs = engine.runs.iter().map(|(id, begun, tokens)| {
+            let read = begun.elapsed().as_secs_f64() * 1e3 * REPORTED_RATE;
+            let read = (*tokens).min(read as u64);
+            used += read;
+            format!("[\"{id}\",{read},0,5]")
+        });
+        let runs = runs.collect::<Vec<_>>().join(",");
         format!(
             "{{\"stage\":\"colocated\",\"models\":[{models}],\"busy\":{busy},\"sequence\":{sequence},\
-             \"waiting\":0,\"running\":{running},\"kv_used\":0,\"kv_total\":150000,\"handles\":0,\"runs\":[]}}"
+             \"waiting\":0,\"running\":{running},\"kv_used\":{used},\"kv_total\":151921,\"handles\":0,\"runs\":[{runs}]}}"
         )
     }
 
--- a/review/standin/stale.rs
+++ b/review/standin/stale.rs
@@ -28,14 +28,14 @@
 const PREFILL_RATE: f64 = 45.0;
 /// Tokens that are read in one piece.
 const CHUNK: u64 = 1_024;
-const RUNNERS: usize = 4;
+const RUNNERS: usize = 6;
 const ROUNDS: u64 = 6;
 /// Largest shared part on the site's sheet.
 const SHARED: u64 = 39_900;
 const OWN: u64 = 500;
 /// For so long after weights are named, requests with the same shared parts follow.
-const FOLLOW_TIME: f64 = 2.0;
-const FOLLOW_INTERVAL: f64 = 0.25;
+const FOLLOW_TIME: f64 = 1.8;
+const FOLLOW_INTERVAL: f64 = 0.15;
 
 /// The store of KV cache.
 #[derive(Default)]
