Count the grace for lapsed registrations from the store's first answer

Cause: a router kept each registration that it found missing after a failed call for two seconds from when it had noticed the store's return. Noticing took up to 1.4 s more: a call of 0.7 s, a backoff of up to 0.5 s after it, the batching of changes; the tick added 0.25 s. A router is held to removals 3 s after its cut.

Ruled out: a second outage that restarts the grace, and lost changes (no line of either).

Now an outage is what the store's answers show: from the last answer before a failure to the first one after it. Below two heartbeats no registration of a live runner can lapse, and a removal is a departure. Else those that are missing are kept for two seconds from that answer, to the millisecond. The time that a failed call took counts as part of the pause after it, other routers are asked beside the next call, and a kind that is answered ends the pauses of the others: the store's return is noticed within one call, so requests end 2.7 s after a cut at the latest.

--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -76,12 +76,10 @@
     doubts: WatchDoubts,
 }
 
-/// How a call to the store ended that has not failed.
-enum Completion {
-    /// The store answered.
-    Answered,
-    /// It was ended, since it may never be answered.
-    Doubted,
+/// The store's answer to a call.
+enum Answer {
+    Listing(Listing),
+    Changes(Changes),
 }
 
 /// Keeps a router's documents up to date.
@@ -147,22 +145,31 @@
         let mut failures = 0u32;
         let mut is_compared = false;
         let mut is_doubted = false;
+        // Whether other routers have been asked since the last failure.
+        let is_fetched = cell::Cell::new(true);
         loop {
             let called_at = self.router.now();
             let is_probe = failures > 0 || std::mem::take(&mut is_doubted);
-            match self.list_or_watch(kind, is_probe).await {
-                Ok(Completion::Doubted) => {
+            let version = self.cached.borrow()[kind as usize].version;
+            let call = self.call(kind, version, is_probe);
+            match futures_lite::future::or(call, self.fetch_once(kind, &is_fetched)).await {
+                Ok(None) => {
                     self.router.metrics.count(Counter::WatchesDoubted);
                     is_doubted = true;
                 }
-                Ok(Completion::Answered) => {
+                Ok(Some(answer)) => {
                     if failures > 0 {
                         let silent_ms = self.silent_ms(kind);
                         log::info!(kind:%, failures, silent_ms:?; "the store answers again");
                         self.disturbed.notify(usize::MAX);
                     }
                     failures = 0;
+                    is_fetched.set(true);
                     self.on_success(kind);
+                    let has_changes = self.apply(kind, version, &answer);
+                    if kind == Kind::Runners && has_changes {
+                        smol::Timer::after(self.settings.batch_delay).await;
+                    }
                     if !std::mem::replace(&mut is_compared, true) {
                         self.compare_with_peers(kind).await;
                     }
@@ -179,32 +186,35 @@
                 }
                 Err(error) => {
                     failures = failures.saturating_add(1);
+                    is_fetched.set(false);
                     self.on_failure(kind, failures, called_at, &error);
-                    let backoff = async {
-                        smol::Timer::after(self.backoff(failures)).await;
+                    // Calls for another kind that are answered again end the pause.
+                    let disturbed = self.disturbed.listen();
+                    let pause = async {
+                        smol::Timer::after(self.pause(failures, called_at)).await;
                     };
-                    // Routers that do not answer must not delay the next store
-                    // call.
-                    let fetched = futures_lite::future::or(self.fetch_from_peers(kind), async {
-                        smol::Timer::after(self.settings.peer_timeout).await;
-                    });
-                    futures_lite::future::zip(fetched, backoff).await;
+                    let pause = futures_lite::future::or(pause, disturbed);
+                    futures_lite::future::or(pause, self.fetch_once(kind, &is_fetched)).await;
                 }
             }
         }
     }
 
-    /// Lists or watches the kind. After a failure or a doubt it does not wait for changes:
-    /// a call that is never answered must fail quickly.
-    async fn list_or_watch(&self, kind: Kind, is_probe: bool) -> Result<Completion, StoreError> {
+    /// Lists the kind, or watches it from `version`. After a failure or a doubt it does not
+    /// wait for changes: a call that is never answered must fail quickly. `None`: the call
+    /// was ended, since it may never be answered.
+    async fn call(
+        &self,
+        kind: Kind,
+        version: Option<ObjectVersion>,
+        is_probe: bool,
+    ) -> Result<Option<Answer>, StoreError> {
         let name = self.router.decoder.kind(kind);
         self.router.metrics.count(Counter::StoreCalls);
-        let version = self.cached.borrow()[kind as usize].version;
         let Some(version) = version else {
             self.router.metrics.count(Counter::StoreLists);
             let listing = self.store.list(name).await?;
-            self.apply_list(kind, &listing);
-            return Ok(Completion::Answered);
+            return Ok(Some(Answer::Listing(listing)));
         };
         let wait = match kind {
             _ if is_probe => time::Duration::ZERO,
@@ -222,14 +232,30 @@
         } else {
             futures_lite::future::or(watch, doubted).await
         };
-        let Some(changes) = changes.transpose()? else {
-            return Ok(Completion::Doubted);
+        Ok(changes.transpose()?.map(Answer::Changes))
+    }
+
+    /// Applies an answer to a call from `version`. Returns whether it has changes.
+    fn apply(&self, kind: Kind, version: Option<ObjectVersion>, answer: &Answer) -> bool {
+        let revision = match answer {
+            Answer::Listing(listing) => listing.revision,
+            Answer::Changes(changes) => changes.revision,
         };
-        self.apply_changes(kind, &changes);
-        if kind == Kind::Runners && !changes.changes.is_empty() {
-            smol::Timer::after(self.settings.batch_delay).await;
+        let current = self.cached.borrow()[kind as usize].version;
+        if current != version && current > Some(revision) {
+            // Another router's documents arrived during the call and are newer.
+            return false;
+        }
+        match answer {
+            Answer::Listing(listing) => {
+                self.apply_list(kind, listing);
+                false
+            }
+            Answer::Changes(changes) => {
+                self.apply_changes(kind, changes);
+                !changes.changes.is_empty()
+            }
         }
-        Ok(Completion::Answered)
     }
 
     /// Returns when a call that waits for changes may never be answered: calls for another
@@ -256,6 +282,7 @@
         futures_lite::future::or(disturbed, outdated).await;
     }
 
+    /// The store answered a call, which is applied after this.
     fn on_success(&self, kind: Kind) {
         let now = self.router.now();
         self.update(kind, |cached| {
@@ -278,7 +305,7 @@
         }
         self.update(kind, |cached| cached.is_fresh = false);
         if kind == Kind::Runners {
-            self.router.state().runners_mut().on_store_lost();
+            self.router.state().runners_mut().on_store_failure();
         }
     }
 
@@ -309,6 +336,17 @@
         self.router.jitter(spread)
     }
 
+    /// Time until the next call. The time that a failed call took counts as a part of it:
+    /// the store may have been back for as long. After a call that waited for changes it
+    /// does not, since those of many routers fail at the same moment.
+    fn pause(&self, failures: u32, called_at: Instant) -> time::Duration {
+        let spent = match failures {
+            1 => time::Duration::ZERO,
+            _ => self.router.now().since(called_at),
+        };
+        self.backoff(failures).saturating_sub(spent)
+    }
+
     /// Exponential, with jitter over its upper half.
     fn backoff(&self, failures: u32) -> time::Duration {
         let backoff = self.settings.min_backoff * (1 << failures.min(8).saturating_sub(1));
@@ -437,6 +475,15 @@
         }
     }
 
+    /// Fetches from other routers unless `is_fetched`; never returns.
+    async fn fetch_once<T>(&self, kind: Kind, is_fetched: &cell::Cell<bool>) -> T {
+        if !is_fetched.get() {
+            self.fetch_from_peers(kind).await;
+            is_fetched.set(true);
+        }
+        std::future::pending().await
+    }
+
     /// Applies the documents of another router if they are newer.
     async fn fetch_from_peers(&self, kind: Kind) {
         if let Some((peer, listing)) = self.first_offer(kind).await {
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -6,6 +6,7 @@
 mod liveness;
 mod runner;
 mod segments;
+mod store_contact;
 mod trust;
 
 use std::time;
@@ -26,13 +27,14 @@
 pub use liveness::{LivenessAction, LivenessSettings};
 pub use runner::{Incarnation, LONG_PROMPT, Registration, RequestCost, Runner, Status};
 pub use segments::{SaltHash, SegmentId, SegmentKey, SegmentUpdate, Segments, salt};
+pub use store_contact::LapseSettings;
+use store_contact::StoreContact;
 
 /// Settings of a [`Runners`] table.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Registrations that lapsed during an outage of the store are kept for this long
-    /// after it; the platform restores those of live runners by then.
-    pub return_grace: time::Duration,
+    /// How long registrations that lapsed in an outage of the store are kept.
+    pub lapses: LapseSettings,
     /// How long a status counts as current. Agents send several in that time.
     pub status_ttl: time::Duration,
     /// How long an agent's report that its runner is silent counts. Agents repeat it
@@ -54,7 +56,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            return_grace: time::Duration::from_secs(2),
+            lapses: LapseSettings::default(),
             status_ttl: time::Duration::from_millis(2_500),
             silence_ttl: time::Duration::from_millis(2_500),
             health: HealthSettings::default(),
@@ -92,21 +94,12 @@
     Lapsed,
 }
 
-/// Whether the store answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StoreAvailability {
-    Available,
-    Unavailable,
-    /// It has answered again since this time.
-    Recovered(Instant),
-}
-
 /// The table of known runners.
 #[derive(Clone, Debug)]
 pub struct Runners {
     settings: Settings,
     table: Table<RunnerName, Runner>,
-    store: StoreAvailability,
+    store: StoreContact,
     share: Share,
     /// What incarnations that are not registered any more said of themselves, oldest
     /// first. A registration may come back.
@@ -129,7 +122,7 @@
         Self {
             settings,
             table: Table::new(),
-            store: StoreAvailability::Available,
+            store: StoreContact::default(),
             share: Share::UNKNOWN,
             removed: Vec::new(),
             software: SoftwareHistory::default(),
@@ -139,22 +132,20 @@
         }
     }
 
-    /// The store stopped answering.
-    pub fn on_store_lost(&mut self) {
-        self.store = StoreAvailability::Unavailable;
+    /// A call to the store failed.
+    pub fn on_store_failure(&mut self) {
+        self.store.on_failure();
     }
 
     /// The store came back from an older copy, which is listed next.
     pub fn on_store_restored(&mut self) {
-        self.on_store_lost();
+        self.store.on_restored();
         self.is_restored = true;
     }
 
-    /// The store answered.
+    /// The store answered. What it said is applied after this.
     pub fn on_store_answer(&mut self, now: Instant) {
-        if self.store == StoreAvailability::Unavailable {
-            self.store = StoreAvailability::Recovered(now);
-        }
+        self.store.on_answer(now, &self.settings.lapses);
     }
 
     /// Applies a complete list of registrations; runners not in it count as removed. In
@@ -315,16 +306,10 @@
 
     /// A registration was removed from the store.
     pub fn on_removed(&mut self, now: Instant, name: &str) -> Option<MembershipChange> {
-        let is_lapse = match self.store {
-            StoreAvailability::Available => false,
-            StoreAvailability::Unavailable => true,
-            StoreAvailability::Recovered(recovered_at) => {
-                now.since(recovered_at) < self.settings.return_grace
-            }
-        };
+        let may_return = self.store.may_have_lapsed(now, &self.settings.lapses);
         let runner = self.table.get_mut(name)?;
         let incarnation = runner.registration.incarnation.clone();
-        let kind = if is_lapse && !runner.is_leaving() {
+        let kind = if may_return && !runner.is_leaving() {
             if runner.lapsed.is_some() {
                 return None;
             }
@@ -342,13 +327,9 @@
 
     /// Removes lapsed runners that were not registered again in time.
     pub fn tick(&mut self, now: Instant) -> Vec<MembershipChange> {
-        let StoreAvailability::Recovered(recovered_at) = self.store else {
-            return Vec::new();
-        };
-        if now.since(recovered_at) < self.settings.return_grace {
+        if !self.store.has_settled(now, &self.settings.lapses) {
             return Vec::new();
         }
-        self.store = StoreAvailability::Available;
         let lapsed = self
             .table
             .iter()
@@ -764,15 +745,17 @@
         next.map_or(settings.ask_after, |wait| wait.min(settings.ask_after))
     }
 
-    /// Runners of a service that are neither leaving, replaced, silent, unresponsive
-    /// nor ejected. The last three are ignored if they take out more than half of the
-    /// service.
+    /// Runners of a service that are neither leaving, replaced, gone since an outage,
+    /// silent, unresponsive nor ejected. The last three are ignored if they take out more
+    /// than half of the service.
     pub fn usable(&self, now: Instant, service: &ServiceName) -> Vec<&Runner> {
         let members = self
             .table
             .values()
             .filter(|r| r.registration.service == *service);
-        let present = members.filter(|r| !r.is_leaving() && !r.replaced);
+        let has_settled = self.store.has_settled(now, &self.settings.lapses);
+        let is_gone = |r: &Runner| has_settled && r.lapsed.is_some();
+        let present = members.filter(|r| !r.is_leaving() && !r.replaced && !is_gone(r));
         let present: Vec<_> = present.collect();
         let silence_ttl = self.settings.silence_ttl;
         let liveness = &self.settings.liveness;
--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -98,7 +98,7 @@
 #[test]
 fn registrations_that_lapse_in_an_outage_are_kept_for_the_return_grace() {
     let mut runners = runners(&["a", "b"]);
-    runners.on_store_lost();
+    runners.on_store_failure();
     runners.on_store_answer(at(10_000));
     let change = runners.on_removed(at(10_050), "a").unwrap();
     assert_eq!(change.kind, ChangeKind::Lapsed);
@@ -109,10 +109,70 @@
     assert_eq!(usable(&runners, at(12_000)), ["b"]);
 }
 
+// Requests went to a runner that had left for up to a tick longer than the grace.
+#[test]
+fn a_missing_runner_gets_nothing_from_the_end_of_the_return_grace_on() {
+    let mut runners = runners(&["a", "b"]);
+    runners.on_store_answer(at(1_000));
+    runners.on_store_failure();
+    runners.on_store_answer(at(10_000));
+    runners.on_removed(at(10_050), "a");
+    assert_eq!(usable(&runners, at(11_999)), ["a", "b"]);
+    assert_eq!(usable(&runners, at(12_000)), ["b"], "also before a tick");
+}
+
+// A call that failed once made each removal of the next two seconds an expiry.
+#[test]
+fn a_runner_removed_around_a_failure_shorter_than_two_heartbeats_is_gone_at_once() {
+    let mut runners = runners(&["a", "b", "c"]);
+    runners.on_store_answer(at(1_000));
+    runners.on_store_failure();
+    let change = runners.on_removed(at(3_300), "a").unwrap();
+    assert_eq!(change.kind, ChangeKind::Gone, "in another router's list");
+    runners.on_store_answer(at(3_399));
+    let change = runners.on_removed(at(3_399), "b").unwrap();
+    assert_eq!(change.kind, ChangeKind::Gone);
+    assert_eq!(usable(&runners, at(3_400)), ["c"]);
+}
+
+#[rstest]
+#[case::as_long_as_two_heartbeats(Some(1_000), 3_400)]
+#[case::never_answered(None, 3_399)]
+fn registrations_that_may_have_lapsed_in_an_outage_are_kept(
+    #[case] answered_at: Option<u64>,
+    #[case] returned_at: u64,
+) {
+    let mut runners = runners(&["a"]);
+    if let Some(answered_at) = answered_at {
+        runners.on_store_answer(at(answered_at));
+    }
+    runners.on_store_failure();
+    runners.on_store_answer(at(returned_at));
+    let change = runners.on_removed(at(returned_at), "a").unwrap();
+    assert_eq!(change.kind, ChangeKind::Lapsed);
+}
+
+#[test]
+fn the_return_grace_does_not_include_a_second_outage() {
+    for (second, returned_at) in [(600, 12_600), (3_000, 15_500)] {
+        let mut runners = runners(&["a"]);
+        runners.on_store_answer(at(1_000));
+        runners.on_store_failure();
+        runners.on_store_answer(at(10_000));
+        runners.on_removed(at(10_050), "a");
+        runners.on_store_answer(at(10_500));
+        runners.on_store_failure();
+        assert_eq!(usable(&runners, at(13_000)), ["a"], "kept while calls fail");
+        runners.on_store_answer(at(10_500 + second));
+        assert_eq!(usable(&runners, at(returned_at - 1)), ["a"]);
+        assert!(usable(&runners, at(returned_at)).is_empty());
+    }
+}
+
 #[test]
 fn a_registration_that_is_restored_after_an_outage_is_kept() {
     let mut runners = runners(&["a"]);
-    runners.on_store_lost();
+    runners.on_store_failure();
     runners.on_store_answer(at(10_000));
     runners.on_removed(at(10_050), "a");
     runners.on_registration(at(11_000), registration("a", 1));
@@ -128,7 +188,7 @@
         ..registration("a", 1)
     };
     runners.on_registration(at(1), leaving);
-    runners.on_store_lost();
+    runners.on_store_failure();
     let change = runners.on_removed(at(2), "a").unwrap();
     assert_eq!(change.kind, ChangeKind::Gone);
 }
--- a/crates/lentil_policy/tests/forward_search.rs
+++ b/crates/lentil_policy/tests/forward_search.rs
@@ -247,7 +247,7 @@
             }
             (8, _) if !self.is_store_down => {
                 self.is_store_down = true;
-                self.runners.on_store_lost();
+                self.runners.on_store_failure();
             }
             (9, _) if self.is_store_down => self.recover_store(),
             _ => {
