Take an answer for a request's own only if it names the request

Callers were told that a request had not run although its runner ran it, or it ran at a second runner as well: a faulty runner had written an earlier refusal once more on a kept connection, where the answer to the next request was due.

Cause: an answer without an id was taken for the answer to the last request.

On a connection that was used before, answers that do not name the request's id are skipped now, so they prove nothing about it; a 421 of that kind also no longer ends the use of the runner.

--- a/crates/lentil_forward/src/h1/connection.rs
+++ b/crates/lentil_forward/src/h1/connection.rs
@@ -26,6 +26,7 @@
 pub struct Connection {
     stream: TcpStream,
     pub(super) buffer: BytesMut,
+    answers: u64,
 }
 
 impl Connection {
@@ -34,9 +35,15 @@
         Self {
             stream,
             buffer: BytesMut::new(),
+            answers: 0,
         }
     }
 
+    /// Heads of final answers read so far.
+    pub fn answers(&self) -> u64 {
+        self.answers
+    }
+
     /// Connects to `address`.
     ///
     /// # Errors
@@ -129,6 +136,7 @@
             let head = self.head(MAX_RESPONSE_HEAD_BYTES).await?;
             let head = ResponseHead::parse(&head, method)?;
             if head.status >= 200 {
+                self.answers += 1;
                 return Ok(head);
             }
         }
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -4,7 +4,8 @@
 
 use compact_str::CompactString;
 use lentil_policy::forward::{
-    attempt_log::AttemptOutcome, backlog, concurrency_limit, pace, placement, runners,
+    attempt_log::{self, AttemptOutcome},
+    backlog, concurrency_limit, pace, placement, runners,
 };
 use lentil_process::metrics::{Counter, Timing};
 use lentil_types::{Instant, SoftwareVersion, Tokens, WeightsVersion};
@@ -380,12 +381,12 @@
         futures_lite::future::or(self.matching_head(request), wait).await
     }
 
-    /// Reads the head of the answer to this request and skips answers with another
-    /// request id.
+    /// Reads the head of the answer to this request and skips answers to others.
     async fn matching_head(&mut self, request: &Request) -> Result<h1::ResponseHead, Failure> {
         let id_name = self.router.names.request_id;
         let method = &request.head.method;
         let id = request.head.headers.get(id_name);
+        let is_first = self.connection.answers() == 0;
         for _ in 0..=MAX_UNMATCHED_ANSWERS {
             let head = self
                 .connection
@@ -393,11 +394,8 @@
                 .await
                 .map_err(|error| read_failure(&error))?;
             self.in_flight.on_bytes();
-            let is_match = match (id, head.headers.get(id_name)) {
-                (Some(own), Some(other)) => own == other,
-                _ => true,
-            };
-            if is_match {
+            let named = head.headers.get(id_name);
+            if attempt_log::is_own_answer(id, named, is_first) {
                 return Ok(head);
             }
             self.router.metrics.count(Counter::LateAnswers);
@@ -547,6 +545,7 @@
     /// Reads a refusal to its end, so that the connection can be reused.
     async fn on_refusal(&mut self, head: &h1::ResponseHead) -> AttemptEnd {
         self.router.metrics.count(Counter::RunnerRefusals);
+        self.plan.note_refusal(&self.choice.incarnation);
         let other = head.headers.text(self.router.names.runner);
         if head.status == 421 && other.is_some_and(|other| other != &*self.choice.incarnation.name)
         {
--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use lentil_policy::forward::{attempt_log, backlog, routing, runners::SegmentId};
+use lentil_policy::forward::{
+    attempt_log, backlog, routing,
+    runners::{Incarnation, SegmentId},
+};
 use lentil_types::{
     Fingerprint, Instant, ModelName, ServiceName, SoftwareVersion, TeamName, Tokens,
 };
@@ -48,6 +51,8 @@
     pub(super) start_by: Instant,
     pub(super) fingerprint: Fingerprint,
     pub(super) attempt_log: rc::Rc<cell::RefCell<attempt_log::AttemptLog>>,
+    /// Runners that refused the request.
+    refused_by: cell::RefCell<Vec<Incarnation>>,
     /// Whether an answer is being written.
     pub(super) is_answering: cell::Cell<bool>,
     /// Whether the caller comes back: after a refusal, as it was told to, or for the rest of
@@ -59,6 +64,8 @@
 
 /// Upper bound of a caller's deadline, in milliseconds; prevents overflow.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
+/// Id of a request whose caller sent none.
+const NO_ID: &str = "-";
 
 impl Plan {
     pub(super) fn new(
@@ -84,7 +91,7 @@
         let model = engine.and(headers.text(names.model));
         let model = model.and_then(|text| text.parse().ok());
         Self {
-            id: headers.text(names.request_id).unwrap_or("-").into(),
+            id: headers.text(names.request_id).unwrap_or(NO_ID).into(),
             resumes: headers.text(names.resumes).map(|id| id.trim().into()),
             software: cell::RefCell::default(),
             model,
@@ -97,6 +104,7 @@
             deadline,
             fingerprint: fingerprint(request, names),
             attempt_log: rc::Rc::default(),
+            refused_by: cell::RefCell::default(),
             is_answering: cell::Cell::new(false),
             returns: cell::Cell::new(false),
             is_trial: cell::Cell::new(false),
@@ -143,6 +151,17 @@
         self.route.repeat.is_repeatable() && self.attempt_log.borrow().may_send(&self.route)
     }
 
+    /// Whether an answer to an earlier request on a connection can be told from one to
+    /// this request: not if it has no id, nor if the runner may have refused it there.
+    pub(super) fn has_unique_answer(&self, runner: &Incarnation) -> bool {
+        self.id != NO_ID && !self.refused_by.borrow().contains(runner)
+    }
+
+    /// A runner refused the request.
+    pub(super) fn note_refusal(&self, runner: &Incarnation) {
+        self.refused_by.borrow_mut().push(runner.clone());
+    }
+
     /// The stream that the request begins or takes up.
     pub(super) fn stream(&self) -> backlog::RequestHash {
         backlog::RequestHash::of(self.resumes.as_ref().unwrap_or(&self.id))
--- a/crates/lentil_policy/src/forward/attempt_log.rs
+++ b/crates/lentil_policy/src/forward/attempt_log.rs
@@ -24,6 +24,20 @@
     Unknown,
 }
 
+/// Whether an answer belongs to the request that was sent last on its connection.
+/// `sent` and `named`: the ids of the request and in the answer. `is_first`: no request
+/// was sent on the connection before.
+///
+/// A faulty runner may write an answer once more where the next one is expected. Runners
+/// name the id of the request in all their answers, so that one without an id proves
+/// nothing where it may be such an answer.
+pub fn is_own_answer(sent: Option<&[u8]>, named: Option<&[u8]>, is_first: bool) -> bool {
+    match (sent, named) {
+        (Some(sent), Some(named)) => sent == named,
+        _ => is_first,
+    }
+}
+
 /// The attempts at one request.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AttemptLog {
