Notice a lost watch of runners before registrations can lapse

Callers' requests reached a runner that had left without a report for up to 4 s and more (the test's end) at a router whose call for changes of runners had got lost, as when connections to the store go silent. The router is held to the removal after 3 s.

The setting said three heartbeats, without the age of the last one.

Now the call waits so long that it is overdue, and the next one answered, before that: 1.5 s for heartbeats of 1.2 s. A removal found then is a departure, and an outage that lets registrations lapse is noticed by every router.

--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -25,7 +25,7 @@
     /// overdue, so this bounds how stale documents can be.
     pub watch_wait: time::Duration,
     /// The same for runners: an outage must be noticed before registrations of live
-    /// runners expire, which takes three heartbeats.
+    /// runners lapse.
     pub runners_wait: time::Duration,
     /// Pause after changes of runners, to batch the next ones in one call. Other
     /// kinds are watched again at once.
@@ -47,7 +47,7 @@
     fn default() -> Self {
         Self {
             watch_wait: time::Duration::from_millis(3_500),
-            runners_wait: time::Duration::from_secs(2),
+            runners_wait: time::Duration::from_millis(1_500),
             batch_delay: time::Duration::from_millis(250),
             min_backoff: time::Duration::from_millis(100),
             max_backoff: time::Duration::from_millis(500),
