Prove that a router's only software version is the only one before using it

Streams that had begun at runners of a new software version, through other routers, were joined with text of the old one: their callers took them up at a router that had not heard of the new version.

Cause: a router that knows a single version took every stream for one of it. What it knows is as old as its last answer of the store. One that is cut off from the store, stood still or lost its call for changes does not notice for up to two seconds, and later it still kept to what it knew.

Before it relies on the only version, a router now calls the store: an answer to a call that began after the request proves that no other version was registered when the stream began. It takes one round trip, once for all requests that wait. Without it the router asks the other routers and the agents, as it does while several versions serve. Nothing of this is needed for streams that the router itself began.

What callers lose: a stream that nobody it reaches knows is refused by a router that the store does not answer. A stream whose router or agents live goes on also while the store is away (test).

--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -149,7 +149,8 @@
         let is_fetched = cell::Cell::new(true);
         loop {
             let called_at = self.router.now();
-            let is_probe = failures > 0 || std::mem::take(&mut is_doubted);
+            let is_wanted = kind == Kind::Runners && self.router.is_currency_wanted();
+            let is_probe = failures > 0 || std::mem::take(&mut is_doubted) || is_wanted;
             let version = self.cached.borrow()[kind as usize].version;
             let call = self.call(kind, version, is_probe);
             match futures_lite::future::or(call, self.fetch_once(kind, &is_fetched)).await {
@@ -167,8 +168,15 @@
                     is_fetched.set(true);
                     self.on_success(kind);
                     let has_changes = self.apply(kind, version, &answer);
-                    if kind == Kind::Runners && has_changes {
-                        smol::Timer::after(self.settings.batch_delay).await;
+                    if kind == Kind::Runners {
+                        self.router.on_registrations_applied(called_at);
+                        if has_changes {
+                            let batched = async {
+                                smol::Timer::after(self.settings.batch_delay).await;
+                            };
+                            let wanted = self.router.wait_until_currency_wanted();
+                            futures_lite::future::or(batched, wanted).await;
+                        }
                     }
                     if !std::mem::replace(&mut is_compared, true) {
                         self.compare_with_peers(kind).await;
@@ -259,8 +267,8 @@
     }
 
     /// Returns when a call that waits for changes may never be answered: calls for another
-    /// kind have failed or recovered since, or another router has had a newer document for
-    /// a while.
+    /// kind have failed or recovered since, another router has had a newer document for
+    /// a while, or a request needs to know that there are no changes.
     async fn wait_until_doubted(&self, kind: Kind) {
         let disturbed = self.disturbed.listen();
         let outdated = async {
@@ -279,7 +287,14 @@
                 smol::Timer::after(due_at.since(now)).await;
             }
         };
-        futures_lite::future::or(disturbed, outdated).await;
+        let wanted = async {
+            if kind != Kind::Runners {
+                std::future::pending::<()>().await;
+            }
+            self.router.wait_until_currency_wanted().await;
+        };
+        let doubted = futures_lite::future::or(disturbed, outdated);
+        futures_lite::future::or(doubted, wanted).await;
     }
 
     /// The store answered a call, which is applied after this.
--- a/crates/lentil_forward/src/router/stream_origin.rs
+++ b/crates/lentil_forward/src/router/stream_origin.rs
@@ -57,13 +57,16 @@
     Ok(())
 }
 
-/// The origin as this router knows it, or the only one that there may be.
+/// The origin as this router has noted it.
 fn known_origin(router: &Router, plan: &Plan) -> Option<Origin> {
+    let now = router.now();
+    router.state().streams.get(now, plan.stream()).cloned()
+}
+
+/// The only origin that there may be, as far as this router knows.
+fn sole_origin(router: &Router, plan: &Plan) -> Option<Origin> {
     let now = router.now();
     let state = router.state();
-    if let Some(noted) = state.streams.get(now, plan.stream()) {
-        return Some(noted.clone());
-    }
     let [target] = &plan.route.targets[..] else {
         return None;
     };
@@ -75,15 +78,31 @@
     })
 }
 
-/// Asks the other routers and those agents that should know, then all agents of the route's
+/// The only origin that there may be: no runner was registered before the request arrived
+/// that this router does not know.
+fn proven_origin(router: &Router, plan: &Plan) -> Option<Origin> {
+    let is_current = router.state().runners().is_current(plan.received);
+    sole_origin(router, plan).filter(|_| is_current)
+}
+
+/// Asks the store whether the only version that this router knows is the only one. Then
+/// asks the other routers and those agents that should know, then all agents of the route's
 /// services, again and again: datagrams may be lost, and after a start of all routers
 /// everything is slow.
 async fn ask(router: &rc::Rc<Router>, plan: &Plan) -> Option<Origin> {
     let stream = plan.stream();
-    let lookup = Lookup::start(router.clone(), stream);
     let settings = &router.settings;
     let time_left = plan.time_to_start(router.now(), settings.answer_margin);
     let ask_until = router.now() + settings.origin_wait.min(time_left);
+    let has_sole = sole_origin(router, plan).is_some();
+    if has_sole {
+        let wait = settings.origin_interval.min(time_left);
+        within(wait, router.wait_until_current(plan.received)).await;
+        if let Some(origin) = proven_origin(router, plan) {
+            return Some(origin);
+        }
+    }
+    let lookup = Lookup::start(router.clone(), stream);
     put_query(router, plan, &keepers(router, plan));
     loop {
         let wait = ask_until.since(router.now()).min(settings.origin_interval);
@@ -91,6 +110,9 @@
         if lookup.has_answer() || router.now() >= ask_until {
             break;
         }
+        if let Some(origin) = proven_origin(router, plan) {
+            return Some(origin);
+        }
         let targets = plan.route.targets.iter();
         let agents = targets.map(|target| Recipient::AgentsOf(target.service.clone()));
         put_query(router, plan, &agents.collect::<Vec<_>>());
@@ -102,7 +124,7 @@
     }
     let origin = lookup.origin();
     if origin.is_none() {
-        log_unknown(router, plan);
+        log_unknown(router, plan, has_sole);
     }
     origin
 }
@@ -127,7 +149,7 @@
 }
 
 /// Logs that the question for a stream's origin had no answer that decides it.
-fn log_unknown(router: &Router, plan: &Plan) {
+fn log_unknown(router: &Router, plan: &Plan, has_sole: bool) {
     let now = router.now();
     if !router.log_quota.try_take(now) {
         return;
@@ -140,7 +162,8 @@
     let lookup = state.lookups.get(&plan.stream());
     log::info!(
         request = plan.id.as_str(), resumes:% = plan.resumes.as_deref().unwrap_or("-"),
-        agents = agents.count(), routers = state.routers(),
+        agents = agents.count(), routers = state.routers(), has_sole,
+        is_current = state.runners().is_current(plan.received),
         origins = lookup.map_or(0, OriginLookup::candidates),
         unresolved = lookup.map_or(0, OriginLookup::unresolved), age_ms = now.since(plan.received).as_millis();
         "the origin of a stream is not known"
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -180,6 +180,40 @@
         }
     }
 
+    /// The store's answer to a call for registrations that began at `called_at` is applied.
+    pub(crate) fn on_registrations_applied(&self, called_at: Instant) {
+        self.state().runners_mut().on_store_applied(called_at);
+        self.registrations_applied.notify(usize::MAX);
+    }
+
+    /// Returns when all registrations from before `since` are known.
+    pub(super) async fn wait_until_current(&self, since: Instant) {
+        loop {
+            let applied = self.registrations_applied.listen();
+            if self.state().runners().is_current(since) {
+                return;
+            }
+            let wanted_at = self.currency_wanted_at.get();
+            self.currency_wanted_at.set(wanted_at.max(Some(since)));
+            self.currency_wanted.notify(usize::MAX);
+            applied.await;
+        }
+    }
+
+    /// Whether a request needs newer registrations than are known.
+    pub(crate) fn is_currency_wanted(&self) -> bool {
+        let wanted_at = self.currency_wanted_at.get();
+        wanted_at.is_some_and(|since| !self.state().runners().is_current(since))
+    }
+
+    /// Returns when a request needs newer registrations than are known.
+    pub(crate) async fn wait_until_currency_wanted(&self) {
+        while !self.is_currency_wanted() {
+            let wanted = self.currency_wanted.listen();
+            wanted.await;
+        }
+    }
+
     /// Records how an attempt at a runner went.
     pub(crate) fn on_health_signal(
         &self,
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -148,6 +148,16 @@
         self.store.on_answer(now, &self.settings.lapses);
     }
 
+    /// The answer to a call to the store that began at `called_at` is applied.
+    pub fn on_store_applied(&mut self, called_at: Instant) {
+        self.store.on_applied(called_at);
+    }
+
+    /// Whether every runner that was registered at `since` is known.
+    pub fn is_current(&self, since: Instant) -> bool {
+        self.store.is_current(since)
+    }
+
     /// Applies a complete list of registrations; runners not in it count as removed. In
     /// the list of an older copy of the store a runner that was leaving stays so, and an
     /// earlier incarnation of a known runner counts as missing.
@@ -423,8 +433,9 @@
         self.software.recent(now, service, registered, span)
     }
 
-    /// The only software version that runners of a service have had within `span`. `None`
-    /// if there were several, or the service has not been known for so long.
+    /// The only software version that runners of a service have had within `span`, as far
+    /// as this router knows ([`Self::is_current`]). `None` if there were several, or the
+    /// service has not been known for so long.
     pub fn sole_software(
         &self,
         now: Instant,
--- a/crates/lentil_policy/src/forward/runners/store_contact.rs
+++ b/crates/lentil_policy/src/forward/runners/store_contact.rs
@@ -48,6 +48,8 @@
     has_failed: bool,
     /// First answer after the last outage in which registrations may have lapsed.
     returned_at: Option<Instant>,
+    /// Beginning of the last call whose answer is applied: all changes before it are known.
+    current_as_of: Option<Instant>,
 }
 
 impl StoreContact {
@@ -78,6 +80,16 @@
         self.answered_at = Some(now);
     }
 
+    /// The answer to a call that began at `called_at` is applied.
+    pub(super) fn on_applied(&mut self, called_at: Instant) {
+        self.current_as_of = self.current_as_of.max(Some(called_at));
+    }
+
+    /// Whether all changes before `since` are known.
+    pub(super) fn is_current(&self, since: Instant) -> bool {
+        self.current_as_of >= Some(since)
+    }
+
     /// Whether a registration that is found missing now may have lapsed, so that its
     /// runner may return.
     pub(super) fn may_have_lapsed(&self, now: Instant, settings: &LapseSettings) -> bool {
