End requests that are given up before their answer with a reset

Requests reached runners that had left up to 3.2 s before (DRAIN), more than six seconds after they were sent and four after their callers had left.

Cause: a router behind a cut link gave them up and closed the connection in order. What had been written stayed with the kernel, which goes on sending it until the link is back. The platform loses such bytes only if the sender resets the connection.

The grace for lapsed registrations has no part in it: the requests were given up before the runners left.

A connection whose request has no answer yet is reset when the request is given up. For a runner that has the request it is as before: its caller is gone.

--- a/crates/lentil_forward/src/h1/connection.rs
+++ b/crates/lentil_forward/src/h1/connection.rs
@@ -88,6 +88,15 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Makes the end of the connection a reset: what is written and has not arrived is
+    /// lost, and not delivered later.
+    pub fn reset_on_close(&self) {
+        let linger = Some(time::Duration::ZERO);
+        if let Err(error) = rustix::net::sockopt::set_socket_linger(&self.stream, linger) {
+            log::debug!(error:%; "cannot make the end of a connection a reset");
+        }
+    }
+
     /// Discards the buffer and the next bytes that arrive. Returns `false` once the
     /// connection has ended.
     pub async fn skip(&mut self) -> bool {
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -140,6 +140,7 @@
                 in_flight,
                 sent_at: router.now(),
                 written: rc::Rc::new(cell::Cell::new(false)),
+                has_head: false,
                 answer_head: None,
             };
             let end = attempt.exchange(request, progress, answer).await;
@@ -298,10 +299,22 @@
     sent_at: Instant,
     /// Whether the request was written completely.
     written: rc::Rc<cell::Cell<bool>>,
+    /// Whether the head of an answer was received.
+    has_head: bool,
     /// When the answer began, and how its body is framed.
     answer_head: Option<(Instant, h1::Framing)>,
 }
 
+impl Drop for Attempt<'_> {
+    /// A request that is given up may still be on its way, behind a link that is cut. It
+    /// must not arrive once the link is back.
+    fn drop(&mut self) {
+        if !self.has_head {
+            self.connection.reset_on_close();
+        }
+    }
+}
+
 impl Attempt<'_> {
     async fn exchange(
         &mut self,
@@ -313,6 +326,7 @@
             Ok(head) => head,
             Err(failure) => return AttemptEnd::Failed(failure),
         };
+        self.has_head = true;
         self.on_head(&head, progress);
         let names = &self.router.names;
         if head.status == 421 || head.headers.get(names.not_run).is_some() {
