Keep a long prompt at a runner that answers probes while its agent is away

Cause, two ways of one kind, an agent's absence taken for its runner's: - Silence of a runner and its agent for a second moved the request. A runner sends nothing while it computes a prompt, and its answers to the router's own probes did not count. - An agent that has started again does not know the prompts that routers had told its predecessor, and its statuses said that the runner computes none.

A runner that has answered a probe is silent only once a later one has had no answer. Before statuses are believed that show no prompt, the router announces the prompt to the agent again, and gives it time to compare that with the runner's report. A prompt that is really lost moves 150 ms later than before.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -736,8 +736,9 @@
         if !is_announced(choice) {
             std::future::pending::<()>().await;
         }
+        let announce = || notify_agent(router, plan, choice);
         router
-            .wait_until_dropped(incarnation, sent_at, timeout)
+            .wait_until_dropped(incarnation, sent_at, timeout, announce)
             .await;
     };
     futures_lite::future::or(silent, dropped).await;
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -21,6 +21,10 @@
 /// may be older than the report that shows it.
 const DROPPED_STATUSES: u32 = 2;
 
+/// Time for an agent to compare an announced prompt with its runner's report: the report
+/// may be a little older, and the prompt is believed without one for 60 ms.
+const ANNOUNCED_TIME: time::Duration = time::Duration::from_millis(150);
+
 /// Interval of the log lines with the learned speeds.
 const SPEEDS_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
@@ -232,7 +236,7 @@
 
     /// Returns when a runner and its agent were silent for `limit`, counted from
     /// `since` at the earliest. Agents report rarely while nothing changes, so the
-    /// agent is asked first.
+    /// agent is asked first. A runner that answers probes is not silent.
     pub(crate) async fn wait_until_silent(
         &self,
         incarnation: &runners::Incarnation,
@@ -247,35 +251,46 @@
             }
             self.ask_agent(incarnation);
             smol::Timer::after(self.settings.probe_timeout).await;
-            if self.silent_for(incarnation, since) >= limit {
+            let is_silent = self.silent_for(incarnation, since) >= limit;
+            if is_silent && !self.answers_probes(incarnation) {
                 return;
             }
         }
     }
 
-    /// Returns when two statuses in a row, received later than `limit` after `since`,
-    /// show that a runner computes no prompt: it has lost one that has no answer yet.
+    /// Returns when statuses, received later than `limit` after `since`, show that a runner
+    /// computes no prompt: it has lost one that has no answer yet. `announce` tells its
+    /// agent of the prompt again, since one that has just started does not know it.
     pub(crate) async fn wait_until_dropped(
         &self,
         incarnation: &runners::Incarnation,
         since: Instant,
         limit: time::Duration,
+        announce: impl Fn(),
     ) {
         let age = self.now().since(since);
         smol::Timer::after(limit.saturating_sub(age)).await;
-        let mut shown = 0;
-        while shown < DROPPED_STATUSES {
+        loop {
+            announce();
+            smol::Timer::after(ANNOUNCED_TIME).await;
+            if self.shows_no_prompt(incarnation).await {
+                return;
+            }
+            smol::Timer::after(limit / 2).await;
+        }
+    }
+
+    /// Whether some statuses in a row show that a runner computes no prompt.
+    async fn shows_no_prompt(&self, incarnation: &runners::Incarnation) -> bool {
+        for _ in 0..DROPPED_STATUSES {
             let asked_at = self.now();
             self.ask_agent(incarnation);
             smol::Timer::after(self.settings.ask_interval).await;
-            let is_empty = self.has_no_prompt(incarnation, asked_at);
-            if is_empty {
-                shown += 1;
-            } else {
-                shown = 0;
-                smol::Timer::after(limit / 2).await;
+            if !self.has_no_prompt(incarnation, asked_at) {
+                return false;
             }
         }
+        true
     }
 
     fn has_no_prompt(&self, incarnation: &runners::Incarnation, since: Instant) -> bool {
@@ -295,6 +310,13 @@
         now.since(last.map_or(since, |last| last.max(since)))
     }
 
+    fn answers_probes(&self, incarnation: &runners::Incarnation) -> bool {
+        let now = self.now();
+        let state = self.state();
+        let runner = state.runners().get(incarnation);
+        runner.is_some_and(|runner| runner.answers_probes(now, self.settings.probe_timeout))
+    }
+
     /// When a runner or its agent last sent anything; the start of the router if it is not
     /// known.
     pub(super) fn last_heard(&self, incarnation: &runners::Incarnation) -> Instant {
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -374,6 +374,11 @@
         self.liveness.heard_at()
     }
 
+    /// Whether it answers probes, with `timeout` for each, though nothing else is heard.
+    pub fn answers_probes(&self, now: Instant, timeout: time::Duration) -> bool {
+        self.liveness.answers_probes(now, timeout)
+    }
+
     /// Time that it has owed this router an answer and sent nothing.
     pub fn silence(&self, now: Instant) -> time::Duration {
         self.liveness.silence(now)
