--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -149,7 +149,7 @@
         let is_fetched = cell::Cell::new(true);
         loop {
             let called_at = self.router.now();
-            let is_wanted = kind == Kind::Runners && self.router.is_currency_wanted();
+            let is_wanted = kind == Kind::Runners && self.router.is_refresh_wanted();
             let is_probe = failures > 0 || std::mem::take(&mut is_doubted) || is_wanted;
             let version = self.cached.borrow()[kind as usize].version;
             let call = self.call(kind, version, is_probe);
@@ -174,7 +174,7 @@
                             let batched = async {
                                 smol::Timer::after(self.settings.batch_delay).await;
                             };
-                            let wanted = self.router.wait_until_currency_wanted();
+                            let wanted = self.router.wait_until_refresh_wanted();
                             futures_lite::future::or(batched, wanted).await;
                         }
                     }
@@ -291,7 +291,7 @@
             if kind != Kind::Runners {
                 std::future::pending::<()>().await;
             }
-            self.router.wait_until_currency_wanted().await;
+            self.router.wait_until_refresh_wanted().await;
         };
         let doubted = futures_lite::future::or(disturbed, outdated);
         futures_lite::future::or(doubted, wanted).await;
--- a/crates/lentil_forward/src/router/connect.rs
+++ b/crates/lentil_forward/src/router/connect.rs
@@ -14,7 +14,7 @@
     _permit: runners::Permit,
 ) -> Option<h1::Connection> {
     let once = !plan.route.repeat.is_repeatable();
-    while plan.has_unique_answer(&choice.incarnation) {
+    while plan.may_reuse_connection(&choice.incarnation) {
         let idle = router
             .pool
             .borrow_mut()
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -62,10 +62,10 @@
     pub(crate) origin_received: event_listener::Event,
     /// Notified when a segment is refused that was not before.
     refusals_changed: event_listener::Event,
-    /// When a request last needed to know that the registrations are current.
-    currency_wanted_at: cell::Cell<Option<Instant>>,
-    /// Notified when a request needs to know that the registrations are current.
-    currency_wanted: event_listener::Event,
+    /// When a request last needed to know all registrations from before then.
+    refresh_wanted_at: cell::Cell<Option<Instant>>,
+    /// Notified when a request needs newer registrations than are known.
+    refresh_wanted: event_listener::Event,
     /// Notified when an answer of the store about registrations is applied.
     registrations_applied: event_listener::Event,
     /// Notified when an agent sent a status report.
@@ -114,8 +114,8 @@
             target_changed: event_listener::Event::new(),
             origin_received: event_listener::Event::new(),
             refusals_changed: event_listener::Event::new(),
-            currency_wanted_at: cell::Cell::new(None),
-            currency_wanted: event_listener::Event::new(),
+            refresh_wanted_at: cell::Cell::new(None),
+            refresh_wanted: event_listener::Event::new(),
             registrations_applied: event_listener::Event::new(),
             status_received: event_listener::Event::new(),
             runner_heard: event_listener::Event::new(),
--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -151,9 +151,10 @@
         self.route.repeat.is_repeatable() && self.attempt_log.borrow().may_send(&self.route)
     }
 
-    /// Whether an answer to an earlier request on a connection can be told from one to
-    /// this request: not if it has no id, nor if the runner may have refused it there.
-    pub(super) fn has_unique_answer(&self, runner: &Incarnation) -> bool {
+    /// Whether the request may be sent on a connection that was used before. Not if an
+    /// earlier answer on it may look like one to this request: if the request has no id, or
+    /// the runner may have refused it there.
+    pub(super) fn may_reuse_connection(&self, runner: &Incarnation) -> bool {
         self.id != NO_ID && !self.refused_by.borrow().contains(runner)
     }
 
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -197,23 +197,23 @@
             if self.state().runners().is_current(since) {
                 return;
             }
-            let wanted_at = self.currency_wanted_at.get();
-            self.currency_wanted_at.set(wanted_at.max(Some(since)));
-            self.currency_wanted.notify(usize::MAX);
+            let wanted_at = self.refresh_wanted_at.get();
+            self.refresh_wanted_at.set(wanted_at.max(Some(since)));
+            self.refresh_wanted.notify(usize::MAX);
             applied.await;
         }
     }
 
     /// Whether a request needs newer registrations than are known.
-    pub(crate) fn is_currency_wanted(&self) -> bool {
-        let wanted_at = self.currency_wanted_at.get();
+    pub(crate) fn is_refresh_wanted(&self) -> bool {
+        let wanted_at = self.refresh_wanted_at.get();
         wanted_at.is_some_and(|since| !self.state().runners().is_current(since))
     }
 
     /// Returns when a request needs newer registrations than are known.
-    pub(crate) async fn wait_until_currency_wanted(&self) {
-        while !self.is_currency_wanted() {
-            let wanted = self.currency_wanted.listen();
+    pub(crate) async fn wait_until_refresh_wanted(&self) {
+        while !self.is_refresh_wanted() {
+            let wanted = self.refresh_wanted.listen();
             wanted.await;
         }
     }
