Believe an answer to a probe only as far as it shows the request

Probes read the runner's report, which lists the requests that run and counts those that wait. Only a request that may be one of them stays.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -675,6 +675,7 @@
             .max_gap
             .mul_f64(self.router.settings.stall_factor);
         let (router, plan) = (self.router.clone(), self.plan);
+        let request = backlog::RequestHash::of(&plan.id);
         let incarnation = &self.choice.incarnation;
         let stalled = async {
             if !can_repeat {
@@ -682,7 +683,9 @@
             }
             loop {
                 let since = router.now();
-                router.wait_until_silent(incarnation, since, stall).await;
+                router
+                    .wait_until_silent(incarnation, request, since, stall)
+                    .await;
                 if router.has_other_runner(plan, incarnation) {
                     return Err(Failure::Silent);
                 }
@@ -731,7 +734,8 @@
         .objective
         .mul_f64(router.settings.silence_factor)
         .clamp(min, max);
-    let silent = router.wait_until_silent(incarnation, sent_at, timeout);
+    let request = backlog::RequestHash::of(&plan.id);
+    let silent = router.wait_until_silent(incarnation, request, sent_at, timeout);
     let dropped = async {
         if !is_announced(choice) {
             std::future::pending::<()>().await;
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use lentil_platform::{Change, Changes, Document, Listing};
-use lentil_policy::forward::runners;
+use lentil_policy::forward::{backlog::RequestHash, runners};
 use lentil_process::{
     metrics::{Counter, Gauge},
     panics,
@@ -236,10 +236,12 @@
 
     /// Returns when a runner and its agent were silent for `limit`, counted from
     /// `since` at the earliest. Agents report rarely while nothing changes, so the
-    /// agent is asked first. A runner that answers probes is not silent.
+    /// agent is asked first. A runner is not silent while its answers to probes show that
+    /// it has the request.
     pub(crate) async fn wait_until_silent(
         &self,
         incarnation: &runners::Incarnation,
+        request: RequestHash,
         since: Instant,
         limit: time::Duration,
     ) {
@@ -252,7 +254,7 @@
             self.ask_agent(incarnation);
             smol::Timer::after(self.settings.probe_timeout).await;
             let is_silent = self.silent_for(incarnation, since) >= limit;
-            if is_silent && !self.answers_probes(incarnation) {
+            if is_silent && !self.shows_request(incarnation, request) {
                 return;
             }
         }
@@ -310,11 +312,12 @@
         now.since(last.map_or(since, |last| last.max(since)))
     }
 
-    fn answers_probes(&self, incarnation: &runners::Incarnation) -> bool {
+    fn shows_request(&self, incarnation: &runners::Incarnation, request: RequestHash) -> bool {
         let now = self.now();
         let state = self.state();
         let runner = state.runners().get(incarnation);
-        runner.is_some_and(|runner| runner.answers_probes(now, self.settings.probe_timeout))
+        let timeout = self.settings.probe_timeout;
+        runner.is_some_and(|runner| runner.shows_request(now, timeout, request))
     }
 
     /// When a runner or its agent last sent anything; the start of the router if it is not
@@ -370,12 +373,16 @@
     }
 
     /// An unresponsive runner answered a probe.
-    pub(crate) fn on_probe_answered(&self, incarnation: &runners::Incarnation) {
+    pub(crate) fn on_probe_answered(
+        &self,
+        incarnation: &runners::Incarnation,
+        report: runners::ProbeReport,
+    ) {
         let now = self.now();
-        let was_unresponsive = self
-            .state()
-            .runners_mut()
-            .on_probe_answered(now, incarnation);
+        let was_unresponsive =
+            self.state()
+                .runners_mut()
+                .on_probe_answered(now, incarnation, report);
         self.log_recovery(incarnation, was_unresponsive);
     }
 
--- a/crates/lentil_forward/src/runner_watch.rs
+++ b/crates/lentil_forward/src/runner_watch.rs
@@ -16,8 +16,12 @@
 
 /// Asks runners whether they respond.
 pub trait Probe {
-    /// Asks the runner at an address. Returns when it has answered.
-    fn probe(&self, address: net::SocketAddr, permit: runners::Permit) -> RunnerFuture<'_, ()>;
+    /// Asks the runner at an address. Returns its answer.
+    fn probe(
+        &self,
+        address: net::SocketAddr,
+        permit: runners::Permit,
+    ) -> RunnerFuture<'_, runners::ProbeReport>;
 }
 
 /// Checks the runners of a router periodically; never returns.
@@ -57,7 +61,7 @@
     };
     router.metrics.count(Counter::RunnerProbes);
     match probe.probe(address, permit).await {
-        Ok(()) => router.on_probe_answered(incarnation),
+        Ok(report) => router.on_probe_answered(incarnation, report),
         Err(error) => {
             log::debug!(runner:% = incarnation.name, error:%; "an unresponsive runner does not answer a probe");
         }
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -25,7 +25,9 @@
 };
 pub use health::{HealthSettings, HealthSignal};
 pub use liveness::{LivenessAction, LivenessSettings};
-pub use runner::{Incarnation, LONG_PROMPT, Registration, RequestCost, Runner, Status};
+pub use runner::{
+    Incarnation, LONG_PROMPT, ProbeReport, Registration, RequestCost, Runner, Status,
+};
 pub use segments::{SaltHash, SegmentId, SegmentKey, SegmentUpdate, Segments, salt};
 pub use store_contact::LapseSettings;
 use store_contact::StoreContact;
@@ -712,13 +714,19 @@
     }
 
     /// A runner answered a probe. Returns whether it was unresponsive.
-    pub fn on_probe_answered(&mut self, now: Instant, incarnation: &Incarnation) -> bool {
+    pub fn on_probe_answered(
+        &mut self,
+        now: Instant,
+        incarnation: &Incarnation,
+        report: ProbeReport,
+    ) -> bool {
         let settings = self.settings.liveness;
         let Some(runner) = self.get_mut(incarnation) else {
             return false;
         };
         let was_unresponsive = runner.liveness.is_unresponsive(now, &settings);
         runner.liveness.on_probe_answered(now);
+        runner.probe_report = report;
         was_unresponsive
     }
 
--- a/crates/lentil_policy/src/forward/runners/liveness.rs
+++ b/crates/lentil_policy/src/forward/runners/liveness.rs
@@ -193,8 +193,7 @@
     }
 
     /// Whether it answered a probe since it was last heard, and no later probe has had no
-    /// answer for `timeout`. Its agent may have stopped, and one that computes a prompt
-    /// sends nothing.
+    /// answer for `timeout`.
     pub(super) fn answers_probes(&self, now: Instant, timeout: time::Duration) -> bool {
         let is_unanswered = |probed_at: Instant| now.since(probed_at) >= timeout;
         self.probe_answered.is_some() && !self.probed_at.is_some_and(is_unanswered)
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -6,7 +6,7 @@
     Instant, ModelName, PlaceName, RunnerName, ServiceName, SoftwareVersion, Tokens, WeightsVersion,
 };
 
-use crate::forward::{concurrency_limit, pace};
+use crate::forward::{backlog::RequestHash, concurrency_limit, pace};
 
 use super::{announcements::Announcements, health::Health, liveness::Liveness, segments};
 
@@ -66,6 +66,22 @@
     pub capacity: Tokens,
 }
 
+/// What a runner says in the answer to a probe.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ProbeReport {
+    /// Requests that run.
+    pub runs: Vec<RequestHash>,
+    /// Other requests, which wait.
+    pub waiting: u32,
+}
+
+impl ProbeReport {
+    /// Whether a request runs, or may be one of those that wait.
+    pub fn has(&self, request: RequestHash) -> bool {
+        self.waiting > 0 || self.runs.contains(&request)
+    }
+}
+
 /// What a request costs the runner that it is sent to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RequestCost {
@@ -102,6 +118,8 @@
     /// Cost of this router's requests there that have no answer yet.
     pub(super) pending: Vec<RequestCost>,
     pub(super) liveness: Liveness,
+    /// What it said in the last answer to a probe.
+    pub(super) probe_report: ProbeReport,
     pub(super) announcements: Announcements,
     /// This router's limit on its own requests there.
     pub concurrency: concurrency_limit::ConcurrencyLimit,
@@ -134,6 +152,7 @@
             reported_in_flight: 0,
             pending: Vec::new(),
             liveness: Liveness::new(now),
+            probe_report: ProbeReport::default(),
             announcements: Announcements::default(),
             concurrency: concurrency_limit::ConcurrencyLimit::default(),
             slowness: 1.0,
@@ -374,9 +393,16 @@
         self.liveness.heard_at()
     }
 
-    /// Whether it answers probes, with `timeout` for each, though nothing else is heard.
-    pub fn answers_probes(&self, now: Instant, timeout: time::Duration) -> bool {
-        self.liveness.answers_probes(now, timeout)
+    /// Whether its answers to probes, with `timeout` for each, show that it has a request,
+    /// though nothing else is heard: its agent may have stopped, and one that computes a
+    /// prompt sends nothing.
+    pub fn shows_request(
+        &self,
+        now: Instant,
+        timeout: time::Duration,
+        request: RequestHash,
+    ) -> bool {
+        self.liveness.answers_probes(now, timeout) && self.probe_report.has(request)
     }
 
     /// Time that it has owed this router an answer and sent nothing.
--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -1,8 +1,8 @@
 //! Membership and health of runners.
 
 use lentil_policy::forward::runners::{
-    ChangeKind, HealthSignal, Incarnation, LivenessAction, Registration, RequestCost, Runners,
-    SaltHash, SegmentId, SegmentKey, Settings, Share, Status, salt,
+    ChangeKind, HealthSignal, Incarnation, LivenessAction, ProbeReport, Registration, RequestCost,
+    Runners, SaltHash, SegmentId, SegmentKey, Settings, Share, Status, salt,
 };
 use lentil_types::{Instant, ServiceName, SoftwareVersion, Tokens, WeightsVersion};
 use rstest::rstest;
@@ -445,7 +445,7 @@
         unusable += u32::from(!usable(&runners, at(ms)).contains(&"a".to_owned()));
         if due(&mut runners, at(ms)).contains(&probe) {
             probes += 1;
-            assert!(runners.on_probe_answered(at(ms), &a));
+            assert!(runners.on_probe_answered(at(ms), &a, ProbeReport::default()));
         }
     }
     assert!((4..=7).contains(&probes), "{probes} probes");
@@ -646,7 +646,7 @@
     assert!(runners.on_question(at(200), &a));
     assert!(!runners.on_question(at(201), &a), "one question at a time");
     assert!(due(&mut runners, at(260)).contains(&("a".to_owned(), LivenessAction::Probe)));
-    runners.on_probe_answered(at(262), &a);
+    runners.on_probe_answered(at(262), &a, ProbeReport::default());
     assert!(!runners.needs_confirmation(at(300), &a));
 }
 
