--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -1,5 +1,6 @@
 //! Membership and health of runners.
 
+use lentil_policy::forward::backlog::RequestHash;
 use lentil_policy::forward::runners::{
     ChangeKind, HealthSignal, Incarnation, LivenessAction, ProbeReport, Registration, RequestCost,
     Runners, SaltHash, SegmentId, SegmentKey, Settings, Share, Status, salt,
@@ -706,3 +707,42 @@
     // Once, until the first answer has shown how long it takes.
     assert!(unusable <= 15, "not usable for {unusable} times 10 ms");
 }
+
+/// An answer proves that nothing was registered before its call began, and not later.
+#[test]
+fn registrations_are_current_up_to_the_beginning_of_the_last_call() {
+    let mut runners = runners(&["a"]);
+    assert!(!runners.is_current(Instant::ZERO), "no call was answered");
+    runners.on_store_answer(at(1_500));
+    runners.on_store_applied(at(1_000));
+    assert!(runners.is_current(at(1_000)));
+    assert!(!runners.is_current(at(1_001)));
+    runners.on_store_applied(at(900));
+    assert!(
+        runners.is_current(at(1_000)),
+        "an older call takes nothing back"
+    );
+}
+
+/// Requests stayed at runners that answered probes and had lost them.
+#[rstest]
+#[case::runs(vec!["own"], 0, true)]
+#[case::may_wait(vec![], 1, true)]
+#[case::another_runs(vec!["other"], 0, false)]
+#[case::idle(vec![], 0, false)]
+fn an_answer_to_a_probe_counts_only_if_it_shows_the_request(
+    #[case] runs: Vec<&str>,
+    #[case] waiting: u32,
+    #[case] has_request: bool,
+) {
+    let timeout = std::time::Duration::from_millis(100);
+    let mut runners = runners(&["a"]);
+    let a = incarnation("a", 1);
+    let own = RequestHash::of("own");
+    let shows =
+        |runners: &Runners, ms| runners.get(&a).unwrap().shows_request(at(ms), timeout, own);
+    assert!(!shows(&runners, 0), "not probed");
+    let runs = runs.into_iter().map(RequestHash::of).collect();
+    runners.on_probe_answered(at(10), &a, ProbeReport { runs, waiting });
+    assert_eq!(shows(&runners, 20), has_request);
+}
