--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -126,9 +126,18 @@
     }
 
     /// Another router has a document of this version.
-    pub(crate) fn on_notice(&self, kind: Kind, version: ObjectVersion) {
+    pub(crate) fn on_notice(&self, sender: net::SocketAddr, kind: Kind, version: ObjectVersion) {
         let now = self.router.now();
-        self.update(kind, |cached| cached.doubts.on_notice(now, version));
+        let mut is_new = false;
+        self.update(kind, |cached| {
+            is_new = cached.doubts.on_notice(now, version);
+        });
+        if is_new {
+            self.router.metrics.count(Counter::DocumentNotices);
+            let is_fresh = self.cached.borrow()[kind as usize].is_fresh;
+            let silent_ms = self.silent_ms(kind);
+            log::info!(kind:%, router:% = sender, version = version.0, is_fresh, silent_ms:?; "another router has a newer document");
+        }
         self.noticed.notify(usize::MAX);
     }
 
@@ -519,6 +528,7 @@
                     log::debug!(kind:%, router:% = peer, error:%; "cannot fetch documents from another router");
                 }
             }
+            self.router.metrics.count(Counter::DocumentsNotOffered);
         }
         None
     }
--- a/crates/lentil_policy/src/forward/watch_doubts.rs
+++ b/crates/lentil_policy/src/forward/watch_doubts.rs
@@ -62,15 +62,18 @@
         !is_first
     }
 
-    /// Another router has a document of this version.
-    pub fn on_notice(&mut self, now: Instant, version: ObjectVersion) {
+    /// Another router has a document of this version. Returns whether it is the first one
+    /// that has.
+    pub fn on_notice(&mut self, now: Instant, version: ObjectVersion) -> bool {
         if version <= self.newest {
-            return;
+            return false;
         }
+        let is_first = self.missing.is_none_or(|(missing, _)| missing < version);
         self.missing = Some(match self.missing {
             Some((missing, since)) => (missing.max(version), since),
             None => (version, now),
         });
+        is_first
     }
 
     /// The store has answered a call that began after the doubt.
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -80,6 +80,10 @@
     StoreRestored,
     /// Waiting store calls that were ended because they may never be answered.
     WatchesDoubted,
+    /// Notices of newer documents from other routers.
+    DocumentNotices,
+    /// Other routers that were asked for documents and offered none.
+    DocumentsNotOffered,
     /// Configurations applied.
     ConfigChanges,
     /// Unusable documents from the store.
