Fetch documents from the routers that have them while the store does not answer

Two random routers were asked after each failed call, in silence every 1.2 s; those that were away too offered nothing, dead ones took 0.4 s, and a notice of a newer document was not listened to although its sender has the document.

A kind is now fetched beside the calls to the store: at once when they fail or another router tells of a newer document, from that router first, then every 500 ms. Routers that had nothing or were not reached are asked last for a while. A router that is away itself offers what is surely newer than what the other one has. The version in the query spares documents that the asking router has. Routers without this take the query for nothing and answer as before.

--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -5,7 +5,13 @@
 
 use compact_str::CompactString;
 use lentil_platform::{Change, Changes, Document, KindStore, Listing, StoreError};
-use lentil_policy::{forward::watch_doubts::WatchDoubts, store::ObjectVersion};
+use lentil_policy::{
+    forward::{
+        document_sources::{DocumentSources, Reply},
+        watch_doubts::WatchDoubts,
+    },
+    store::ObjectVersion,
+};
 use lentil_process::metrics::Counter;
 use lentil_types::{Instant, Table};
 
@@ -34,9 +40,9 @@
     pub min_backoff: time::Duration,
     /// Longest backoff.
     pub max_backoff: time::Duration,
-    /// Limit on fetching from other routers after a failed call.
+    /// Limit on connecting to another router, and on its answer.
     pub peer_timeout: time::Duration,
-    /// Most routers tried in turn after a failed call.
+    /// Most routers tried in turn in one round of asking.
     pub max_peers: usize,
     /// Listings a second of all routers together after the store came back from an older
     /// copy.
@@ -52,7 +58,7 @@
             min_backoff: time::Duration::from_millis(100),
             max_backoff: time::Duration::from_millis(500),
             peer_timeout: time::Duration::from_millis(400),
-            max_peers: 2,
+            max_peers: 3,
             restore_rate: 1_000.0,
         }
     }
@@ -60,6 +66,8 @@
 
 /// Path of documents served to other routers; the kind's number follows.
 pub const DOCUMENTS_PATH: &str = "/documents/";
+/// Query field with the newest version that the asking router has.
+const NEWER_FIELD: &str = "newer=";
 
 const BINCODE_CONFIG: bincode::config::Configuration = bincode::config::standard();
 
@@ -74,6 +82,29 @@
     /// When the store last answered a call for this kind.
     answered_at: Option<Instant>,
     doubts: WatchDoubts,
+    sources: DocumentSources,
+}
+
+impl CachedDocuments {
+    /// The version after which another router has newer documents. Registrations are also
+    /// removed, so that their newest version does not tell.
+    fn reached(&self, kind: Kind) -> Option<ObjectVersion> {
+        match kind {
+            Kind::Runners => self.version,
+            Kind::Routing | Kind::Weights => self.documents.values().map(|doc| doc.version).max(),
+        }
+    }
+}
+
+/// What a router offers to another one that asks for documents.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// Encoded documents.
+    Documents(Vec<u8>),
+    /// The store confirms that there are none newer than those of the asking router.
+    Unchanged,
+    /// Its documents may be as old as those of the asking router.
+    Nothing,
 }
 
 /// The store's answer to a call.
@@ -96,6 +127,8 @@
     disturbed: event_listener::Event,
     /// Notified when another router has a newer document.
     noticed: event_listener::Event,
+    /// Notified when asking other routers may be due earlier.
+    sources_changed: event_listener::Event,
 }
 
 impl Follower {
@@ -117,6 +150,7 @@
             peers: cell::RefCell::new(seeds),
             disturbed: event_listener::Event::new(),
             noticed: event_listener::Event::new(),
+            sources_changed: event_listener::Event::new(),
         })
     }
 
@@ -125,12 +159,15 @@
         self.peers.borrow().clone()
     }
 
-    /// Another router has a document of this version.
+    /// The router that serves documents at `sender` has one of this version.
     pub(crate) fn on_notice(&self, sender: net::SocketAddr, kind: Kind, version: ObjectVersion) {
         let now = self.router.now();
         let mut is_new = false;
         self.update(kind, |cached| {
             is_new = cached.doubts.on_notice(now, version);
+            if is_new {
+                cached.sources.on_notice(now, sender);
+            }
         });
         if is_new {
             self.router.metrics.count(Counter::DocumentNotices);
@@ -139,6 +176,7 @@
             log::info!(kind:%, router:% = sender, version = version.0, is_fresh, silent_ms:?; "another router has a newer document");
         }
         self.noticed.notify(usize::MAX);
+        self.sources_changed.notify(usize::MAX);
     }
 
     /// Adds a router that serves documents at `address`.
@@ -151,18 +189,21 @@
 
     /// Follows a kind; never returns.
     pub async fn follow(&self, kind: Kind) {
+        let store = self.follow_store(kind);
+        futures_lite::future::or(store, self.follow_routers(kind)).await;
+    }
+
+    /// Follows a kind in the store; never returns.
+    async fn follow_store(&self, kind: Kind) {
         let mut failures = 0u32;
         let mut is_compared = false;
         let mut is_doubted = false;
-        // Whether other routers have been asked since the last failure.
-        let is_fetched = cell::Cell::new(true);
         loop {
             let called_at = self.router.now();
             let is_wanted = kind == Kind::Runners && self.router.is_refresh_wanted();
             let is_probe = failures > 0 || std::mem::take(&mut is_doubted) || is_wanted;
             let version = self.cached.borrow()[kind as usize].version;
-            let call = self.call(kind, version, is_probe);
-            match futures_lite::future::or(call, self.fetch_once(kind, &is_fetched)).await {
+            match self.call(kind, version, is_probe).await {
                 Ok(None) => {
                     self.router.metrics.count(Counter::WatchesDoubted);
                     is_doubted = true;
@@ -174,7 +215,6 @@
                         self.disturbed.notify(usize::MAX);
                     }
                     failures = 0;
-                    is_fetched.set(true);
                     self.on_success(kind);
                     let has_changes = self.apply(kind, version, &answer);
                     if kind == Kind::Runners {
@@ -203,15 +243,13 @@
                 }
                 Err(error) => {
                     failures = failures.saturating_add(1);
-                    is_fetched.set(false);
                     self.on_failure(kind, failures, called_at, &error);
                     // Calls for another kind that are answered again end the pause.
                     let disturbed = self.disturbed.listen();
                     let pause = async {
                         smol::Timer::after(self.pause(failures, called_at)).await;
                     };
-                    let pause = futures_lite::future::or(pause, disturbed);
-                    futures_lite::future::or(pause, self.fetch_once(kind, &is_fetched)).await;
+                    futures_lite::future::or(pause, disturbed).await;
                 }
             }
         }
@@ -313,6 +351,7 @@
             cached.is_fresh = true;
             cached.answered_at = Some(now);
             cached.doubts.on_answer();
+            cached.sources.on_success();
         });
         if kind == Kind::Runners {
             self.router.state().runners_mut().on_store_answer(now);
@@ -327,7 +366,12 @@
             log::warn!(kind:%, error:%, waited_ms, silent_ms:?; "the store does not answer; fetching documents from other routers");
             self.disturbed.notify(usize::MAX);
         }
-        self.update(kind, |cached| cached.is_fresh = false);
+        let now = self.router.now();
+        self.update(kind, |cached| {
+            cached.is_fresh = false;
+            cached.sources.on_failure(now);
+        });
+        self.sources_changed.notify(usize::MAX);
         if kind == Kind::Runners {
             self.router.state().runners_mut().on_store_failure();
         }
@@ -434,7 +478,7 @@
             return;
         }
         let fetch = async {
-            let Some((_, listing)) = self.first_offer(kind).await else {
+            let Some((_, listing)) = self.first_offer(kind, None).await else {
                 return;
             };
             self.router.on_list(kind, &listing);
@@ -475,55 +519,113 @@
     // ------------------------------------------------------------------------
     // Other routers
 
-    /// Encodes a kind for another router. `None`: there are no documents, or the
-    /// last store call failed, so they may be as stale as its own.
-    pub fn serve(&self, kind: usize) -> Option<Vec<u8>> {
-        let cached = self.cached.borrow();
-        let cached = cached.get(kind)?;
+    /// Follows a kind in the documents of other routers while the store does not send it, or
+    /// another router has a newer document; never returns.
+    async fn follow_routers(&self, kind: Kind) {
+        loop {
+            self.wait_until_round_due(kind).await;
+            self.fetch_from_peers(kind).await;
+        }
+    }
+
+    async fn wait_until_round_due(&self, kind: Kind) {
+        loop {
+            let changed = self.sources_changed.listen();
+            let due_at = {
+                let cached = &self.cached.borrow()[kind as usize];
+                cached.sources.due_at(cached.doubts.due_at())
+            };
+            let Some(due_at) = due_at else {
+                changed.await;
+                continue;
+            };
+            let now = self.router.now();
+            if now >= due_at {
+                return;
+            }
+            let timer = async {
+                smol::Timer::after(due_at.since(now)).await;
+            };
+            futures_lite::future::or(timer, changed).await;
+        }
+    }
+
+    /// Answers another router that asks for the kind with this number, with the query of its
+    /// target.
+    pub fn serve(&self, kind: usize, query: &str) -> Offer {
+        let Some(kind) = Kind::from_repr(kind) else {
+            return Offer::Nothing;
+        };
+        let theirs = query.strip_prefix(NEWER_FIELD);
+        let theirs = theirs.and_then(|version| version.parse().ok());
+        self.offer(kind, theirs.map(ObjectVersion))
+    }
+
+    /// What this router offers to one that has documents up to `theirs`. Without an answer of
+    /// the store to its last call it offers only what is surely newer.
+    fn offer(&self, kind: Kind, theirs: Option<ObjectVersion>) -> Offer {
+        let cached = &self.cached.borrow()[kind as usize];
+        let Some(at) = cached.version else {
+            return Offer::Nothing;
+        };
+        let reached = cached.reached(kind);
+        let is_newer = theirs.is_some() && reached > theirs;
+        let is_trusted = cached.is_fresh || (is_newer && kind != Kind::Runners);
+        if !is_trusted || reached < theirs {
+            return Offer::Nothing;
+        }
+        if reached == theirs {
+            return Offer::Unchanged;
+        }
         let documents = cached.documents.values().map(|doc| generated::Document {
             name: doc.name.to_string(),
             version: doc.version.0,
             value: doc.value.clone(),
         });
         let message = generated::Documents {
-            kind: u32::try_from(kind).ok()?,
-            at: cached.version.filter(|_| cached.is_fresh)?.0,
+            kind: kind as u32,
+            at: at.0,
             documents: documents.collect(),
         };
         match bincode::encode_to_vec(message, BINCODE_CONFIG) {
-            Ok(bytes) => Some(bytes),
+            Ok(bytes) => Offer::Documents(bytes),
             Err(error) => {
-                log::error!(kind, error:%; "cannot encode documents for another router");
-                None
+                log::error!(kind:%, error:%; "cannot encode documents for another router");
+                Offer::Nothing
             }
         }
     }
 
-    /// Fetches from other routers unless `is_fetched`; never returns.
-    async fn fetch_once<T>(&self, kind: Kind, is_fetched: &cell::Cell<bool>) -> T {
-        if !is_fetched.get() {
-            self.fetch_from_peers(kind).await;
-            is_fetched.set(true);
-        }
-        std::future::pending().await
-    }
-
     /// Applies the documents of another router if they are newer.
     async fn fetch_from_peers(&self, kind: Kind) {
-        if let Some((peer, listing)) = self.first_offer(kind).await {
+        let now = self.router.now();
+        self.update(kind, |cached| cached.sources.on_round(now));
+        let reached = self.cached.borrow()[kind as usize].reached(kind);
+        if let Some((peer, listing)) = self.first_offer(kind, reached).await {
             self.apply_newer(kind, peer, &listing);
         }
     }
 
-    /// Tries routers in random order until one returns documents.
-    async fn first_offer(&self, kind: Kind) -> Option<(net::SocketAddr, Listing)> {
-        let mut peers = self.peers.borrow().clone();
-        for _ in 0..self.settings.max_peers.min(peers.len()) {
-            let index = self.random_index(peers.len());
-            let peer = peers.swap_remove(index);
-            match self.fetch(peer, kind).await {
-                Ok(Some(listing)) => return Some((peer, listing)),
-                Ok(None) => {}
+    /// Asks routers in turn until one knows whether there are documents newer than `reached`,
+    /// and returns them if there are.
+    async fn first_offer(
+        &self,
+        kind: Kind,
+        reached: Option<ObjectVersion>,
+    ) -> Option<(net::SocketAddr, Listing)> {
+        for peer in self.asked_peers(kind) {
+            let result = self.fetch(peer, kind, reached).await;
+            let reply = match &result {
+                Ok(Fetched::Documents(_) | Fetched::Unchanged) => Reply::Current,
+                Ok(Fetched::Nothing) => Reply::Nothing,
+                Err(_) => Reply::Unreached,
+            };
+            let now = self.router.now();
+            self.update(kind, |cached| cached.sources.on_reply(now, peer, reply));
+            match result {
+                Ok(Fetched::Documents(listing)) => return Some((peer, listing)),
+                Ok(Fetched::Unchanged) => return None,
+                Ok(Fetched::Nothing) => {}
                 Err(error) => {
                     log::debug!(kind:%, router:% = peer, error:%; "cannot fetch documents from another router");
                 }
@@ -533,33 +635,42 @@
         None
     }
 
-    fn random_index(&self, count: usize) -> usize {
-        let fraction = self
-            .router
-            .jitter(time::Duration::from_secs(1))
-            .as_secs_f64();
-        ((fraction * count as f64) as usize).min(count.saturating_sub(1))
+    /// The routers that are asked in one round.
+    fn asked_peers(&self, kind: Kind) -> Vec<net::SocketAddr> {
+        let sources = &self.cached.borrow()[kind as usize].sources;
+        let mut order = self.router.order_sources(sources, &self.peers.borrow());
+        order.truncate(self.settings.max_peers);
+        order
     }
 
-    /// Fetches a kind. `None`: the router offers none, or they do not decode.
-    async fn fetch(&self, peer: net::SocketAddr, kind: Kind) -> Result<Option<Listing>, CallError> {
-        let target = format!("{DOCUMENTS_PATH}{}", kind as usize);
+    /// Fetches what a router has of a kind after `reached`; everything if that is `None`.
+    async fn fetch(
+        &self,
+        peer: net::SocketAddr,
+        kind: Kind,
+        reached: Option<ObjectVersion>,
+    ) -> Result<Fetched, CallError> {
+        let query = reached.map_or_else(String::new, |reached| {
+            format!("?{NEWER_FIELD}{}", reached.0)
+        });
+        let target = format!("{DOCUMENTS_PATH}{}{query}", kind as usize);
         let call = Call {
             target: &target,
             timeout: self.settings.peer_timeout,
             ..Call::default()
         };
         let reply = call.send(peer, self.settings.peer_timeout).await?;
-        if reply.head.status != 200 {
-            return Ok(None);
-        }
-        match decode(&reply.body) {
-            Some(listing) => Ok(Some(listing)),
-            None => {
-                log::warn!(kind:%, router:% = peer; "cannot decode the documents of another router");
-                Ok(None)
-            }
-        }
+        Ok(match reply.head.status {
+            200 => match decode(&reply.body) {
+                Some(listing) => Fetched::Documents(listing),
+                None => {
+                    log::warn!(kind:%, router:% = peer; "cannot decode the documents of another router");
+                    Fetched::Nothing
+                }
+            },
+            304 => Fetched::Unchanged,
+            _ => Fetched::Nothing,
+        })
     }
 
     fn apply_newer(&self, kind: Kind, peer: net::SocketAddr, listing: &Listing) {
@@ -572,6 +683,13 @@
     }
 }
 
+/// What another router sent.
+enum Fetched {
+    Documents(Listing),
+    Unchanged,
+    Nothing,
+}
+
 fn decode(bytes: &[u8]) -> Option<Listing> {
     let decoded = bincode::decode_from_slice::<generated::Documents, _>(bytes, BINCODE_CONFIG);
     let (message, _) = decoded.ok()?;
--- a/crates/lentil_forward/src/h1/head.rs
+++ b/crates/lentil_forward/src/h1/head.rs
@@ -92,6 +92,12 @@
         target.split(['?', '#']).next().unwrap_or(target)
     }
 
+    /// The query of the target, empty if it has none.
+    pub fn query(&self) -> &str {
+        let target = self.target.split('#').next().unwrap_or_default();
+        target.split_once('?').map_or("", |(_, query)| query)
+    }
+
     /// Value of the `Host` field, without the port.
     pub fn host(&self) -> Option<&str> {
         let host = self.headers.text("host")?.trim();
--- a/crates/lentil_forward/src/peers.rs
+++ b/crates/lentil_forward/src/peers.rs
@@ -184,7 +184,9 @@
             Datagram::Silent(incarnation) => self.on_silent(from, &incarnation),
             Datagram::Announcement(notice) => self.router.on_announcement_notice(&notice),
             Datagram::DocumentChanged(notice) => {
-                self.follower.on_notice(from, notice.kind, notice.version);
+                // Routers serve documents on the same port everywhere.
+                let sender = net::SocketAddr::new(from.ip(), self.documents_address.port());
+                self.follower.on_notice(sender, notice.kind, notice.version);
             }
             Datagram::StreamQuery(stream) => self.on_stream_query(from, stream),
             Datagram::StreamOrigin(origin) => self.router.on_stream_origin(origin),
--- a/crates/lentil_forward/src/router/listener.rs
+++ b/crates/lentil_forward/src/router/listener.rs
@@ -78,8 +78,8 @@
     }
 }
 
-/// Handler of an internal HTTP port: returns status and body for a path.
-pub type Respond = rc::Rc<dyn Fn(&str) -> (u16, Bytes)>;
+/// Handler of an internal HTTP port: returns status and body for a path and a query.
+pub type Respond = rc::Rc<dyn Fn(&str, &str) -> (u16, Bytes)>;
 
 /// Serves an internal HTTP port, such as for readiness checks or metrics.
 ///
@@ -124,7 +124,7 @@
             return Ok(());
         };
         keep_alive.set(head.keep_alive);
-        let (status, body) = respond(head.path());
+        let (status, body) = respond(head.path(), head.query());
         let length = body.len();
         let close_field = if keep_alive.get() {
             ""
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -25,7 +25,7 @@
 
 use std::{cell, net, rc, time};
 
-use lentil_policy::forward::{placement, runners, watch_doubts};
+use lentil_policy::forward::{document_sources, placement, runners, watch_doubts};
 use lentil_process::{Clock, metrics};
 use lentil_types::{Instant, PlaceName, RunnerName};
 use rand::SeedableRng as _;
@@ -444,6 +444,15 @@
         watch_doubts::recipients(&settings, count, &mut *self.rng.borrow_mut())
     }
 
+    /// `routers` in the order in which they are asked for documents.
+    pub(crate) fn order_sources(
+        &self,
+        sources: &document_sources::DocumentSources,
+        routers: &[net::SocketAddr],
+    ) -> Vec<net::SocketAddr> {
+        sources.order(self.now(), routers, &mut *self.rng.borrow_mut())
+    }
+
     /// A random duration of less than `max`.
     pub(crate) fn jitter(&self, max: time::Duration) -> time::Duration {
         use rand::RngExt as _;
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -24,6 +24,7 @@
 //! - [`rollout_pacer`]: how many runners change to new weights at once, and which.
 //! - [`rollout_schedule`]: when a runner changes that no router reaches.
 //! - [`stream_origins`]: which service and software version began a stream.
+//! - [`document_sources`]: which routers are asked for the store's documents, and when.
 //! - [`watch_doubts`]: when a call that waits for changes of the store is ended.
 
 pub mod admission;
@@ -32,6 +33,7 @@
 pub mod concurrency_limit;
 pub mod crash_blame;
 pub mod demand;
+pub mod document_sources;
 pub mod lanes;
 pub mod pace;
 pub mod placement;
