Keep a notice of a newer document that comes during a call to the store

The answer to a call cleared every notice, also one that came after the call began. The answer may be older than the notice, so that a lost watch stayed hidden until the next notice.

A notice is cleared by the answer to a call that began after it. What such an answer lacks is gone from the store, and reminders of it are ignored; else each would cost a call.

a_notice_that_comes_during_a_call_is_not_dropped_by_its_answer: the old on_answer had no time and cleared the notice in every case.

--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -222,7 +222,7 @@
                         self.disturbed.notify(usize::MAX);
                     }
                     failures = 0;
-                    self.on_success(kind);
+                    self.on_success(kind, called_at);
                     let has_changes = self.apply(kind, version, &answer);
                     if kind == Kind::Runners {
                         self.router.on_registrations_applied(called_at);
@@ -352,12 +352,12 @@
     }
 
     /// The store answered a call, which is applied after this.
-    fn on_success(&self, kind: Kind) {
+    fn on_success(&self, kind: Kind, called_at: Instant) {
         let now = self.router.now();
         self.update(kind, |cached| {
             cached.is_fresh = true;
             cached.answered_at = Some(now);
-            cached.doubts.on_answer();
+            cached.doubts.on_answer(called_at);
             cached.sources.on_success();
         });
         if kind == Kind::Runners {
--- a/crates/lentil_policy/src/forward/watch_doubts.rs
+++ b/crates/lentil_policy/src/forward/watch_doubts.rs
@@ -39,14 +39,26 @@
     }
 }
 
+/// A version that another router has and this one has not.
+#[derive(Clone, Copy, Debug)]
+struct Missing {
+    /// Highest such version.
+    version: ObjectVersion,
+    /// When another router was first known to have it.
+    noticed_at: Instant,
+    /// Since when any version has been missing.
+    since: Instant,
+}
+
 /// What a router knows of the documents of one kind that other routers have.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WatchDoubts {
     settings: Settings,
     /// Highest version of this router's documents.
     newest: ObjectVersion,
-    /// Highest version that another router has, if it is higher, and since when one has.
-    missing: Option<(ObjectVersion, Instant)>,
+    missing: Option<Missing>,
+    /// Version that the store has not confirmed. Other routers go on reminding of it.
+    gone: Option<ObjectVersion>,
 }
 
 impl WatchDoubts {
@@ -66,27 +78,39 @@
         }
         let is_first = self.newest == ObjectVersion::default();
         self.newest = version;
-        self.missing = self.missing.filter(|(missing, _)| *missing > version);
+        self.missing = self.missing.filter(|missing| missing.version > version);
         !is_first
     }
 
     /// Another router has a document of this version. Returns whether it is the first one
     /// that has.
     pub fn on_notice(&mut self, now: Instant, version: ObjectVersion) -> bool {
-        if version <= self.newest {
+        if version <= self.newest || Some(version) == self.gone {
             return false;
         }
-        let is_first = self.missing.is_none_or(|(missing, _)| missing < version);
-        self.missing = Some(match self.missing {
-            Some((missing, since)) => (missing.max(version), since),
-            None => (version, now),
-        });
+        let is_first = self.missing.is_none_or(|missing| missing.version < version);
+        if is_first {
+            self.missing = Some(Missing {
+                version,
+                noticed_at: now,
+                since: self.missing.map_or(now, |missing| missing.since),
+            });
+        }
         is_first
     }
 
-    /// The store has answered a call that began after the doubt.
-    pub fn on_answer(&mut self) {
-        self.missing = None;
+    /// The store has answered a call that began at `called_at`. What it lacks, though
+    /// another router had it before, is gone from the store.
+    pub fn on_answer(&mut self, called_at: Instant) {
+        let Some(missing) = &mut self.missing else {
+            return;
+        };
+        if missing.noticed_at <= called_at {
+            self.gone = Some(missing.version);
+            self.missing = None;
+        } else {
+            missing.since = missing.since.max(called_at);
+        }
     }
 
     /// The version of which other routers are reminded.
@@ -96,8 +120,7 @@
 
     /// When the watch is doubted, unless the missing document arrives before.
     pub fn due_at(&self) -> Option<Instant> {
-        let (_, since) = self.missing?;
-        Some(since + self.settings.tolerance)
+        Some(self.missing?.since + self.settings.tolerance)
     }
 }
 
--- a/crates/lentil_policy/tests/forward_watch_doubts.rs
+++ b/crates/lentil_policy/tests/forward_watch_doubts.rs
@@ -32,9 +32,33 @@
 #[test]
 fn a_version_that_the_store_does_not_confirm_is_not_asked_for_again() {
     let mut doubts = WatchDoubts::default();
-    doubts.on_notice(at(0), ObjectVersion(u64::MAX));
-    doubts.on_answer();
+    doubts.on_documents(ObjectVersion(3));
+    doubts.on_notice(at(0), ObjectVersion(7));
+    doubts.on_answer(at(1));
     assert_eq!(doubts.due_at(), None);
+    doubts.on_notice(at(1_000), ObjectVersion(7));
+    assert_eq!(doubts.due_at(), None, "a reminder");
+    doubts.on_notice(at(1_100), ObjectVersion(8));
+    assert!(doubts.due_at().is_some(), "a later version");
+    assert!(
+        doubts.on_documents(ObjectVersion(7)),
+        "it arrives after all"
+    );
+}
+
+#[test]
+fn a_notice_that_comes_during_a_call_is_not_dropped_by_its_answer() {
+    let mut doubts = WatchDoubts::default();
+    doubts.on_documents(ObjectVersion(5));
+    let called_at = at(1_000);
+    doubts.on_notice(at(1_200), ObjectVersion(7));
+    doubts.on_answer(called_at);
+    let due_at = at(1_200) + Settings::default().tolerance;
+    assert_eq!(doubts.due_at(), Some(due_at));
+    let called_at = at(1_500);
+    doubts.on_notice(at(1_501), ObjectVersion(8));
+    doubts.on_answer(called_at);
+    assert!(doubts.due_at().is_some(), "8 may be newer than the answer");
 }
 
 #[test]
