End a stream that is given up with a reset where its end is the connection's

Callers of HTTP/1.0 took a stream that broke off for a complete one: their streams have no framing and end with the connection, and a stream that was given up was closed in order, as a whole one is. It is the same after a panic, a timeout, and when the process is killed.

Such a connection is set to end with a reset when its stream begins, however it is closed, and in order again once the stream is whole. So no path has to think of it, and the kernel resets it also for a process that is gone.

--- a/crates/lentil_forward/src/h1/connection.rs
+++ b/crates/lentil_forward/src/h1/connection.rs
@@ -91,8 +91,7 @@
     /// Makes the end of the connection a reset: what is written and has not arrived is
     /// lost, and not delivered later.
     pub fn reset_on_close(&self) {
-        let linger = Some(time::Duration::ZERO);
-        if let Err(error) = rustix::net::sockopt::set_socket_linger(&self.stream, linger) {
+        if let Err(error) = set_reset_on_close(&self.stream, true) {
             log::debug!(error:%; "cannot make the end of a connection a reset");
         }
     }
@@ -174,6 +173,16 @@
     }
 }
 
+/// Whether a connection ends with a reset, however it is closed, also by the end of the
+/// process.
+///
+/// # Errors
+/// An I/O error when the option cannot be set.
+pub fn set_reset_on_close(stream: &TcpStream, resets: bool) -> io::Result<()> {
+    let linger = resets.then_some(time::Duration::ZERO);
+    Ok(rustix::net::sockopt::set_socket_linger(stream, linger)?)
+}
+
 /// Truncates a buffer to the bytes read so far, also when a read is cancelled.
 struct Truncate<'a> {
     buffer: &'a mut BytesMut,
--- a/crates/lentil_forward/src/h1/mod.rs
+++ b/crates/lentil_forward/src/h1/mod.rs
@@ -9,7 +9,7 @@
 mod headers;
 
 pub use body::{BodyReader, Framing};
-pub use connection::Connection;
+pub use connection::{Connection, set_reset_on_close};
 pub use error::{BadHead, ReadError};
 pub use head::{RequestHead, ResponseHead};
 pub use headers::Headers;
--- a/crates/lentil_forward/src/router/answer.rs
+++ b/crates/lentil_forward/src/router/answer.rs
@@ -110,6 +110,9 @@
     ) -> io::Result<()> {
         if !self.chunked {
             self.close = true;
+            // The end of the connection ends the stream, so that only a reset leaves it
+            // incomplete.
+            h1::set_reset_on_close(&self.stream, true)?;
         }
         let mut bytes = self.head_bytes(status, reason, headers);
         if self.chunked {
@@ -131,6 +134,8 @@
     pub(super) async fn end_stream(&mut self) -> io::Result<()> {
         if self.chunked {
             self.write(b"0\r\n\r\n").await?;
+        } else {
+            h1::set_reset_on_close(&self.stream, false)?;
         }
         self.stage = Stage::Done;
         Ok(())
