Answer every request before a planned stop ends, and take none late that may outlast it

In a planned stop callers whose requests were still at a runner at the end of the grace got no answer, also those that may run once; so did callers whose request had come in late, on a connection that the router had kept.

Nothing bounded a request by what was left of the grace. Whether an answer closes its connection was decided when its request was read, so that an answer to a request from before the stop kept the connection, and the next request on it was passed on too, 6.5 s into a grace of 8 s.

Now all that has no answer gets one 400 ms before the end: 503 if it has not run, else 504, and a stream that has begun stays incomplete. A request that is still being read gets 503. From the handover on (2.4 s, when the balancer sends no more connections) a request that may take longer than what is left is refused as not run, with a retry at once, if other routers are known. Before that it is taken: a refused caller may come back to this router, and few requests take the 5 s that are left at the least. Runners are told of the shorter time. An answer closes its connection if the stop has begun by the time that it is written.

--- a/crates/lentil_forward/src/router/answer.rs
+++ b/crates/lentil_forward/src/router/answer.rs
@@ -1,12 +1,12 @@
 //! Writes answers to callers.
 
-use std::{fmt::Write as _, io, time};
+use std::{fmt::Write as _, io, rc, time};
 
 use bytes::{BufMut as _, Bytes, BytesMut};
 use futures_lite::AsyncWriteExt as _;
 use smol::net::TcpStream;
 
-use super::body_memory::BodyReservation;
+use super::{Router, body_memory::BodyReservation};
 use crate::h1;
 
 /// A complete answer of a runner or the router.
@@ -34,6 +34,7 @@
 
 /// Writes the answer to one request of a caller.
 pub(super) struct Answer {
+    router: rc::Rc<Router>,
     stream: TcpStream,
     stage: Stage,
     /// Whether the caller supports chunked transfer encoding.
@@ -43,8 +44,14 @@
 }
 
 impl Answer {
-    pub(super) fn new(stream: TcpStream, chunked: bool, close: bool) -> Self {
+    pub(super) fn new(
+        router: rc::Rc<Router>,
+        stream: TcpStream,
+        chunked: bool,
+        close: bool,
+    ) -> Self {
         Self {
+            router,
             stream,
             stage: Stage::NotStarted,
             chunked,
@@ -173,7 +180,9 @@
         }
     }
 
-    fn head_bytes(&self, status: u16, reason: &str, headers: &h1::Headers) -> BytesMut {
+    fn head_bytes(&mut self, status: u16, reason: &str, headers: &h1::Headers) -> BytesMut {
+        // Also if the shutdown has begun since the request was read.
+        self.close |= self.router.is_stopping();
         let mut bytes = BytesMut::with_capacity(512);
         let _ = write!(bytes, "HTTP/1.1 {status} {reason}\r\n");
         headers.write(&mut bytes);
--- a/crates/lentil_forward/src/router/caller.rs
+++ b/crates/lentil_forward/src/router/caller.rs
@@ -34,7 +34,7 @@
             ReadResult::Request(request, reservation) => (request, reservation),
             ReadResult::Closed => return,
             ReadResult::Rejected(status) => {
-                let mut answer = Answer::new(connection.stream(), true, true);
+                let mut answer = Answer::new(router.clone(), connection.stream(), true, true);
                 log::info!(status; "closing a connection after a rejected request");
                 let retry = (router.names.retry_after, router.settings.retry_after);
                 let retry = (status == 503).then_some(retry);
@@ -44,8 +44,9 @@
                 return;
             }
         };
-        let close = !request.head.keep_alive || router.stopping_since().is_some();
-        let mut answer = Answer::new(connection.stream(), request.head.chunked, close);
+        let (stream, chunked) = (connection.stream(), request.head.chunked);
+        let close = !request.head.keep_alive;
+        let mut answer = Answer::new(router.clone(), stream, chunked, close);
         let serve = async {
             let served = request::serve(&router, &request, &mut answer);
             if let Err(panicked) = panics::contain(&router.metrics, served).await {
@@ -113,6 +114,19 @@
     if connection.buffered() == 0 && !wait_for_request(router, connection, limits.idle_time).await {
         return ReadResult::Closed;
     }
+    let stopped = async {
+        router.last_answers().await;
+        ReadResult::Rejected(503)
+    };
+    futures_lite::future::or(read_whole(router, connection, &limits), stopped).await
+}
+
+/// Reads a request of which the first bytes have arrived.
+async fn read_whole(
+    router: &rc::Rc<Router>,
+    connection: &mut h1::Connection,
+    limits: &routing::Limits,
+) -> ReadResult {
     let timeout = async {
         smol::Timer::after(limits.head_time).await;
         Err(None)
@@ -127,10 +141,10 @@
         Err(None) => return ReadResult::Rejected(408),
         Err(Some(error)) => return rejection(&error),
     };
-    let Some(reservation) = BodyReservation::for_request(router, body_size(&head, &limits)) else {
+    let Some(reservation) = BodyReservation::for_request(router, body_size(&head, limits)) else {
         return ReadResult::Rejected(503);
     };
-    match read_body(connection, &head, &limits).await {
+    match read_body(connection, &head, limits).await {
         Ok(body) => {
             let request = Request {
                 head,
--- a/crates/lentil_forward/src/router/listener.rs
+++ b/crates/lentil_forward/src/router/listener.rs
@@ -15,7 +15,7 @@
 /// Largest head of such a request, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 
-/// Accepts callers' connections until `idle_close` after shutdown started.
+/// Accepts callers' connections until the handover of a shutdown.
 ///
 /// # Errors
 /// An I/O error when the address cannot be bound.
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -25,7 +25,9 @@
 
 use std::{cell, net, rc, time};
 
-use lentil_policy::forward::{document_sources, placement, runners, watch_doubts};
+use lentil_policy::forward::{
+    document_sources, placement, runners, shutdown::Shutdown, watch_doubts,
+};
 use lentil_process::{Clock, metrics};
 use lentil_types::{Instant, PlaceName, RunnerName};
 use rand::SeedableRng as _;
@@ -82,7 +84,7 @@
     pub(crate) outbox: Outbox,
     /// Notified when shutdown starts.
     pub(crate) stopping: event_listener::Event,
-    stopping_since: cell::Cell<Option<Instant>>,
+    shutdown: cell::Cell<Option<Shutdown>>,
     callers: cell::Cell<usize>,
     /// When the learned speeds were last logged.
     speeds_logged: cell::Cell<Option<Instant>>,
@@ -124,7 +126,7 @@
             agents_listed: event_listener::Event::new(),
             outbox: Outbox::new(),
             stopping: event_listener::Event::new(),
-            stopping_since: cell::Cell::new(None),
+            shutdown: cell::Cell::new(None),
             callers: cell::Cell::new(0),
             speeds_logged: cell::Cell::new(None),
             reserved_bytes: Default::default(),
@@ -143,29 +145,41 @@
 
     /// Starts shutdown: the router is not ready, and answers close their connections.
     pub fn stop(&self) {
-        if self.stopping_since.get().is_none() {
-            self.stopping_since.set(Some(self.now()));
+        if !self.is_stopping() {
+            let shutdown = Shutdown::new(self.settings.shutdown, self.now());
+            self.shutdown.set(Some(shutdown));
             self.stopping.notify(usize::MAX);
         }
     }
 
-    /// When shutdown started.
-    pub fn stopping_since(&self) -> Option<Instant> {
-        self.stopping_since.get()
+    /// Whether shutdown has started.
+    pub fn is_stopping(&self) -> bool {
+        self.shutdown.get().is_some()
     }
 
-    /// Returns when idle connections are to be closed during shutdown.
-    async fn idle_close(&self) {
-        while self.stopping_since.get().is_none() {
+    /// The shutdown, once it starts.
+    async fn wait_for_shutdown(&self) -> Shutdown {
+        loop {
             let stopping = self.stopping.listen();
-            if self.stopping_since.get().is_none() {
-                stopping.await;
+            if let Some(shutdown) = self.shutdown.get() {
+                return shutdown;
             }
+            stopping.await;
         }
-        let age = self
-            .now()
-            .since(self.stopping_since.get().unwrap_or_default());
-        let remaining = self.settings.idle_close.saturating_sub(age);
+    }
+
+    /// Returns when idle connections are to be closed during shutdown.
+    async fn idle_close(&self) {
+        let shutdown = self.wait_for_shutdown().await;
+        let age = self.now().since(shutdown.begun_at());
+        let remaining = self.settings.shutdown.handover.saturating_sub(age);
+        smol::Timer::after(remaining).await;
+    }
+
+    /// Returns when a stopping router answers all requests that still have no answer.
+    async fn last_answers(&self) {
+        let shutdown = self.wait_for_shutdown().await;
+        let remaining = shutdown.last_answers_at().since(self.now());
         smol::Timer::after(remaining).await;
     }
 
@@ -179,7 +193,7 @@
     /// # Errors
     /// [`NotReady`] with the reason.
     pub fn ready(&self) -> Result<(), NotReady> {
-        if self.stopping_since.get().is_some() {
+        if self.is_stopping() {
             return Err(NotReady::Stopping);
         }
         let state = self.state();
--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -115,6 +115,13 @@
         }
     }
 
+    /// Has the request answered by `limit` at the latest, and runners told so.
+    pub(super) fn limit_time(&mut self, limit: Instant) {
+        self.answer_by = self.answer_by.min(limit);
+        self.start_by = self.start_by.min(limit);
+        self.deadline = self.deadline.map(|deadline| deadline.min(limit));
+    }
+
     /// Time until the answer must be complete.
     pub(super) fn time_left(&self, now: Instant) -> time::Duration {
         self.answer_by.since(now)
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -63,6 +63,8 @@
     RunnerFailed,
     /// The route's timeout or the caller's deadline has passed.
     TimedOut,
+    /// The router stops, and may be gone before the request can be answered.
+    Stopping,
 }
 
 impl Reason {
@@ -83,6 +85,7 @@
             Self::Unreachable => Counter::OwnUnreachable,
             Self::RunnerFailed => Counter::OwnRunnerFailed,
             Self::TimedOut => Counter::OwnTimedOut,
+            Self::Stopping => Counter::OwnStopping,
         }
     }
 }
@@ -124,7 +127,12 @@
             }
             RequestEnd::OwnAnswer(Reason::TimedOut, router.settings.retry_after)
         };
-        futures_lite::future::or(run, timeout).await
+        let stopped = async {
+            router.last_answers().await;
+            RequestEnd::OwnAnswer(Reason::Stopping, router.settings.retry_after)
+        };
+        let end = futures_lite::future::or(timeout, stopped);
+        futures_lite::future::or(run, end).await
     };
     // A caller that is told that its request has not run may send it again at once.
     drop(charge);
@@ -166,7 +174,18 @@
         .map_err(|_| rejection(401, Reason::UnknownKey))?
         .cloned();
     let service = choose_service(router, &routing, &route);
-    let plan = Plan::new(&router.names, routing, route, team, service, request);
+    let mut plan = Plan::new(&router.names, routing, route, team, service, request);
+    if let Some(shutdown) = router.shutdown.get() {
+        let has_others = router.state().routers() > 1;
+        if !shutdown.admits(request.received, plan.answer_by, has_others) {
+            return Err(Rejection {
+                // Another router can take it now.
+                retry: time::Duration::ZERO,
+                ..rejection(503, Reason::Stopping)
+            });
+        }
+        plan.limit_time(shutdown.last_answers_at());
+    }
     if router.state().is_poison(request.received, plan.fingerprint) {
         return Err(rejection(503, Reason::Poison));
     }
@@ -412,7 +431,7 @@
     }
     let status = match (state, reason) {
         (attempt_log::ExecutionState::NotRun, _) => 503,
-        (attempt_log::ExecutionState::Unknown, Reason::TimedOut) => 504,
+        (attempt_log::ExecutionState::Unknown, Reason::TimedOut | Reason::Stopping) => 504,
         (attempt_log::ExecutionState::Unknown, _) => 502,
     };
     router.metrics.count(match state {
--- a/crates/lentil_forward/src/router/settings.rs
+++ b/crates/lentil_forward/src/router/settings.rs
@@ -3,7 +3,8 @@
 use std::time;
 
 use lentil_policy::forward::{
-    crash_blame, placement, retries, rollout_pacer, runners, save_budget, scheduler, team_limits,
+    crash_blame, placement, retries, rollout_pacer, runners, save_budget, scheduler, shutdown,
+    team_limits,
 };
 use lentil_process::logs;
 
@@ -86,12 +87,10 @@
     pub answer_margin: time::Duration,
     /// Retry delay sent to a rejected caller when no runner can take requests.
     pub retry_after: time::Duration,
-    /// Time from the start of shutdown until idle caller connections are closed and no
-    /// new ones accepted. The balancer checks readiness once a second and sends no
-    /// connections after two failed checks.
-    pub idle_close: time::Duration,
-    /// Longest total time of a shutdown.
-    pub grace: time::Duration,
+    /// Times of a shutdown. Idle connections are closed and no new ones accepted from the
+    /// handover on: the balancer checks readiness once a second and sends no connections
+    /// after two failed checks.
+    pub shutdown: shutdown::Settings,
     /// How long a closing connection is still read, so that no reset destroys the last
     /// answer.
     pub linger: time::Duration,
@@ -139,8 +138,7 @@
             answer_bytes: 4 << 20,
             answer_margin: time::Duration::from_millis(40),
             retry_after: time::Duration::from_millis(500),
-            idle_close: time::Duration::from_millis(2_400),
-            grace: time::Duration::from_secs(8),
+            shutdown: shutdown::Settings::default(),
             linger: time::Duration::from_millis(300),
             max_callers: 2_048,
             body_memory: 64 << 20,
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -19,6 +19,7 @@
 //! - [`weights_update`]: how an agent changes its runner's weights.
 //! - [`save_budget`]: the limit on saves to the cache store.
 //! - [`crash_blame`]: which segments of prompts crash runners and are refused.
+//! - [`shutdown`]: which requests a stopping router takes, and when it answers the last ones.
 //! - [`silence_watch`]: when an agent reports that its runner does not answer.
 //! - [`status_schedule`]: when an agent reports its runner's status to the routers.
 //! - [`rollout_pacer`]: how many runners change to new weights at once, and which.
@@ -45,6 +46,7 @@
 pub mod runners;
 pub mod save_budget;
 pub mod scheduler;
+pub mod shutdown;
 pub mod silence_watch;
 pub mod status_schedule;
 pub mod stream_origins;
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -175,6 +175,8 @@
     OwnRunnerFailed,
     /// Router's own errors: the deadline passed.
     OwnTimedOut,
+    /// Router's own errors: it stops and may be gone before the answer.
+    OwnStopping,
     /// Panics that ended a request or a task.
     Panics,
     /// Log lines dropped by the rate limit.
