Buffer the entry's streamed answers for callers of HTTP/1.0

A caller of HTTP/1.0 got the framing of chunks in the middle of a streamed answer, without a header that names it, and one that broke off ended like a whole one: the HTTP library frames every body of unknown length in chunks, for any version.

Such an answer is buffered, up to 16 MiB, and sent with its length; one that breaks off becomes an honest failure. Both tests failed before: 1,747 bytes too many, and 200 in place of 502.

--- a/crates/lentil_entry/src/api.rs
+++ b/crates/lentil_entry/src/api.rs
@@ -1,6 +1,7 @@
 //! Handles callers' requests.
 
 use std::{
+    io,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -8,17 +9,18 @@
     time,
 };
 
+use futures_lite::AsyncReadExt as _;
 use lentil_policy::{entry, protocol};
 use lentil_process::{
     Clock,
     metrics::{Counter, Metrics},
 };
-use lentil_types::{ConfigVersion, Outcome, RequestId, TeamName};
+use lentil_types::{ConfigVersion, FailReason, Outcome, RequestId, TeamName};
 use smol::channel::Sender;
-use trillium_http::Body;
+use trillium_http::{Body, Version};
 
 use crate::{
-    answer::{AnswerOptions, AnswerReader, Collector, Passthrough, Sse},
+    answer::{AnswerOptions, AnswerReader, Collector, Encode, Passthrough, Sse},
     body, check,
     driver::Input,
     endpoint::Endpoint,
@@ -41,6 +43,10 @@
 /// A larger one is streamed, without the outcome in its head.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
+/// Largest answer to a caller of HTTP/1.0. It is buffered: a body without a length would end
+/// with the connection, so that one that broke off would look complete.
+const MAX_UNFRAMED_BYTES: usize = 16 * 1024 * 1024;
+
 /// Handles callers' requests.
 pub(crate) struct Api {
     pub(crate) state: Arc<State>,
@@ -136,10 +142,7 @@
         };
         let answer = match wait_head(conn, replies).await {
             Ok((head, replies)) if head.status != OK => pass_through(conn, head, replies).await,
-            Ok((_, replies)) if call.stream => {
-                stream(conn, kind, options, replies);
-                Ok(())
-            }
+            Ok((_, replies)) if call.stream => stream(conn, kind, options, replies).await,
             Ok((_, replies)) => collect(conn, kind, options, replies).await,
             Err(no_answer) => Err(no_answer),
         };
@@ -259,13 +262,33 @@
     reply.ok_or(NoAnswer::CallerGone)?.ok_or(NoAnswer::Stopped)
 }
 
+/// Whether a body without a length cannot be framed for the caller.
+fn is_unframed(conn: &Conn) -> bool {
+    conn.http_version() == Version::Http1_0
+}
+
+/// Reads the rest of an answer.
+async fn read_whole<E: Encode>(reader: AnswerReader<E>) -> Result<Vec<u8>, NoAnswer> {
+    let mut body = Vec::new();
+    let mut limited = reader.take(MAX_UNFRAMED_BYTES as u64 + 1);
+    match limited.read_to_end(&mut body).await {
+        Ok(size) if size <= MAX_UNFRAMED_BYTES => Ok(body),
+        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => Err(NoAnswer::CallerGone),
+        Ok(_) | Err(_) => Err(NoAnswer::Failed(entry::Ending::Failed {
+            outcome: Outcome::Unknown,
+            reason: FailReason::Backend,
+            retry: None,
+        })),
+    }
+}
+
 /// Streams an answer as server-sent events.
-fn stream(
+async fn stream(
     conn: &mut Conn,
     kind: check::CompletionKind,
     options: AnswerOptions<'_>,
     replies: ReplyReceiver,
-) {
+) -> Result<(), NoAnswer> {
     let encoder = Sse::new(replies.request(), kind, unix_seconds(), options);
     let reader = AnswerReader::new(
         replies,
@@ -273,10 +296,15 @@
         Sse::padding(),
         conn.transport().disconnected(),
     );
+    let body = match is_unframed(conn) {
+        true => read_whole(reader).await?.into(),
+        false => Body::new_streaming(reader, None),
+    };
     respond::set_header(conn, "content-type", "text/event-stream");
     respond::set_header(conn, "cache-control", "no-cache");
     conn.set_status(OK);
-    conn.set_response_body(Body::new_streaming(reader, None));
+    conn.set_response_body(body);
+    Ok(())
 }
 
 /// Assembles an answer and sends it as one object.
@@ -319,6 +347,17 @@
             Reply::End(ending) => return Err(NoAnswer::Failed(ending)),
         }
     }
+    let body = if is_complete {
+        buffered.into()
+    } else {
+        let disconnected = conn.transport().disconnected();
+        let reader = AnswerReader::new(replies, Passthrough, buffered, disconnected);
+        is_complete = is_unframed(conn);
+        match is_complete {
+            true => read_whole(reader).await?.into(),
+            false => Body::new_streaming(reader, None),
+        }
+    };
     for header in head.headers {
         if headers::is_forwarded(&header.name) {
             let values = conn.response_headers_mut();
@@ -328,16 +367,8 @@
     conn.set_status(head.status);
     if is_complete {
         respond::set_header(conn, headers::OUTCOME, Outcome::Done.into());
-        conn.set_response_body(buffered);
-    } else {
-        let reader = AnswerReader::new(
-            replies,
-            Passthrough,
-            buffered,
-            conn.transport().disconnected(),
-        );
-        conn.set_response_body(Body::new_streaming(reader, None));
     }
+    conn.set_response_body(body);
     Ok(())
 }
 
--- a/crates/lentil_entry/tests/callers/plain.rs
+++ b/crates/lentil_entry/tests/callers/plain.rs
@@ -1,6 +1,6 @@
 //! Calls to plain services.
 
-use crate::support::{Bench, Script, Step, auth, run};
+use crate::support::{Bench, Response, Script, Step, auth, run};
 use lentil_policy::protocol;
 use lentil_types::{Class, FailReason, Outcome};
 
@@ -109,3 +109,43 @@
         assert_eq!(response.header("x-lentil-outcome"), None);
     });
 }
+
+/// The response to a caller of HTTP/1.0, without framing for a body of unknown length.
+async fn ask_1_0(script: Script) -> Response {
+    let bench = Bench::start(script).await;
+    let mut caller = bench.caller().await;
+    let headers = format!("{}x-lentil-deadline-ms: 500\r\n", auth());
+    let request = format!("GET /services/dockdesk/log HTTP/1.0\r\nhost: entry\r\n{headers}\r\n");
+    caller.write(request.as_bytes()).await;
+    let response = caller.response().await;
+    assert_eq!(response.header("transfer-encoding"), None);
+    assert!(response.header("content-length").is_some());
+    assert!(caller.is_closed().await, "nothing follows");
+    response
+}
+
+#[test]
+fn a_failure_after_the_head_looks_complete_to_no_caller_of_http_1_0() {
+    run(async {
+        let script = |_: &_| {
+            let mut steps = vec![Step::Head(200, Vec::new())];
+            steps.extend((0..80).map(|_| Step::Piece(vec![b'x'; 16 * 1024])));
+            steps.push(Step::Fail(Outcome::Unknown, FailReason::Backend, None));
+            steps
+        };
+        let response = ask_1_0(Box::new(script)).await;
+        assert_eq!(response.status, 502);
+        assert_eq!(response.header("x-lentil-outcome"), Some("unknown"));
+    });
+}
+
+#[test]
+fn a_large_answer_reaches_a_caller_of_http_1_0_unchanged() {
+    run(async {
+        let pieces: Vec<Vec<u8>> = (0..80).map(|index| vec![index; 16 * 1024]).collect();
+        let expected = pieces.concat();
+        let response = ask_1_0(service(pieces)).await;
+        assert_eq!((response.status, response.is_complete), (207, true));
+        assert!(response.body == expected);
+    });
+}
