--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -555,7 +555,19 @@
     async fn follow_routers(&self, kind: Kind) {
         loop {
             self.wait_until_round_due(kind).await;
-            self.fetch_from_peers(kind).await;
+            let overtaken = self.wait_until_overtaken(kind);
+            futures_lite::future::or(self.fetch_from_peers(kind), overtaken).await;
+        }
+    }
+
+    /// Returns when a round of asking is to end for another one.
+    async fn wait_until_overtaken(&self, kind: Kind) {
+        loop {
+            let changed = self.sources_changed.listen();
+            if self.cached.borrow()[kind as usize].sources.is_overtaken() {
+                return;
+            }
+            changed.await;
         }
     }
 
--- a/crates/lentil_policy/src/forward/document_sources.rs
+++ b/crates/lentil_policy/src/forward/document_sources.rs
@@ -51,6 +51,8 @@
     due_at: Option<Instant>,
     /// The router that last told of a newer document than this router has.
     informed: Option<net::SocketAddr>,
+    /// Whether it told since the last round began.
+    is_overtaken: bool,
     replies: Table<net::SocketAddr, (Reply, Instant)>,
 }
 
@@ -79,6 +81,7 @@
     /// A router has told of a newer document than this router has.
     pub fn on_notice(&mut self, now: Instant, router: net::SocketAddr) {
         self.informed = Some(router);
+        self.is_overtaken = true;
         if self.is_failing {
             self.due_at = Some(now);
         }
@@ -87,9 +90,16 @@
     /// A round of asking begins.
     pub fn on_round(&mut self, now: Instant) {
         self.asked_at = Some(now);
+        self.is_overtaken = false;
         self.due_at = self.is_failing.then_some(now + self.settings.interval);
     }
 
+    /// Whether the round is to end for another one: it may be waiting for dead routers while
+    /// a router is known that has a newer document.
+    pub fn is_overtaken(&self) -> bool {
+        self.is_failing && self.is_overtaken
+    }
+
     /// A router that was asked has replied, or not.
     pub fn on_reply(&mut self, now: Instant, router: net::SocketAddr, reply: Reply) {
         if reply != Reply::Current && self.informed == Some(router) {
--- a/crates/lentil_policy/tests/forward_document_sources.rs
+++ b/crates/lentil_policy/tests/forward_document_sources.rs
@@ -44,6 +44,12 @@
     sources.on_notice(at(120), routers(1)[0]);
     sources.on_reply(at(130), routers(2)[1], Reply::Nothing);
     assert_eq!(sources.due_at(None), Some(at(120)));
+    assert!(
+        sources.is_overtaken(),
+        "the round may wait for dead routers"
+    );
+    sources.on_round(at(130));
+    assert!(!sources.is_overtaken());
 }
 
 #[test]
