--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -7,7 +7,7 @@
 use lentil_platform::{Change, Changes, Document, KindStore, Listing, StoreError};
 use lentil_policy::{
     forward::{
-        document_sources::{DocumentSources, Reply},
+        document_sources::{self, DocumentSources, Reply},
         watch_doubts::{self, WatchDoubts},
     },
     store::ObjectVersion,
@@ -46,6 +46,8 @@
     pub max_peers: usize,
     /// When a watch is doubted, and what other routers are told.
     pub doubts: watch_doubts::Settings,
+    /// When other routers are asked for documents.
+    pub sources: document_sources::Settings,
     /// Listings a second of all routers together after the store came back from an older
     /// copy.
     pub restore_rate: f64,
@@ -62,6 +64,7 @@
             peer_timeout: time::Duration::from_millis(400),
             max_peers: 3,
             doubts: watch_doubts::Settings::default(),
+            sources: document_sources::Settings::default(),
             restore_rate: 1_000.0,
         }
     }
@@ -151,6 +154,7 @@
             settings,
             cached: cell::RefCell::new(std::array::from_fn(|_| CachedDocuments {
                 doubts: WatchDoubts::new(settings.doubts),
+                sources: DocumentSources::new(settings.sources),
                 ..CachedDocuments::default()
             })),
             peers: cell::RefCell::new(seeds),
