Log how late timers fire, what failed calls had received and how outdated a deciding configuration is

Until now a request that was refused by an old configuration could not be told from one that was refused by the newest, and a failed call to the store that had no connection not from one whose answer was on its way. Lines: 'timers fire late', 'a call to the store failed again', the age of the configuration with each rejected request, and how long another router was known to have a newer one. Counters: decided_outdated, ticks_late. Gauge: config_lag.

--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -371,11 +371,13 @@
 
     fn on_failure(&self, kind: Kind, failures: u32, called_at: Instant, error: &StoreError) {
         self.router.metrics.count(Counter::StoreLost);
+        let waited_ms = self.router.now().since(called_at).as_millis();
+        let silent_ms = self.silent_ms(kind);
         if failures == 1 {
-            let waited_ms = self.router.now().since(called_at).as_millis();
-            let silent_ms = self.silent_ms(kind);
             log::warn!(kind:%, error:%, waited_ms, silent_ms:?; "the store does not answer; fetching documents from other routers");
             self.disturbed.notify(usize::MAX);
+        } else {
+            log::info!(kind:%, failures, error:%, waited_ms, silent_ms:?; "a call to the store failed again");
         }
         let now = self.router.now();
         self.update(kind, |cached| {
@@ -461,6 +463,10 @@
         if let Some(version) = newest.filter(|version| cached.doubts.on_documents(*version)) {
             self.put_notice(kind, version, self.settings.doubts.fan_out);
         }
+        if kind == Kind::Routing {
+            self.router
+                .set_outdated_since(cached.doubts.missing_since());
+        }
     }
 
     fn put_notice(&self, kind: Kind, version: ObjectVersion, most: usize) {
@@ -548,7 +554,12 @@
     }
 
     fn update(&self, kind: Kind, change: impl FnOnce(&mut CachedDocuments)) {
-        change(&mut self.cached.borrow_mut()[kind as usize]);
+        let cached = &mut self.cached.borrow_mut()[kind as usize];
+        change(cached);
+        if kind == Kind::Routing {
+            self.router
+                .set_outdated_since(cached.doubts.missing_since());
+        }
     }
 
     // ------------------------------------------------------------------------
--- a/crates/lentil_forward/src/h1/connection.rs
+++ b/crates/lentil_forward/src/h1/connection.rs
@@ -27,6 +27,7 @@
     stream: TcpStream,
     pub(super) buffer: BytesMut,
     answers: u64,
+    received: u64,
 }
 
 impl Connection {
@@ -36,6 +37,7 @@
             stream,
             buffer: BytesMut::new(),
             answers: 0,
+            received: 0,
         }
     }
 
@@ -77,6 +79,7 @@
         };
         let read = self.stream.read(&mut guard.buffer[start..]).await?;
         guard.size = start + read;
+        self.received += read as u64;
         Ok(read)
     }
 
@@ -103,6 +106,11 @@
         matches!(self.fill().await, Ok(1..))
     }
 
+    /// Bytes read so far.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
     /// Bytes read but not yet used.
     pub fn buffered(&self) -> usize {
         self.buffer.len()
--- a/crates/lentil_forward/src/http_call.rs
+++ b/crates/lentil_forward/src/http_call.rs
@@ -52,8 +52,13 @@
     #[error("no connection: {0}")]
     Unreached(io::Error),
     /// No whole answer arrived within this time.
-    #[error("no answer within {0:?}")]
-    Timeout(time::Duration),
+    #[error("no answer within {limit:?}, {received} bytes received")]
+    Timeout {
+        /// The limit.
+        limit: time::Duration,
+        /// Bytes of the answer that had arrived.
+        received: u64,
+    },
     /// The exchange failed on an open connection.
     #[error(transparent)]
     Read(#[from] ReadError),
@@ -84,11 +89,19 @@
         connection: &mut Connection,
         address: net::SocketAddr,
     ) -> Result<Reply, CallError> {
+        let before = connection.received();
         let timeout = async {
             smol::Timer::after(self.timeout).await;
-            Err(CallError::Timeout(self.timeout))
+            None
         };
-        futures_lite::future::or(self.exchange(connection, address), timeout).await
+        let exchange = async { Some(self.exchange(connection, address).await) };
+        let result = futures_lite::future::or(exchange, timeout).await;
+        result.unwrap_or_else(|| {
+            Err(CallError::Timeout {
+                limit: self.timeout,
+                received: connection.received() - before,
+            })
+        })
     }
 
     async fn exchange(
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -86,6 +86,8 @@
     pub(crate) stopping: event_listener::Event,
     shutdown: cell::Cell<Option<Shutdown>>,
     callers: cell::Cell<usize>,
+    /// Since when another router is known to have a newer configuration.
+    outdated_since: cell::Cell<Option<Instant>>,
     /// When the learned speeds were last logged.
     speeds_logged: cell::Cell<Option<Instant>>,
     /// Bytes of all body reservations of each kind.
@@ -128,6 +130,7 @@
             stopping: event_listener::Event::new(),
             shutdown: cell::Cell::new(None),
             callers: cell::Cell::new(0),
+            outdated_since: cell::Cell::new(None),
             speeds_logged: cell::Cell::new(None),
             reserved_bytes: Default::default(),
         })
@@ -218,6 +221,11 @@
         self.pool.borrow_mut().tick(now, is_known);
         self.metrics
             .gauge(metrics::Gauge::InFlight, self.callers.get() as u64);
+        let lag = self.outdated_for().unwrap_or_default().as_millis();
+        self.metrics.gauge(
+            metrics::Gauge::ConfigLag,
+            u64::try_from(lag).unwrap_or(u64::MAX),
+        );
         drop(state);
         self.ask_in_advance();
         self.grant_turns();
--- a/crates/lentil_forward/src/router/request.rs
+++ b/crates/lentil_forward/src/router/request.rs
@@ -163,6 +163,9 @@
     };
     let routing = router.state().routing().cloned();
     let routing = routing.ok_or_else(|| rejection(503, Reason::NoConfiguration))?;
+    if router.outdated_for().is_some() {
+        router.metrics.count(Counter::DecidedOutdated);
+    }
     let head = &request.head;
     let route = routing.route(head.host().unwrap_or_default(), head.path());
     let route = route
@@ -223,9 +226,12 @@
             .state()
             .routing()
             .map_or(0, |routing| routing.version.0);
+        let config_age_ms = router.state().routing_age(router.now()).as_millis();
+        let outdated_ms = router.outdated_for().map(|lag| lag.as_millis());
         let host = request.head.host().unwrap_or_default().to_owned();
         log::info!(
             request = id.unwrap_or("-"), reason:%, status, config = version,
+            config_age_ms, outdated_ms:?,
             retry_ms = retry.as_millis(), host, path = request.head.path();
             "request rejected"
         );
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -19,6 +19,8 @@
 /// Shared state of a router.
 pub struct State {
     routing: Option<rc::Rc<routing::Routing>>,
+    /// When it was put in force.
+    routing_since: Instant,
     runners: runners::Runners,
     targets: target_weights::TargetWeights,
     retry_budgets: Table<ServiceName, retries::RetryBudget>,
@@ -84,6 +86,7 @@
     pub(super) fn new(settings: &Settings) -> Self {
         Self {
             routing: None,
+            routing_since: Instant::ZERO,
             runners: runners::Runners::new(settings.runners),
             targets: target_weights::TargetWeights::default(),
             retry_budgets: Table::new(),
@@ -126,9 +129,15 @@
         }
         self.limits.set_teams(now, routing.teams());
         self.routing = Some(rc::Rc::new(routing));
+        self.routing_since = now;
         Some(version)
     }
 
+    /// How long the configuration has been in force.
+    pub fn routing_age(&self, now: Instant) -> time::Duration {
+        now.since(self.routing_since)
+    }
+
     /// All known runners.
     pub fn runners(&self) -> &runners::Runners {
         &self.runners
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -25,6 +25,10 @@
 /// may be a little older, and the prompt is believed without one for 60 ms.
 const ANNOUNCED_TIME: time::Duration = time::Duration::from_millis(150);
 
+/// Delay of a timer above which it is logged. Calls to the store and to other routers have
+/// limits of a few hundred milliseconds.
+const LATE_TICK: time::Duration = time::Duration::from_millis(100);
+
 /// Interval of the log lines with the learned speeds.
 const SPEEDS_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
@@ -98,16 +102,39 @@
         let teams = routing.teams().len();
         let old = self.state().routing().map(|old| old.version.0);
         let now = self.now();
+        let outdated_ms = self.outdated_for().map(|lag| lag.as_millis());
         let version = self.state().set_routing(now, routing);
         if let Some(version) = version {
             self.metrics.count(Counter::ConfigChanges);
             self.metrics.gauge(Gauge::ConfigVersion, version.0);
-            log::info!(config = version.0, old:?, revision = document.version.0, routes, teams; "configuration in force");
+            log::info!(config = version.0, old:?, revision = document.version.0, routes, teams, outdated_ms:?; "configuration in force");
             self.availability_changed.notify(usize::MAX);
             self.agents_listed.notify(usize::MAX);
         }
     }
 
+    /// Sets since when another router is known to have a newer configuration.
+    pub(crate) fn set_outdated_since(&self, since: Option<Instant>) {
+        self.outdated_since.set(since);
+    }
+
+    /// How long another router is known to have had a newer configuration.
+    pub(crate) fn outdated_for(&self) -> Option<time::Duration> {
+        let since = self.outdated_since.get()?;
+        Some(self.now().since(since))
+    }
+
+    /// The periodic work was due `delay` ago.
+    pub fn on_tick_delay(&self, delay: time::Duration) {
+        if delay < LATE_TICK {
+            return;
+        }
+        self.metrics.count(Counter::TicksLate);
+        if self.log_quota.try_take(self.now()) {
+            log::info!(late_ms = delay.as_millis(), callers = self.callers.get(); "timers fire late");
+        }
+    }
+
     fn on_weights(&self, document: &Document) {
         let target = match self.decoder.weights(document) {
             Ok(target) => target,
--- a/crates/lentil_policy/src/forward/watch_doubts.rs
+++ b/crates/lentil_policy/src/forward/watch_doubts.rs
@@ -118,6 +118,11 @@
         (self.newest > ObjectVersion::default()).then_some(self.newest)
     }
 
+    /// Since when another router has had a newer document.
+    pub fn missing_since(&self) -> Option<Instant> {
+        Some(self.missing?.since)
+    }
+
     /// When the watch is doubted, unless the missing document arrives before.
     pub fn due_at(&self) -> Option<Instant> {
         Some(self.missing?.since + self.settings.tolerance)
--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -84,6 +84,11 @@
     DocumentNotices,
     /// Other routers that were asked for documents and offered none.
     DocumentsNotOffered,
+    /// Requests decided by a configuration of which another router is known to have a newer
+    /// version.
+    DecidedOutdated,
+    /// Timers of a process's periodic work that fired late.
+    TicksLate,
     /// Configurations applied.
     ConfigChanges,
     /// Unusable documents from the store.
@@ -218,6 +223,9 @@
     Queued,
     /// Version of the configuration in force.
     ConfigVersion,
+    /// Time since when another router is known to have a newer configuration, in
+    /// milliseconds.
+    ConfigLag,
 }
 
 /// Settings of the metrics.
