Keep slow calls for documents open while others are made

Cause: a limit on a call that is shorter than its answer takes under load, and a retry that starts from nothing.

Other sources are tried as early as before. A router that is asked for documents and does not answer soon is kept waiting for while others are asked.

--- a/crates/lentil_forward/src/client.rs
+++ b/crates/lentil_forward/src/client.rs
@@ -39,7 +39,7 @@
         if result.is_err() {
             // Idle connections may be as dead as this one, and a dead one is found only
             // after the whole timeout.
-            self.lock().clear();
+            self.close_idle();
         }
         let reply = result?;
         if reply.head.keep_alive && connection.buffered() == 0 {
@@ -48,6 +48,11 @@
         Ok(reply)
     }
 
+    /// Closes the idle connections.
+    pub fn close_idle(&self) {
+        self.lock().clear();
+    }
+
     async fn connect(&self) -> Result<Connection, CallError> {
         loop {
             let idle = self.lock().pop();
--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -1,13 +1,14 @@
 //! Keeps documents up to date from the store and, while it fails, from other
 //! routers.
 
-use std::{cell, net, rc, sync, time};
+use std::{cell, net, ops::ControlFlow, rc, sync, time};
 
 use compact_str::CompactString;
 use lentil_platform::{Change, Changes, Document, KindStore, Listing, StoreError};
 use lentil_policy::{
     forward::{
         document_sources::{self, DocumentSources, Reply},
+        open_calls::{self, CallId, OpenCall, OpenCalls},
         watch_doubts::{self, WatchDoubts},
     },
     store::ObjectVersion,
@@ -20,6 +21,7 @@
     documents::Kind,
     generated,
     http_call::{Call, CallError},
+    open_futures::OpenFutures,
     peers,
     router::Router,
 };
@@ -40,10 +42,16 @@
     pub min_backoff: time::Duration,
     /// Longest backoff.
     pub max_backoff: time::Duration,
+    /// Time for another router's answer, after which the next one is asked beside it.
+    pub peer_overdue: time::Duration,
     /// Limit on connecting to another router, and on its answer.
     pub peer_timeout: time::Duration,
-    /// Most routers tried in turn in one round of asking.
+    /// Most routers asked in one round.
     pub max_peers: usize,
+    /// Most of them that are asked at once.
+    pub max_open: usize,
+    /// Which calls to the store stay open.
+    pub calls: open_calls::Settings,
     /// When a watch is doubted, and what other routers are told.
     pub doubts: watch_doubts::Settings,
     /// When other routers are asked for documents.
@@ -61,8 +69,11 @@
             batch_delay: time::Duration::from_millis(250),
             min_backoff: time::Duration::from_millis(100),
             max_backoff: time::Duration::from_millis(500),
-            peer_timeout: time::Duration::from_millis(400),
+            peer_overdue: time::Duration::from_millis(400),
+            peer_timeout: time::Duration::from_secs(2),
             max_peers: 3,
+            max_open: 4,
+            calls: open_calls::Settings::default(),
             doubts: watch_doubts::Settings::default(),
             sources: document_sources::Settings::default(),
             restore_rate: 1_000.0,
@@ -119,6 +130,27 @@
     Changes(Changes),
 }
 
+/// What happens while other routers are asked.
+enum RoundEvent {
+    /// A router has replied, which may end the round with what it offered.
+    Replied(ControlFlow<Option<(net::SocketAddr, Listing)>>),
+    /// The router that was asked last does not reply soon.
+    Overdue,
+    /// A router has told of newer documents.
+    Overtaken,
+}
+
+/// What happens to the open calls of one kind.
+enum CallEvent {
+    /// The next call is to be made.
+    Due,
+    /// The call that waits for changes may never be answered.
+    Doubted,
+    /// The newest call has no answer. It stays open.
+    Overdue(OpenCall),
+    Ended(OpenCall, Result<Answer, StoreError>),
+}
+
 /// Keeps a router's documents up to date.
 pub struct Follower {
     router: rc::Rc<Router>,
@@ -206,30 +238,56 @@
 
     /// Follows a kind in the store; never returns.
     async fn follow_store(&self, kind: Kind) {
+        let mut open = OpenFutures::new();
+        let mut calls = OpenCalls::new(self.settings.calls);
         let mut failures = 0u32;
         let mut is_compared = false;
         let mut is_doubted = false;
+        // When the next call is made.
+        let mut call_at = Some(self.router.now());
         loop {
-            let called_at = self.router.now();
-            let is_wanted = kind == Kind::Runners && self.router.is_refresh_wanted();
-            let is_probe = failures > 0 || std::mem::take(&mut is_doubted) || is_wanted;
-            let version = self.cached.borrow()[kind as usize].version;
-            match self.call(kind, version, is_probe).await {
-                Ok(None) => {
+            if call_at.is_some_and(|at| self.router.now() >= at) {
+                call_at = None;
+                let is_wanted = kind == Kind::Runners && self.router.is_refresh_wanted();
+                let is_probe = failures > 0 || std::mem::take(&mut is_doubted) || is_wanted;
+                self.call(kind, is_probe, &mut calls, &mut open);
+            }
+            let (call, result) = match self.next_event(kind, call_at, &mut calls, &mut open).await {
+                CallEvent::Due => {
+                    call_at = Some(self.router.now());
+                    continue;
+                }
+                CallEvent::Doubted => {
                     self.router.metrics.count(Counter::WatchesDoubted);
                     is_doubted = true;
+                    call_at = Some(self.router.now());
+                    continue;
+                }
+                CallEvent::Overdue(call) => {
+                    self.store.renew_connections();
+                    let waited = self.router.now().since(call.called_at);
+                    (call, Err(StoreError::Timeout(waited)))
                 }
-                Ok(Some(answer)) => {
+                CallEvent::Ended(call, result) => (call, result),
+            };
+            match result {
+                Ok(answer) => {
                     if failures > 0 {
                         let silent_ms = self.silent_ms(kind);
                         log::info!(kind:%, failures, silent_ms:?; "the store answers again");
                         self.disturbed.notify(usize::MAX);
                     }
                     failures = 0;
-                    self.on_success(kind, called_at);
-                    let has_changes = self.apply(kind, version, &answer);
+                    self.on_success(kind, call.called_at);
+                    let has_changes = self.apply(kind, call.after, &answer);
+                    let version = self.cached.borrow()[kind as usize].version;
+                    calls.on_answer(call.id, version);
+                    open.retain(|id| calls.get(id).is_some());
+                    let now = self.router.now();
+                    let is_overdue = calls.overdue_at().is_none_or(|at| at <= now);
+                    call_at = is_overdue.then_some(now);
                     if kind == Kind::Runners {
-                        self.router.on_registrations_applied(called_at);
+                        self.router.on_registrations_applied(call.called_at);
                         if has_changes {
                             let batched = async {
                                 smol::Timer::after(self.settings.batch_delay).await;
@@ -246,59 +304,117 @@
                     let silent_ms = self.silent_ms(kind);
                     log::warn!(kind:%, silent_ms:?; "the store came back from an older copy; keeping what is known and listing again");
                     self.on_restored(kind);
-                    smol::Timer::after(self.restore_delay()).await;
+                    calls.clear();
+                    open.retain(|_| false);
+                    call_at = Some(self.router.now() + self.restore_delay());
                 }
                 Err(StoreError::HistoryGone) => {
                     log::info!(kind:%; "the store no longer has the history since the last watch; listing again");
                     self.update(kind, |cached| cached.version = None);
+                    calls.clear();
+                    open.retain(|_| false);
+                    call_at = Some(self.router.now());
                 }
                 Err(error) => {
                     failures = failures.saturating_add(1);
-                    self.on_failure(kind, failures, called_at, &error);
-                    // Calls for another kind that are answered again end the pause.
-                    let disturbed = self.disturbed.listen();
-                    let pause = async {
-                        smol::Timer::after(self.pause(failures, called_at)).await;
-                    };
-                    futures_lite::future::or(pause, disturbed).await;
+                    self.on_failure(kind, failures, call.called_at, &error);
+                    call_at = Some(self.router.now() + self.pause(failures, call.called_at));
                 }
             }
         }
     }
 
-    /// Lists the kind, or watches it from `version`. After a failure or a doubt it does not
-    /// wait for changes: a call that is never answered must fail quickly. `None`: the call
-    /// was ended, since it may never be answered.
-    async fn call(
-        &self,
+    /// Begins to list the kind, or to watch it from its version. After a failure or a doubt
+    /// the call does not wait for changes: it must soon be known whether the store answers.
+    fn call<'a>(
+        &'a self,
         kind: Kind,
-        version: Option<ObjectVersion>,
         is_probe: bool,
-    ) -> Result<Option<Answer>, StoreError> {
+        calls: &mut OpenCalls,
+        open: &mut OpenFutures<'a, CallId, Result<Answer, StoreError>>,
+    ) {
         let name = self.router.decoder.kind(kind);
         self.router.metrics.count(Counter::StoreCalls);
-        let Some(version) = version else {
-            self.router.metrics.count(Counter::StoreLists);
-            let listing = self.store.list(name).await?;
-            return Ok(Some(Answer::Listing(listing)));
-        };
+        let version = self.cached.borrow()[kind as usize].version;
         let wait = match kind {
-            _ if is_probe => time::Duration::ZERO,
+            _ if is_probe || version.is_none() => time::Duration::ZERO,
             Kind::Runners => self.settings.runners_wait,
             Kind::Routing | Kind::Weights => self.settings.watch_wait,
         };
-        self.router.metrics.count(Counter::StoreWatches);
-        let watch = async { Some(self.store.watch(name, version, wait).await) };
+        let call = calls.on_call(self.router.now(), wait, version);
+        open.retain(|id| calls.get(id).is_some());
+        match version {
+            None => {
+                self.router.metrics.count(Counter::StoreLists);
+                let listing = self.store.list(name);
+                open.push(call.id, async { listing.await.map(Answer::Listing) });
+            }
+            Some(version) => {
+                self.router.metrics.count(Counter::StoreWatches);
+                let changes = self.store.watch(name, version, wait);
+                open.push(call.id, async { changes.await.map(Answer::Changes) });
+            }
+        }
+    }
+
+    /// What happens next to the open calls. `call_at`: when another one is made.
+    async fn next_event(
+        &self,
+        kind: Kind,
+        call_at: Option<Instant>,
+        calls: &mut OpenCalls,
+        open: &mut OpenFutures<'_, CallId, Result<Answer, StoreError>>,
+    ) -> CallEvent {
+        let due = async {
+            let Some(call_at) = call_at else {
+                return std::future::pending().await;
+            };
+            // Calls for another kind that are answered again end the pause.
+            let disturbed = self.disturbed.listen();
+            let pause = self.sleep_until(call_at);
+            futures_lite::future::or(pause, disturbed).await;
+            CallEvent::Due
+        };
+        let newest = calls.newest().copied();
+        let overdue_at = calls.overdue_at();
+        let overdue = async {
+            match (newest, overdue_at) {
+                (Some(call), Some(at)) if call_at.is_none() => {
+                    self.sleep_until(at).await;
+                    CallEvent::Overdue(call)
+                }
+                _ => std::future::pending().await,
+            }
+        };
         let doubted = async {
+            let is_watch = newest.is_some_and(|call| !call.wait.is_zero());
+            if !is_watch || call_at.is_some() {
+                std::future::pending::<()>().await;
+            }
             self.wait_until_doubted(kind).await;
-            None
+            CallEvent::Doubted
         };
-        let changes = if is_probe {
-            watch.await
-        } else {
-            futures_lite::future::or(watch, doubted).await
+        let ended = async {
+            loop {
+                let (id, result) = open.next().await;
+                let Some(call) = calls.get(id).copied() else {
+                    continue;
+                };
+                let is_failure = !matches!(
+                    result,
+                    Ok(_) | Err(StoreError::Restored | StoreError::HistoryGone)
+                );
+                if !is_failure || calls.on_failure(id) {
+                    return CallEvent::Ended(call, result);
+                }
+            }
         };
-        Ok(changes.transpose()?.map(Answer::Changes))
+        let timed = futures_lite::future::or(due, overdue);
+        futures_lite::future::or(ended, futures_lite::future::or(doubted, timed)).await
+    }
+
+    async fn sleep_until(&self, at: Instant) {
+        smol::Timer::after(at.since(self.router.now())).await;
     }
 
     /// Applies an answer to a call from `version`. Returns whether it has changes.
@@ -530,7 +646,7 @@
             });
         };
         futures_lite::future::or(fetch, async {
-            smol::Timer::after(self.settings.peer_timeout).await;
+            smol::Timer::after(self.settings.peer_overdue).await;
         })
         .await;
     }
@@ -570,12 +686,11 @@
     async fn follow_routers(&self, kind: Kind) {
         loop {
             self.wait_until_round_due(kind).await;
-            let overtaken = self.wait_until_overtaken(kind);
-            futures_lite::future::or(self.fetch_from_peers(kind), overtaken).await;
+            self.fetch_from_peers(kind).await;
         }
     }
 
-    /// Returns when a round of asking is to end for another one.
+    /// Returns when the routers to ask in a round are to be chosen anew.
     async fn wait_until_overtaken(&self, kind: Kind) {
         loop {
             let changed = self.sources_changed.listen();
@@ -664,33 +779,83 @@
         }
     }
 
-    /// Asks routers in turn until one knows whether there are documents newer than `reached`,
-    /// and returns them if there are.
+    /// Asks routers until one knows whether there are documents newer than `reached`, and
+    /// returns them if there are. A router that does not answer soon may still do so while
+    /// the next ones are asked.
     async fn first_offer(
         &self,
         kind: Kind,
         reached: Option<ObjectVersion>,
     ) -> Option<(net::SocketAddr, Listing)> {
-        for peer in self.asked_peers(kind) {
-            let result = self.fetch(peer, kind, reached).await;
-            let reply = match &result {
-                Ok(Fetched::Documents(_) | Fetched::Unchanged) => Reply::Current,
-                Ok(Fetched::Nothing) => Reply::Nothing,
-                Err(_) => Reply::Unreached,
+        let mut open = OpenFutures::new();
+        let mut asked = self.asked_peers(kind).into_iter();
+        loop {
+            let peer = asked.next();
+            if let Some(peer) = peer {
+                open.push(peer, self.fetch(peer, kind, reached));
+                open.drop_oldest(self.settings.max_open);
+            } else if open.is_empty() {
+                return None;
+            }
+            let overdue = async {
+                match peer {
+                    Some(_) => smol::Timer::after(self.settings.peer_overdue).await,
+                    None => std::future::pending().await,
+                };
+                RoundEvent::Overdue
             };
-            let now = self.router.now();
-            self.update(kind, |cached| cached.sources.on_reply(now, peer, reply));
-            match result {
-                Ok(Fetched::Documents(listing)) => return Some((peer, listing)),
-                Ok(Fetched::Unchanged) => return None,
-                Ok(Fetched::Nothing) => {}
-                Err(error) => {
-                    log::debug!(kind:%, router:% = peer, error:%; "cannot fetch documents from another router");
+            let overtaken = async {
+                self.wait_until_overtaken(kind).await;
+                RoundEvent::Overtaken
+            };
+            let replied = async { RoundEvent::Replied(self.next_offer(kind, &mut open).await) };
+            let event = futures_lite::future::or(overtaken, overdue);
+            match futures_lite::future::or(replied, event).await {
+                RoundEvent::Replied(ControlFlow::Break(offer)) => return offer,
+                RoundEvent::Replied(ControlFlow::Continue(())) => {}
+                RoundEvent::Overdue => {
+                    if let Some(peer) = peer {
+                        self.on_reply(kind, peer, Reply::Unreached);
+                    }
+                }
+                RoundEvent::Overtaken => {
+                    let now = self.router.now();
+                    self.update(kind, |cached| cached.sources.on_round(now));
+                    asked = self.asked_peers(kind).into_iter();
                 }
             }
-            self.router.metrics.count(Counter::DocumentsNotOffered);
         }
-        None
+    }
+
+    /// Handles the next reply of the routers that were asked. Ends the round if it tells
+    /// whether there are newer documents.
+    async fn next_offer(
+        &self,
+        kind: Kind,
+        open: &mut OpenFutures<'_, net::SocketAddr, Result<Fetched, CallError>>,
+    ) -> ControlFlow<Option<(net::SocketAddr, Listing)>> {
+        let (peer, result) = open.next().await;
+        let reply = match &result {
+            Ok(Fetched::Documents(_) | Fetched::Unchanged) => Reply::Current,
+            Ok(Fetched::Nothing) => Reply::Nothing,
+            Err(_) => Reply::Unreached,
+        };
+        self.on_reply(kind, peer, reply);
+        match result {
+            Ok(Fetched::Documents(listing)) => return ControlFlow::Break(Some((peer, listing))),
+            Ok(Fetched::Unchanged) => return ControlFlow::Break(None),
+            Ok(Fetched::Nothing) => {}
+            Err(error) => {
+                log::debug!(kind:%, router:% = peer, error:%; "cannot fetch documents from another router");
+            }
+        }
+        self.router.metrics.count(Counter::DocumentsNotOffered);
+        ControlFlow::Continue(())
+    }
+
+    fn on_reply(&self, kind: Kind, peer: net::SocketAddr, reply: Reply) {
+        let now = self.router.now();
+        self.update(kind, |cached| cached.sources.on_reply(now, peer, reply));
     }
 
     /// The routers that are asked in one round.
--- a/crates/lentil_forward/src/lib.rs
+++ b/crates/lentil_forward/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod h1;
 mod http_call;
 pub mod names;
+mod open_futures;
 pub mod peers;
 pub mod router;
 pub mod runner_watch;
--- a/crates/lentil_platform/src/kinds.rs
+++ b/crates/lentil_platform/src/kinds.rs
@@ -67,4 +67,7 @@
         name: &'a str,
         value: &'a [u8],
     ) -> StoreFuture<'a, ObjectVersion>;
+
+    /// Later calls are made on new connections: those that are idle may be dead.
+    fn renew_connections(&self) {}
 }
--- a/crates/lentil_policy/src/forward/document_sources.rs
+++ b/crates/lentil_policy/src/forward/document_sources.rs
@@ -94,8 +94,8 @@
         self.due_at = self.is_failing.then_some(now + self.settings.interval);
     }
 
-    /// Whether the round is to end for another one: it may be waiting for dead routers while
-    /// a router is known that has a newer document.
+    /// Whether the routers to ask are to be chosen anew: the round may be waiting for dead ones
+    /// while a router is known that has a newer document.
     pub fn is_overtaken(&self) -> bool {
         self.is_failing && self.is_overtaken
     }
--- a/crates/lentil_policy/src/forward/mod.rs
+++ b/crates/lentil_policy/src/forward/mod.rs
@@ -26,7 +26,8 @@
 //! - [`rollout_schedule`]: when a runner changes that no router reaches.
 //! - [`stream_origins`]: which service and software version began a stream.
 //! - [`document_sources`]: which routers are asked for the store's documents, and when.
-//! - [`watch_doubts`]: when a call that waits for changes of the store is ended.
+//! - [`watch_doubts`]: when a call that waits for changes of the store is doubted.
+//! - [`open_calls`]: which calls to the store stay open while others are made.
 
 pub mod admission;
 pub mod attempt_log;
@@ -36,6 +37,7 @@
 pub mod demand;
 pub mod document_sources;
 pub mod lanes;
+pub mod open_calls;
 pub mod pace;
 pub mod placement;
 pub mod refused_callers;
