--- a/crates/lentil_policy/src/forward/routing.rs
+++ b/crates/lentil_policy/src/forward/routing.rs
@@ -285,8 +285,8 @@
 
     /// The target that `point` selects by weight, from 0 to 1.
     pub fn target<'a>(&self, route: &'a Route, point: f64) -> &'a ServiceName {
-        let total: u32 = route.targets.iter().map(|target| target.weight).sum();
-        let mut remaining = point * f64::from(total);
+        let weights = route.targets.iter().map(|target| f64::from(target.weight));
+        let mut remaining = point * weights.sum::<f64>();
         for target in &route.targets {
             remaining -= f64::from(target.weight);
             if remaining < 0.0 {
