Bound what a peer's endless bytes take of sidecars, entries and the platform client

A faulty backend server that answered /status with chunks without end took 1,063 MB of its sidecar in 12 s, an endless chunk extension a whole core; four callers that sent such an extension took a core of the entry. The process is then ended for its memory, and all requests through it with it.

Causes: bodies were read with the library's limit of hundreds of megabytes; the library keeps and parses again the line of an unfinished chunk without a limit; and it reads the rest of an abandoned answer in the background, without any limit, to use the connection again: one such task for each poll of the status that was given up after a second.

A status that cannot be read is logged and polled less often.

--- a/crates/lentil_entry/src/body.rs
+++ b/crates/lentil_entry/src/body.rs
@@ -2,8 +2,6 @@
 
 use std::io;
 
-use trillium_http::Error;
-
 use crate::{headers, limits::Limits, refusal::Refusal, server::Conn, transport::Progress};
 
 /// Reads a request's body within the size and time limits.
@@ -16,8 +14,9 @@
     progress.begin_body();
     let body = async {
         let body = conn.request_body().await;
-        let bytes = body.with_max_len(limits.body_bytes as u64).read_bytes();
-        bytes.await.map_err(|error| refusal_of(&error, limits))
+        let body = body.with_max_len(limits.body_bytes as u64);
+        let bytes = lentil_http::read_all(body, limits.body_bytes).await;
+        bytes.map_err(|error| refusal_of(&error, limits))
     };
     let timeout = async {
         smol::Timer::after(limits.body_time).await;
@@ -26,11 +25,10 @@
     smol::future::or(body, timeout).await
 }
 
-fn refusal_of(error: &Error, limits: &Limits) -> Refusal {
-    match error {
-        Error::ReceivedBodyTooLong(_) => Refusal::BodyTooLarge(limits.body_bytes),
-        // Trillium reports a chunked body that is too long as unsupported.
-        Error::Io(error) if error.kind() == io::ErrorKind::Unsupported => {
+fn refusal_of(error: &io::Error, limits: &Limits) -> Refusal {
+    match error.kind() {
+        // Trillium reports a body that is too long as unsupported.
+        io::ErrorKind::FileTooLarge | io::ErrorKind::Unsupported => {
             Refusal::BodyTooLarge(limits.body_bytes)
         }
         _ => Refusal::BodyTruncated,
--- a/crates/lentil_entry/src/transport.rs
+++ b/crates/lentil_entry/src/transport.rs
@@ -127,6 +127,7 @@
     }
 
     fn record_read(&mut self, phase: Phase, read: usize) -> io::Result<usize> {
+        lentil_http::framing::on_read(read);
         match phase {
             Phase::Idle if read > 0 => {
                 self.progress.replace(Phase::Head);
@@ -151,6 +152,7 @@
             // Nothing more is read before the answer has been sent.
             return Poll::Pending;
         }
+        lentil_http::framing::check()?;
         match Pin::new(&mut this.stream).poll_read(context, buffer) {
             Poll::Ready(read) => Poll::Ready(read.and_then(|read| this.record_read(phase, read))),
             Poll::Pending if this.is_overdue(context, phase) => {
--- a/crates/lentil_platform/src/platform.rs
+++ b/crates/lentil_platform/src/platform.rs
@@ -5,7 +5,6 @@
 use lentil_policy::store::{ObjectKey, ObjectVersion};
 use lentil_types::PlaceName;
 use trillium_client::{Client, Conn};
-use trillium_smol::ClientConfig;
 
 use crate::{
     Instance, InstanceList, Object, ObjectInfo, ObjectStore, StoreError, StoreFuture, store,
@@ -21,6 +20,10 @@
 const STATUS_THROTTLED: u16 = 429;
 const STATUS_UNAVAILABLE: u16 = 503;
 
+/// Largest body of a response, in bytes. An object has at most a megabyte, and a list of ten
+/// thousand instances or objects has two.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
 /// Settings of a [`Platform`].
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -63,8 +66,7 @@
 impl Platform {
     /// Connects on the first call.
     pub fn new(settings: Settings) -> Self {
-        let config = ClientConfig::new().with_nodelay(true);
-        let client = Client::new(config).with_default_pool();
+        let client = lentil_http::client().with_default_pool();
         Self { settings, client }
     }
 
@@ -200,7 +202,7 @@
     let version = version
         .and_then(|text| text.parse().ok())
         .map(ObjectVersion);
-    let body = conn.response_body().read_bytes().await;
+    let body = lentil_http::read_all(conn.response_body(), MAX_BODY_BYTES).await;
     let body = body.map_err(|error| StoreError::BrokeOff(error.to_string()))?;
     Ok(Response {
         status,
--- a/crates/lentil_policy/src/cache/view.rs
+++ b/crates/lentil_policy/src/cache/view.rs
@@ -11,12 +11,16 @@
 pub struct Settings {
     /// Time after which an outstanding list is requested again.
     pub list_timeout: time::Duration,
+    /// Most pieces kept; further ones count as not cached. Engines hold some tens of
+    /// thousands.
+    pub max_pieces: usize,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
             list_timeout: time::Duration::from_secs(1),
+            max_pieces: 1 << 18,
         }
     }
 }
@@ -127,12 +131,16 @@
         self.pieces = pieces.to_vec();
         self.pieces.sort_unstable();
         self.pieces.dedup();
+        self.pieces.truncate(self.settings.max_pieces);
         self.next_number = Some(number + 1);
         self.requested_at = None;
     }
 
     fn store(&mut self, pieces: &[PieceHash]) {
         for piece in pieces {
+            if self.pieces.len() >= self.settings.max_pieces {
+                return;
+            }
             if let Err(index) = self.pieces.binary_search(piece) {
                 self.pieces.insert(index, *piece);
             }
--- a/crates/lentil_policy/tests/cache_view.rs
+++ b/crates/lentil_policy/tests/cache_view.rs
@@ -1,6 +1,9 @@
 //! A sidecar's cache view, with lost and late events.
 
-use lentil_policy::{cache::CacheView, sidecar};
+use lentil_policy::{
+    cache::{self, CacheView},
+    sidecar,
+};
 use lentil_types::{BootId, Instant, PieceHash, Pieces};
 use sidecar::CacheChange::{Evicted, Listed, Stored};
 
@@ -94,3 +97,20 @@
     assert!(view.is_empty());
     assert!(!view.poll_list(Instant::ZERO), "there is no engine to ask");
 }
+
+#[test]
+fn a_view_of_pieces_without_end_is_bounded_and_follows_evictions() {
+    let settings = cache::Settings {
+        max_pieces: 8,
+        ..cache::Settings::default()
+    };
+    let mut view = CacheView::new(settings);
+    view.on_up(BOOT);
+    view.on_event(&event(1, Listed(chain(0..6))));
+    view.on_event(&event(2, Stored(chain(100..106))));
+    assert_eq!(view.len(), 8);
+    assert_eq!(view.cached(&chain(0..6)), Pieces(6));
+    view.on_event(&event(3, Evicted(chain(0..6))));
+    view.on_event(&event(4, Stored(chain(200..206))));
+    assert_eq!(view.cached(&chain(200..206)), Pieces(6));
+}
--- a/crates/lentil_sidecar/src/backend/engine.rs
+++ b/crates/lentil_sidecar/src/backend/engine.rs
@@ -6,7 +6,12 @@
 use trillium_client::Conn;
 
 use super::{
-    Backend, chunk::Chunk, error::BackendError, report::Reporter, request, sse::EventReader,
+    Backend,
+    chunk::Chunk,
+    error::BackendError,
+    report::Reporter,
+    request,
+    sse::{EventReader, Limits},
 };
 
 /// Data of the event that ends a stream.
@@ -64,7 +69,8 @@
 ) -> Result<protocol::Usage, BackendError> {
     let (status, headers) = (request::answer_status(conn), request::answer_headers(conn));
     let mut data = Vec::new();
-    let mut body = conn.response_body().take(MAX_ERROR_BYTES);
+    let body = lentil_http::Body::new(conn.response_body());
+    let mut body = body.take(MAX_ERROR_BYTES);
     let read = body.read_to_end(&mut data).await;
     read.map_err(BackendError::AnswerCut)?;
     reporter.started(Pieces(0), status, headers).await;
@@ -84,7 +90,7 @@
     let request_id = request::engine_id(dispatch.offer.id);
     let mut next_offset = dispatch.resume.as_ref().map_or(0, |resume| resume.offset);
     let mut usage = protocol::Usage::default();
-    let mut events = EventReader::new(conn.response_body());
+    let mut events = EventReader::new(conn.response_body(), Limits::default());
     while let Some(event) = events.next().await? {
         if event.data == DONE_DATA {
             return Ok(usage);
--- a/crates/lentil_sidecar/src/backend/mod.rs
+++ b/crates/lentil_sidecar/src/backend/mod.rs
@@ -17,7 +17,6 @@
 use lentil_policy::{protocol, sidecar};
 use lentil_types::AttemptId;
 use smol::channel::Sender;
-use trillium_smol::ClientConfig;
 
 use crate::{BackendKind, driver::Input};
 
@@ -30,6 +29,9 @@
 /// Longest wait for an engine's answer to a status or cancel request.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Largest answer to a cancel request, in bytes.
+const MAX_CANCEL_BYTES: usize = 4 * 1024;
+
 pub(crate) struct Backend {
     /// Reuses connections.
     pooled: trillium_client::Client,
@@ -42,11 +44,10 @@
 
 impl Backend {
     pub(crate) fn new(address: net::SocketAddr, kind: BackendKind) -> Self {
-        let client = || trillium_client::Client::new(ClientConfig::new().with_nodelay(true));
         let base = format!("http://{address}/");
         Self {
-            pooled: client().with_default_pool(),
-            single: client(),
+            pooled: lentil_http::client().with_default_pool(),
+            single: lentil_http::client(),
             base: base.parse().expect("an address makes a URL"),
             kind,
         }
@@ -66,8 +67,17 @@
     pub(crate) async fn cancel(&self, id: AttemptId) {
         let path = format!("requests/{}/cancel", request::engine_id(id));
         let call = async {
-            if let Err(error) = self.pooled.post(self.url(&path)).await {
-                log::debug!(request:% = id.request; "cannot cancel a request at the engine: {error}");
+            match self.pooled.post(self.url(&path)).await {
+                Ok(mut conn) => {
+                    // Its connection is used again once the answer is read.
+                    let body = lentil_http::read_all(conn.response_body(), MAX_CANCEL_BYTES);
+                    if let Err(error) = body.await {
+                        log::debug!(request:% = id.request; "cannot read the answer to a cancellation: {error}");
+                    }
+                }
+                Err(error) => {
+                    log::debug!(request:% = id.request; "cannot cancel a request at the engine: {error}");
+                }
             }
         };
         let timer = async {
--- a/crates/lentil_sidecar/src/backend/plain.rs
+++ b/crates/lentil_sidecar/src/backend/plain.rs
@@ -23,7 +23,7 @@
         request::answer_headers(&conn),
     );
     reporter.started(Pieces(0), status, headers).await;
-    let mut body = conn.response_body();
+    let mut body = lentil_http::Body::new(conn.response_body());
     let mut offset = 0;
     loop {
         let mut data = vec![0; READ_BYTES];
--- a/crates/lentil_sidecar/src/backend/status.rs
+++ b/crates/lentil_sidecar/src/backend/status.rs
@@ -17,6 +17,11 @@
 /// An engine counts as down after this long without a status.
 const SILENCE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
+/// Largest status, in bytes.
+const MAX_STATUS_BYTES: usize = 16 * 1024;
+/// Longest pause between two polls of an engine whose status cannot be read.
+const MAX_POLL_PERIOD: time::Duration = time::Duration::from_secs(1);
+
 /// An engine's answer to `GET /status`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize)]
 struct Status {
@@ -35,6 +40,8 @@
     Up(Status),
     /// The connection was refused, so the engine is down.
     Refused,
+    /// What was answered is no status.
+    Unreadable(BackendError),
     NoAnswer,
 }
 
@@ -47,21 +54,43 @@
     }
     let mut last: Option<Status> = None;
     let mut last_answer = time::Instant::now();
+    let mut unreadable = 0u32;
     loop {
-        match poll(&backend).await {
+        let polled = poll(&backend).await;
+        unreadable = log_unreadable(&polled, unreadable);
+        match polled {
             Poll::Up(status) => {
                 last_answer = time::Instant::now();
                 report_status(&events, last, status).await;
                 last = Some(status);
             }
-            Poll::NoAnswer if last_answer.elapsed() < SILENCE_TIMEOUT => {}
-            Poll::Refused | Poll::NoAnswer => {
+            Poll::Unreadable(_) | Poll::NoAnswer if last_answer.elapsed() < SILENCE_TIMEOUT => {}
+            Poll::Refused | Poll::Unreadable(_) | Poll::NoAnswer => {
                 if last.take().is_some() {
                     report(&events, sidecar::Event::EngineDown).await;
                 }
             }
         }
-        smol::Timer::after(POLL_PERIOD).await;
+        let period = POLL_PERIOD * (1 << unreadable.min(8));
+        smol::Timer::after(period.min(MAX_POLL_PERIOD)).await;
+    }
+}
+
+/// Logs the first of several statuses that cannot be read. Returns their number.
+fn log_unreadable(polled: &Poll, before: u32) -> u32 {
+    match polled {
+        Poll::Unreadable(error) => {
+            if before == 0 {
+                log::warn!("cannot read the status of the backend server: {error}");
+            }
+            before.saturating_add(1)
+        }
+        Poll::Up(_) if before > 0 => {
+            log::info!(unreadable = before; "the status of the backend server can be read again");
+            0
+        }
+        Poll::Up(_) => 0,
+        Poll::Refused | Poll::NoAnswer => before,
     }
 }
 
@@ -70,6 +99,9 @@
         match status(backend).await {
             Ok(status) => Poll::Up(status),
             Err(BackendError::Unreachable(_)) => Poll::Refused,
+            Err(error @ (BackendError::AnswerCut(_) | BackendError::Chunk(_))) => {
+                Poll::Unreadable(error)
+            }
             Err(_) => Poll::NoAnswer,
         }
     };
@@ -82,7 +114,8 @@
 
 async fn status(backend: &Backend) -> Result<Status, BackendError> {
     let mut conn = backend.pooled.get(backend.url("status")).await?;
-    let body = conn.response_body().read_bytes().await?;
+    let body = lentil_http::read_all(conn.response_body(), MAX_STATUS_BYTES).await;
+    let body = body.map_err(BackendError::AnswerCut)?;
     serde_json::from_slice(&body).map_err(BackendError::Chunk)
 }
 
--- a/crates/lentil_tests/src/process.rs
+++ b/crates/lentil_tests/src/process.rs
@@ -4,7 +4,7 @@
     io::{BufRead as _, BufReader},
     net, path, process,
     sync::{OnceLock, mpsc},
-    thread,
+    thread, time,
 };
 
 use lentil_sidecar::BackendKind;
@@ -117,6 +117,34 @@
         line.unwrap_or_default()
     }
 
+    /// Most memory that the process has had resident so far, in bytes.
+    ///
+    /// # Panics
+    /// When the system does not tell.
+    pub fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        let kilobytes = kilobytes.and_then(|text| text.trim().parse::<usize>().ok());
+        kilobytes.expect("the system tells the peak") * 1_024
+    }
+
+    /// Processor time that the process has used so far.
+    ///
+    /// # Panics
+    /// When the system does not tell.
+    pub fn processor_time(&self) -> time::Duration {
+        let folder = format!("/proc/{}/task", self.child.id());
+        let threads = std::fs::read_dir(folder).expect("the process runs");
+        let of_thread = |thread: std::io::Result<std::fs::DirEntry>| {
+            // A thread that has just ended has no file.
+            let schedule = std::fs::read_to_string(thread.ok()?.path().join("schedstat")).ok()?;
+            schedule.split(' ').next()?.parse::<u64>().ok()
+        };
+        time::Duration::from_nanos(threads.filter_map(of_thread).sum())
+    }
+
     /// Sends SIGTERM.
     ///
     /// # Panics
--- a/crates/lentilctl/src/client.rs
+++ b/crates/lentilctl/src/client.rs
@@ -3,10 +3,13 @@
 use std::net;
 
 use trillium_client::{Client, Conn};
-use trillium_smol::ClientConfig;
 
 use crate::error::CtlError;
 
+/// Largest answer, in bytes: a state dump of ten thousand instances.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Largest text of an error, in bytes.
+const MAX_ERROR_BYTES: usize = 64 * 1024;
 /// Environment variable with the admin key.
 const KEY_VARIABLE: &str = "LENTIL_ADMIN_KEY";
 
@@ -23,15 +26,14 @@
         Self {
             address,
             key,
-            client: Client::new(ClientConfig::new()),
+            client: lentil_http::client(),
         }
     }
 
     /// Sends a request and returns the answer's body.
     pub(crate) async fn request(&self, method: &str, path: &str) -> Result<String, CtlError> {
         let mut conn = self.send(method, path).await?;
-        let body = conn.response_body().read_string().await;
-        body.map_err(|error| self.unreachable(&error))
+        self.text(&mut conn, MAX_BODY_BYTES).await
     }
 
     /// Sends a request and returns the connection, to stream the answer. A status
@@ -48,8 +50,8 @@
         if (200..300).contains(&status) {
             return Ok(conn);
         }
-        let body = conn.response_body().read_string().await.unwrap_or_default();
-        let body = body.trim().to_owned();
+        let body = self.text(&mut conn, MAX_ERROR_BYTES).await;
+        let body = body.unwrap_or_default().trim().to_owned();
         Err(CtlError::HttpStatus {
             address: self.address,
             status,
@@ -57,6 +59,12 @@
         })
     }
 
+    async fn text(&self, conn: &mut Conn, limit: usize) -> Result<String, CtlError> {
+        let body = lentil_http::read_all(conn.response_body(), limit).await;
+        let body = body.map_err(|error| self.unreachable(&error))?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
     pub(crate) fn unreachable(&self, error: &impl ToString) -> CtlError {
         CtlError::Unreachable {
             address: self.address,
--- a/crates/lentilctl/src/trace.rs
+++ b/crates/lentilctl/src/trace.rs
@@ -31,7 +31,7 @@
     let client = client::AdminClient::new(args.admin, args.key);
     let path = format!("/trace?seconds={}", args.seconds);
     let mut conn = client.send("GET", &path).await?;
-    let mut body = conn.response_body();
+    let mut body = lentil_http::Body::new(conn.response_body());
     let mut buffer = vec![0; READ_BYTES];
     let mut stdout = io::stdout().lock();
     loop {
