Bound the answers that routers and agents keep together

Nothing broke in tests; found by reading. Calls to the store and to other routers could keep 16 MiB each, six and more at once, on instances of 88 MB; heads of 64 KiB were not counted, nor were the segments of a cache whose events do not end.

A segment index holds 32,768 segments, in a sorted table.

--- a/crates/lentil_forward/src/cache.rs
+++ b/crates/lentil_forward/src/cache.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use lentil_policy::forward::runners::{SaltHash, SegmentId, SegmentKey};
-use lentil_types::{RequestRate, Tokens};
+use lentil_types::{RequestRate, Table, Tokens};
 
 use crate::agent::RunnerFuture;
 
@@ -51,10 +51,15 @@
 pub(crate) struct SegmentIndex {
     epoch: Option<u64>,
     next: u64,
-    /// Oldest first.
-    segments: Vec<SegmentKey>,
+    /// Segments with the number of the event that added each.
+    segments: Table<SegmentKey, u64>,
+    added: u64,
 }
 
+/// Most segments that are kept; the oldest are dropped. A runner or store that holds more has
+/// them, but requests are not placed by them.
+const MAX_SEGMENTS: usize = 32_768;
+
 impl SegmentIndex {
     /// `since` of the next call.
     pub(crate) fn next(&self) -> u64 {
@@ -68,7 +73,7 @@
         let mut has_changed = is_new || batch.has_gap;
         if has_changed {
             // Evictions in a gap are unknown.
-            self.segments.clear();
+            self.segments = Table::new();
         }
         self.epoch = Some(batch.epoch);
         self.next = if is_new { 0 } else { batch.next };
@@ -77,29 +82,42 @@
         }
         for event in &batch.events {
             let key = SegmentKey::new(SegmentId::of(&event.segment), SaltHash::of(&event.salt));
-            let known = self.segments.iter().position(|other| *other == key);
-            match (known, event.tokens >= min_tokens) {
-                (None, true) => self.segments.push(key),
-                (Some(index), false) => {
-                    self.segments.remove(index);
+            match (self.segments.contains(&key), event.tokens >= min_tokens) {
+                (false, true) => {
+                    self.added += 1;
+                    self.segments.insert(key, self.added);
+                }
+                (true, false) => {
+                    self.segments.remove(&key);
                 }
                 _ => continue,
             }
             has_changed = true;
+            if self.segments.len() > MAX_SEGMENTS {
+                self.drop_oldest();
+            }
         }
         has_changed
     }
 
+    /// Drops the older half.
+    fn drop_oldest(&mut self) {
+        let mut order: Vec<_> = self.segments.values().copied().collect();
+        let (_, median, _) = order.select_nth_unstable(MAX_SEGMENTS / 2);
+        let oldest = *median;
+        self.segments.retain(|_, added| *added >= oldest);
+    }
+
     /// Segments sorted by key.
     pub(crate) fn sorted(&self) -> Vec<SegmentKey> {
-        let mut segments = self.segments.clone();
-        segments.sort_unstable();
-        segments
+        self.segments.keys().copied().collect()
     }
 
     /// The `limit` newest segments.
     pub(crate) fn newest(&self, limit: usize) -> Vec<SegmentKey> {
-        let from = self.segments.len().saturating_sub(limit);
-        self.segments[from..].to_vec()
+        let mut segments: Vec<_> = self.segments.iter().collect();
+        segments.sort_unstable_by_key(|(_, added)| **added);
+        let from = segments.len().saturating_sub(limit);
+        segments[from..].iter().map(|(key, _)| **key).collect()
     }
 }
--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -17,6 +17,7 @@
 use lentil_types::{Instant, Table};
 
 use crate::{
+    byte_budget::ByteBudget,
     datagram,
     documents::Kind,
     generated,
@@ -50,6 +51,9 @@
     pub max_peers: usize,
     /// Most of them that are asked at once.
     pub max_open: usize,
+    /// Largest answer of another router, and of all at once, in bytes: registrations of ten
+    /// thousand runners.
+    pub peer_bytes: usize,
     /// Which calls to the store stay open.
     pub calls: open_calls::Settings,
     /// When a watch is doubted, and what other routers are told.
@@ -73,6 +77,7 @@
             peer_timeout: time::Duration::from_secs(2),
             max_peers: 3,
             max_open: 4,
+            peer_bytes: 8 << 20,
             calls: open_calls::Settings::default(),
             doubts: watch_doubts::Settings::default(),
             sources: document_sources::Settings::default(),
@@ -86,6 +91,9 @@
 /// Query field with the newest version that the asking router has.
 const NEWER_FIELD: &str = "newer=";
 
+/// Most addresses of routers that are kept.
+const MAX_KNOWN_ROUTERS: usize = 4_096;
+
 const BINCODE_CONFIG: bincode::config::Configuration = bincode::config::standard();
 
 /// Documents of one kind.
@@ -167,6 +175,8 @@
     noticed: event_listener::Event,
     /// Notified when asking other routers may be due earlier.
     sources_changed: event_listener::Event,
+    /// What unfinished answers of other routers take together.
+    peer_budget: sync::Arc<ByteBudget>,
 }
 
 impl Follower {
@@ -193,6 +203,7 @@
             disturbed: event_listener::Event::new(),
             noticed: event_listener::Event::new(),
             sources_changed: event_listener::Event::new(),
+            peer_budget: ByteBudget::new(settings.peer_bytes),
         })
     }
 
@@ -224,6 +235,9 @@
     /// Adds a router that serves documents at `address`.
     pub fn on_router(&self, address: net::SocketAddr) {
         let mut peers = self.peers.borrow_mut();
+        if peers.len() >= MAX_KNOWN_ROUTERS {
+            return;
+        }
         if let Err(index) = peers.binary_search(&address) {
             peers.insert(index, address);
         }
@@ -880,6 +894,8 @@
         let call = Call {
             target: &target,
             timeout: self.settings.peer_timeout,
+            limit: self.settings.peer_bytes,
+            budget: Some(self.peer_budget.clone()),
             ..Call::default()
         };
         let reply = call.send(peer, self.settings.peer_timeout).await?;
--- a/crates/lentil_forward/src/h1/body.rs
+++ b/crates/lentil_forward/src/h1/body.rs
@@ -121,6 +121,19 @@
     /// # Errors
     /// [`ReadError`] as for [`Self::next`], and when it is larger than `limit`.
     pub async fn all(&mut self, from: &mut Connection, limit: usize) -> Result<Bytes, ReadError> {
+        self.all_within(from, limit, |_| true).await
+    }
+
+    /// Reads the rest of the body, whose bytes `reserve` allows as they arrive.
+    ///
+    /// # Errors
+    /// [`ReadError`] as for [`Self::all`], and when bytes are not allowed.
+    pub(crate) async fn all_within(
+        &mut self,
+        from: &mut Connection,
+        limit: usize,
+        mut reserve: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, ReadError> {
         if let State::Length(size) = self.state
             && size > limit as u64
         {
@@ -128,7 +141,7 @@
         }
         let mut body = BytesMut::new();
         while let Some(bytes) = self.next(from).await? {
-            if body.len() + bytes.len() > limit {
+            if body.len() + bytes.len() > limit || !reserve(bytes.len()) {
                 return Err(ReadError::BodyTooLarge(limit));
             }
             if body.is_empty() && self.is_done() {
--- a/crates/lentil_forward/src/h1/connection.rs
+++ b/crates/lentil_forward/src/h1/connection.rs
@@ -2,6 +2,7 @@
 
 use std::{
     future, io, net, pin,
+    sync::Arc,
     task::{self, Poll},
     time,
 };
@@ -14,10 +15,13 @@
     error::ReadError,
     head::{self, RequestHead, ResponseHead},
 };
+use crate::byte_budget::ByteBudget;
 
 /// Most bytes per read.
 const READ_BYTES: usize = 16 * 1024;
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
+/// Size of a head from which on it counts towards the budget of large ones.
+const SMALL_HEAD_BYTES: usize = 8 * 1024;
 /// Most informational (1xx) responses before the final one.
 const MAX_INFORMATIONAL: usize = 4;
 
@@ -28,6 +32,8 @@
     pub(super) buffer: BytesMut,
     answers: u64,
     received: u64,
+    /// What large heads of several connections take together.
+    head_budget: Option<Arc<ByteBudget>>,
 }
 
 impl Connection {
@@ -38,9 +44,16 @@
             buffer: BytesMut::new(),
             answers: 0,
             received: 0,
+            head_budget: None,
         }
     }
 
+    /// Has large heads take their memory from a budget.
+    pub(crate) fn with_head_budget(mut self, budget: Arc<ByteBudget>) -> Self {
+        self.head_budget = Some(budget);
+        self
+    }
+
     /// Heads of final answers read so far.
     pub fn answers(&self) -> u64 {
         self.answers
@@ -160,6 +173,7 @@
     }
 
     async fn head(&mut self, limit: usize) -> Result<Bytes, ReadError> {
+        let mut reserved = self.head_budget.as_ref().map(ByteBudget::reservation);
         loop {
             if let Some(size) = head::head_size(&self.buffer) {
                 if size > limit {
@@ -171,6 +185,12 @@
             if self.buffer.len() > limit {
                 return Err(head::too_large(limit));
             }
+            let is_large = self.buffer.len() >= SMALL_HEAD_BYTES;
+            if let Some(reserved) = reserved.as_mut().filter(|_| is_large)
+                && !reserved.grow(READ_BYTES)
+            {
+                return Err(head::too_large(self.buffer.len()));
+            }
             if self.fill().await? == 0 {
                 return Err(match self.buffer.len() {
                     0 => ReadError::Closed,
--- a/crates/lentil_forward/src/http_call.rs
+++ b/crates/lentil_forward/src/http_call.rs
@@ -1,10 +1,13 @@
 //! Small HTTP/1.1 calls to the store, runners and other routers.
 
-use std::{fmt::Write as _, io, net, time};
+use std::{fmt::Write as _, io, net, sync, time};
 
 use bytes::{BufMut as _, Bytes, BytesMut};
 
-use crate::h1::{BodyReader, Connection, Headers, ReadError, ResponseHead};
+use crate::{
+    byte_budget::ByteBudget,
+    h1::{BodyReader, Connection, Headers, ReadError, ResponseHead},
+};
 
 /// A request with its limits.
 #[derive(Clone, Debug)]
@@ -21,6 +24,8 @@
     pub timeout: time::Duration,
     /// Largest answer body, in bytes.
     pub limit: usize,
+    /// What the bodies of several calls take together until they are whole.
+    pub budget: Option<sync::Arc<ByteBudget>>,
 }
 
 impl Default for Call<'_> {
@@ -31,7 +36,8 @@
             headers: Headers::default(),
             body: b"",
             timeout: time::Duration::from_secs(1),
-            limit: 16 << 20,
+            limit: 1 << 20,
+            budget: None,
         }
     }
 }
@@ -113,7 +119,13 @@
         connection.write(&bytes).await.map_err(ReadError::Broken)?;
         let head = connection.response_head(self.method).await?;
         let mut reader = BodyReader::new(head.framing);
-        let body = reader.all(connection, self.limit).await?;
+        let mut reserved = self.budget.as_ref().map(ByteBudget::reservation);
+        let reserve = |bytes| {
+            reserved
+                .as_mut()
+                .is_none_or(|reserved| reserved.grow(bytes))
+        };
+        let body = reader.all_within(connection, self.limit, reserve).await?;
         Ok(Reply { head, body })
     }
 
--- a/crates/lentil_forward/src/lib.rs
+++ b/crates/lentil_forward/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod agent;
 pub mod background;
+mod byte_budget;
 pub mod cache;
 pub mod cache_store;
 mod client;
@@ -37,6 +38,7 @@
 pub mod router;
 pub mod runner_watch;
 
+pub use byte_budget::ByteBudget;
 pub use client::Client;
 pub use events::{EventSplitter, EventTooLarge};
 pub use http_call::{Call, CallError, Reply};
--- a/crates/lentil_forward/src/router/caller.rs
+++ b/crates/lentil_forward/src/router/caller.rs
@@ -15,7 +15,7 @@
 
 /// Most bytes of pipelined requests that are read while one is answered. Beyond
 /// this, a disconnect is noticed only after the answer.
-const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+const MAX_PIPELINED_BYTES: usize = 16 * 1024;
 
 enum ReadResult {
     /// A complete request and the memory reserved for its body.
--- a/crates/lentil_forward/src/router/connect.rs
+++ b/crates/lentil_forward/src/router/connect.rs
@@ -29,7 +29,7 @@
     router.metrics.count(Counter::ConnectionsOpened);
     let timeout = router.settings.pool.open_timeout;
     match h1::Connection::open(choice.address, timeout).await {
-        Ok(connection) => Some(connection),
+        Ok(connection) => Some(connection.with_head_budget(router.head_budget.clone())),
         Err(error) => {
             if router.log_quota.try_take(router.now()) {
                 log::info!(runner:% = choice.incarnation.name, error:%; "cannot connect to a runner");
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -23,7 +23,7 @@
 mod updates;
 mod upstream;
 
-use std::{cell, net, rc, time};
+use std::{cell, net, rc, sync, time};
 
 use lentil_policy::forward::{
     document_sources, placement, runners, shutdown::Shutdown, watch_doubts,
@@ -32,12 +32,15 @@
 use lentil_types::{Instant, PlaceName, RunnerName};
 use rand::SeedableRng as _;
 
-use crate::{documents, names, peers::Outbox};
+use crate::{byte_budget::ByteBudget, documents, names, peers::Outbox};
 
 pub use listener::{Respond, listen, serve_internal};
 pub use settings::Settings;
 pub use state::State;
 
+/// Memory for bodies divided by that for large heads of answers.
+const HEADS_DIVISOR: usize = 4;
+
 /// State and settings shared by the tasks of a router.
 pub struct Router {
     /// Settings.
@@ -92,6 +95,8 @@
     speeds_logged: cell::Cell<Option<Instant>>,
     /// Bytes of all body reservations of each kind.
     reserved_bytes: [cell::Cell<usize>; body_memory::BodyKind::COUNT],
+    /// What the large heads of runners' answers take together.
+    head_budget: sync::Arc<ByteBudget>,
 }
 
 impl Router {
@@ -108,6 +113,7 @@
             pool: cell::RefCell::new(pool::Pool::new(settings.pool)),
             rng: cell::RefCell::new(rand_pcg::Pcg64Mcg::from_rng(&mut rand::rng())),
             log_quota: lentil_process::logs::Quota::new(settings.log_quota),
+            head_budget: ByteBudget::new(settings.body_memory / HEADS_DIVISOR),
             settings,
             names,
             decoder,
--- a/crates/lentil_platform/src/error.rs
+++ b/crates/lentil_platform/src/error.rs
@@ -29,6 +29,9 @@
     /// The platform's answer violates the protocol. A write may have taken effect.
     #[error("the platform's answer violates the protocol: {0}")]
     Protocol(String),
+    /// The answer has more bytes than are read. A write may have taken effect.
+    #[error("the platform's answer is too large")]
+    AnswerTooLarge,
     /// The value is larger than [`crate::MAX_VALUE_BYTES`].
     #[error("a value may have at most {max} bytes, this one has {bytes}", max = crate::MAX_VALUE_BYTES)]
     TooLarge {
@@ -52,7 +55,7 @@
     pub fn is_outcome_unknown(&self) -> bool {
         matches!(
             self,
-            Self::Timeout(_) | Self::BrokeOff(_) | Self::Protocol(_)
+            Self::Timeout(_) | Self::BrokeOff(_) | Self::Protocol(_) | Self::AnswerTooLarge
         )
     }
 
