Go on asking other routers while some are silent, and date late answers by their calls

Further routers are now asked while questions are open, six at most. An overdue answer dates from its call.

--- a/crates/lentil_forward/src/follow.rs
+++ b/crates/lentil_forward/src/follow.rs
@@ -76,7 +76,7 @@
             peer_overdue: time::Duration::from_millis(400),
             peer_timeout: time::Duration::from_secs(2),
             max_peers: 3,
-            max_open: 4,
+            max_open: 6,
             peer_bytes: 8 << 20,
             calls: open_calls::Settings::default(),
             doubts: watch_doubts::Settings::default(),
@@ -292,7 +292,8 @@
                         self.disturbed.notify(usize::MAX);
                     }
                     failures = 0;
-                    self.on_success(kind, call.called_at);
+                    let answered_at = calls.answered_at(&call, self.router.now());
+                    self.on_success(kind, &call, answered_at);
                     let has_changes = self.apply(kind, call.after, &answer);
                     let version = self.cached.borrow()[kind as usize].version;
                     calls.on_answer(call.id, version);
@@ -485,17 +486,17 @@
         futures_lite::future::or(doubted, wanted).await;
     }
 
-    /// The store answered a call, which is applied after this.
-    fn on_success(&self, kind: Kind, called_at: Instant) {
-        let now = self.router.now();
+    /// The store answered a call, at `answered_at` or later. It is applied after this.
+    fn on_success(&self, kind: Kind, call: &OpenCall, answered_at: Instant) {
         self.update(kind, |cached| {
             cached.is_fresh = true;
-            cached.answered_at = Some(now);
-            cached.doubts.on_answer(called_at);
+            cached.answered_at = Some(answered_at);
+            cached.doubts.on_answer(call.called_at);
             cached.sources.on_success();
         });
         if kind == Kind::Runners {
-            self.router.state().runners_mut().on_store_answer(now);
+            let mut state = self.router.state();
+            state.runners_mut().on_store_answer(answered_at);
         }
     }
 
@@ -802,7 +803,7 @@
         reached: Option<ObjectVersion>,
     ) -> Option<(net::SocketAddr, Listing)> {
         let mut open = OpenFutures::new();
-        let mut asked = self.asked_peers(kind).into_iter();
+        let mut asked = self.asked_peers(kind);
         loop {
             let peer = asked.next();
             if let Some(peer) = peer {
@@ -811,11 +812,12 @@
             } else if open.is_empty() {
                 return None;
             }
+            let wait = match peer {
+                Some(_) => self.settings.peer_overdue,
+                None => self.settings.sources.interval,
+            };
             let overdue = async {
-                match peer {
-                    Some(_) => smol::Timer::after(self.settings.peer_overdue).await,
-                    None => std::future::pending().await,
-                };
+                smol::Timer::after(wait).await;
                 RoundEvent::Overdue
             };
             let overtaken = async {
@@ -827,16 +829,12 @@
             match futures_lite::future::or(replied, event).await {
                 RoundEvent::Replied(ControlFlow::Break(offer)) => return offer,
                 RoundEvent::Replied(ControlFlow::Continue(())) => {}
-                RoundEvent::Overdue => {
-                    if let Some(peer) = peer {
-                        self.on_reply(kind, peer, Reply::Unreached);
-                    }
-                }
-                RoundEvent::Overtaken => {
-                    let now = self.router.now();
-                    self.update(kind, |cached| cached.sources.on_round(now));
-                    asked = self.asked_peers(kind).into_iter();
-                }
+                RoundEvent::Overdue => match peer {
+                    Some(peer) => self.on_reply(kind, peer, Reply::Unreached),
+                    None if !self.is_round_wanted(kind) => return None,
+                    None => asked = self.next_round(kind),
+                },
+                RoundEvent::Overtaken => asked = self.next_round(kind),
             }
         }
     }
@@ -873,11 +871,24 @@
     }
 
     /// The routers that are asked in one round.
-    fn asked_peers(&self, kind: Kind) -> Vec<net::SocketAddr> {
+    fn asked_peers(&self, kind: Kind) -> std::vec::IntoIter<net::SocketAddr> {
         let sources = &self.cached.borrow()[kind as usize].sources;
         let mut order = self.router.order_sources(sources, &self.peers.borrow());
         order.truncate(self.settings.max_peers);
-        order
+        order.into_iter()
+    }
+
+    /// Begins another round beside the questions that are open.
+    fn next_round(&self, kind: Kind) -> std::vec::IntoIter<net::SocketAddr> {
+        let now = self.router.now();
+        self.update(kind, |cached| cached.sources.on_round(now));
+        self.asked_peers(kind)
+    }
+
+    /// Whether documents of other routers are still needed.
+    fn is_round_wanted(&self, kind: Kind) -> bool {
+        let cached = &self.cached.borrow()[kind as usize];
+        cached.sources.due_at(cached.doubts.due_at()).is_some()
     }
 
     /// Fetches what a router has of a kind after `reached`; everything if that is `None`.
--- a/crates/lentil_policy/src/forward/open_calls.rs
+++ b/crates/lentil_policy/src/forward/open_calls.rs
@@ -118,11 +118,24 @@
 
     /// When the newest call is overdue.
     pub fn overdue_at(&self) -> Option<Instant> {
-        let call = self.newest()?;
-        let limit = match call.after {
+        self.newest().map(|call| self.limit(call))
+    }
+
+    /// When the store has surely answered a call whose answer arrives now. An overdue answer
+    /// may have been on its way for long.
+    pub fn answered_at(&self, call: &OpenCall, now: Instant) -> Instant {
+        if now < self.limit(call) {
+            now
+        } else {
+            call.called_at
+        }
+    }
+
+    fn limit(&self, call: &OpenCall) -> Instant {
+        let overdue = match call.after {
             Some(_) => self.settings.overdue,
             None => self.settings.list_overdue,
         };
-        Some(call.called_at + call.wait + limit)
+        call.called_at + call.wait + overdue
     }
 }
--- a/crates/lentil_policy/tests/forward_open_calls.rs
+++ b/crates/lentil_policy/tests/forward_open_calls.rs
@@ -73,3 +73,11 @@
         Some(at(0) + Settings::default().list_overdue)
     );
 }
+
+#[test]
+fn an_overdue_answer_tells_only_that_the_store_was_there_when_it_was_called() {
+    let mut calls = OpenCalls::default();
+    let call = calls.on_call(at(1_000), WATCH, AFTER);
+    assert_eq!(calls.answered_at(&call, at(4_000)), at(4_000));
+    assert_eq!(calls.answered_at(&call, at(4_800)), at(1_000));
+}
