Close a caller's connection whose unread body may not end

Four callers with an unknown key, or with a body where none is read, that sent a chunk extension without end stalled the whole entry: a sound request had no answer after 60 s.

Cause: a request that is rejected before its body is read leaves it to the HTTP library, which reads the rest, without any limit, to use the connection again. Class: a reader of bytes that nobody waits for.

--- a/crates/lentil_entry/src/api.rs
+++ b/crates/lentil_entry/src/api.rs
@@ -86,7 +86,7 @@
     pub(crate) async fn handle(&self, mut conn: Conn, progress: Progress) -> Conn {
         self.metrics.count(Counter::Requests);
         progress.begin_body();
-        let (guard, sent) = (self.requests.add(), progress.clone());
+        let (guard, sent, unread) = (self.requests.add(), progress.clone(), progress.clone());
         conn.after_send(move |_| {
             drop(guard);
             sent.end();
@@ -105,6 +105,11 @@
             log::debug!(request:% = context.request, code = refusal.code(); "refused: {refusal}");
             respond::refuse(&mut conn, &refusal);
         }
+        if unread.is_in_body() && headers::has_large_body(conn.request_headers()) {
+            // What is left of the request would be read before the next one, without a limit.
+            respond::set_header(&mut conn, "connection", "close");
+            unread.set_unread();
+        }
         conn
     }
 
--- a/crates/lentil_entry/src/body.rs
+++ b/crates/lentil_entry/src/body.rs
@@ -22,7 +22,9 @@
         smol::Timer::after(limits.body_time).await;
         Err(Refusal::Timeout)
     };
-    smol::future::or(body, timeout).await
+    let body = smol::future::or(body, timeout).await?;
+    progress.begin_answer();
+    Ok(body)
 }
 
 fn refusal_of(error: &io::Error, limits: &Limits) -> Refusal {
--- a/crates/lentil_entry/src/headers.rs
+++ b/crates/lentil_entry/src/headers.rs
@@ -89,6 +89,18 @@
     }
 }
 
+/// Largest body that is discarded to use the connection again, in bytes.
+const MAX_DISCARDED_BYTES: u64 = 16 * 1024;
+
+/// Whether the body may be too large to be discarded.
+pub(crate) fn has_large_body(headers: &Headers) -> bool {
+    let length = headers.get_str("content-length");
+    let length = length.map(|text| text.trim().parse::<u64>());
+    let is_chunked = headers.get_values("transfer-encoding").is_some();
+    is_chunked
+        || length.is_some_and(|length| length.is_ok_and(|length| length > MAX_DISCARDED_BYTES))
+}
+
 /// Headers that are forwarded to a plain service.
 pub(crate) fn forwarded(headers: &Headers) -> Result<Vec<protocol::Header>, Refusal> {
     let connection_options = value(headers, "connection")?.unwrap_or_default();
--- a/crates/lentil_entry/src/server.rs
+++ b/crates/lentil_entry/src/server.rs
@@ -23,9 +23,11 @@
 /// Initial size of the buffer for a response's head, in bytes. Small, because
 /// Trillium holds back the start of a body while it fits into the same buffer.
 const HEAD_BUFFER_BYTES: usize = 64;
-/// Time for a caller to read its answer after the connection failed. Bytes that it
+/// Time for a caller to read its answer after the last request on a connection. Bytes that it
 /// sends meanwhile are discarded.
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// Most bytes discarded before the connection is reset.
+const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
 /// Maximum number of bytes discarded by one read.
 const DISCARD_BYTES: usize = 16 * 1024;
 
@@ -70,10 +72,14 @@
             let (api, progress) = (self.api.clone(), progress.clone());
             async move { api.handle(conn, progress).await }
         });
-        if let Err(error) = result.await {
-            log::debug!("a connection failed: {error}");
-            let refusal = progress.is_in_head().then(|| refusal_of(&error));
-            linger(stream, refusal).await;
+        match result.await {
+            Ok(_) if progress.is_unread() => linger(stream, None).await,
+            Ok(_) => {}
+            Err(error) => {
+                log::debug!("a connection failed: {error}");
+                let refusal = progress.is_in_head().then(|| refusal_of(&error));
+                linger(stream, refusal).await;
+            }
         }
     }
 }
@@ -88,8 +94,14 @@
                 .await?;
         }
         stream.close().await?;
-        let mut discarded = [0; DISCARD_BYTES];
-        while stream.read(&mut discarded).await? > 0 {}
+        let mut buffer = [0; DISCARD_BYTES];
+        let mut discarded = 0;
+        while discarded < MAX_DISCARDED_BYTES {
+            match stream.read(&mut buffer).await? {
+                0 => break,
+                read => discarded += read,
+            }
+        }
         Ok(())
     };
     let timeout = async {
--- a/crates/lentil_entry/src/transport.rs
+++ b/crates/lentil_entry/src/transport.rs
@@ -3,7 +3,10 @@
 use std::{
     future, io,
     pin::Pin,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll},
 };
 
@@ -31,7 +34,11 @@
 
 /// Sets the phase of the request on a [`Transport`]. Clones share it.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Progress(Arc<Mutex<Phase>>);
+pub(crate) struct Progress {
+    phase: Arc<Mutex<Phase>>,
+    /// Whether the connection ends with a body that was not read.
+    is_unread: Arc<AtomicBool>,
+}
 
 impl Progress {
     /// Call when the head is complete.
@@ -49,6 +56,21 @@
         self.replace(Phase::Idle);
     }
 
+    /// Whether the body of the request was not read.
+    pub(crate) fn is_in_body(&self) -> bool {
+        self.get() == Phase::Body
+    }
+
+    /// The connection ends with a body that was not read.
+    pub(crate) fn set_unread(&self) {
+        self.is_unread.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the connection ends with a body that was not read.
+    pub(crate) fn is_unread(&self) -> bool {
+        self.is_unread.load(Ordering::Relaxed)
+    }
+
     /// Whether a head has begun and is not complete.
     pub(crate) fn is_in_head(&self) -> bool {
         self.get() == Phase::Head
@@ -56,14 +78,14 @@
 
     fn get(&self) -> Phase {
         *self
-            .0
+            .phase
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
     fn replace(&self, phase: Phase) {
         *self
-            .0
+            .phase
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner()) = phase;
     }
--- a/crates/lentil_tests/tests/endless_answers.rs
+++ b/crates/lentil_tests/tests/endless_answers.rs
@@ -160,37 +160,41 @@
 
 const CALLERS: usize = 4;
 
-#[test]
-fn callers_that_send_a_chunk_extension_without_end_do_not_slow_the_others() {
+/// Requests whose body does not end; the second is rejected before its body is read.
+const SOUND_HEAD: &[u8] = b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n\
+    Authorization: Bearer demo-alpha\r\nContent-Type: application/json\r\n\
+    Transfer-Encoding: chunked\r\n\r\n1;";
+const UNKNOWN_KEY: &[u8] = b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n\
+    Authorization: Bearer nobody\r\nContent-Type: application/json\r\n\
+    Transfer-Encoding: chunked\r\n\r\n1;";
+const UNREAD: &[u8] = b"GET /v1/models HTTP/1.1\r\nHost: a\r\n\
+    Authorization: Bearer demo-alpha\r\nTransfer-Encoding: chunked\r\n\r\n1;";
+
+/// Sends an endless message again and again on new connections.
+async fn call_without_end(address: SocketAddr, script: Script) {
+    loop {
+        let mut stream = TcpStream::connect(address).await.expect("it connects");
+        let _ = send(&mut stream, script).await;
+        smol::Timer::after(time::Duration::from_millis(100)).await;
+    }
+}
+
+#[rstest]
+#[case::sound_head(SOUND_HEAD, letters)]
+#[case::unknown_key(UNKNOWN_KEY, letters)]
+#[case::unread(UNREAD, letters)]
+#[case::small_chunks(&SOUND_HEAD[..SOUND_HEAD.len() - 2], small_chunks)]
+fn callers_that_send_bytes_without_end_do_not_slow_the_others(
+    #[case] start: &'static [u8],
+    #[case] part: fn() -> Vec<u8>,
+) {
     wait::run(async move {
         let engine = Engine::start(EngineSettings::default()).expect("an engine starts");
         let sidecar = Process::sidecar(engine.address(), BackendKind::Engine).await;
-        let mut config = tempfile::NamedTempFile::new().expect("a file can be made");
-        let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
-        let text = config_text(&[sidecar.address], nobody);
-        config
-            .write_all(text.as_bytes())
-            .expect("it can be written");
-        let entry = Process::entry(config.path()).await;
-        let address = entry.address;
-        let callers: Vec<_> = (0..CALLERS)
-            .map(|_| {
-                smol::spawn(async move {
-                    loop {
-                        let mut stream = TcpStream::connect(address).await.expect("it connects");
-                        let script = Script {
-                            start: b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n\
-                                     Authorization: Bearer demo-alpha\r\n\
-                                     Content-Type: application/json\r\n\
-                                     Transfer-Encoding: chunked\r\n\r\n1;",
-                            part: letters,
-                        };
-                        let _ = send(&mut stream, script).await;
-                        smol::Timer::after(time::Duration::from_millis(100)).await;
-                    }
-                })
-            })
-            .collect();
+        let (_config, entry) = start_entry(&config_text(&[sidecar.address], NOBODY)).await;
+        let script = Script { start, part };
+        let call = |_| smol::spawn(call_without_end(entry.address, script));
+        let callers: Vec<_> = (0..CALLERS).map(call).collect();
         assert_bounded(&entry).await;
         let caller = Caller::new(entry.address, "alpha");
         let answer = caller.stream("a sound request").await;
@@ -198,3 +202,45 @@
         drop(callers);
     });
 }
+
+const NOBODY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+async fn start_entry(text: &str) -> (tempfile::NamedTempFile, Process) {
+    let mut config = tempfile::NamedTempFile::new().expect("a file can be made");
+    config.write_all(text.as_bytes()).expect("it is written");
+    let entry = Process::entry(config.path()).await;
+    (config, entry)
+}
+
+/// Callers that read nothing of an answer that a plain service does not end.
+#[rstest]
+#[case::body(BODY)]
+#[case::extension(EXTENSION)]
+#[case::failure(FAILURE)]
+fn a_service_that_answers_without_end_takes_little_of_sidecar_and_entry(#[case] script: Script) {
+    wait::run(async move {
+        let server = start_server("/items", script, "").await;
+        let sidecar = Process::sidecar(server, BackendKind::Plain).await;
+        let engine = Engine::start(EngineSettings::default()).expect("an engine starts");
+        let other = Process::sidecar(engine.address(), BackendKind::Engine).await;
+        let text = config_text(&[other.address], sidecar.address);
+        let (_config, entry) = start_entry(&text).await;
+        let request = b"GET /services/desk/items HTTP/1.1\r\nHost: a\r\n\
+            Authorization: Bearer demo-alpha\r\n\r\n";
+        let mut callers = Vec::new();
+        for _ in 0..CALLERS {
+            let mut stream = TcpStream::connect(entry.address)
+                .await
+                .expect("it connects");
+            stream.write_all(request).await.expect("it is sent");
+            callers.push(stream);
+        }
+        assert_bounded(&sidecar).await;
+        assert_bounded(&entry).await;
+        let answer = Caller::new(entry.address, "alpha")
+            .stream("a sound request")
+            .await;
+        assert!(answer.is_complete(), "{answer:?}");
+        drop(callers);
+    });
+}
