Close connections to the admin server whose requests have a body

Four connections that sent a chunk extension without end to /readyz, which needs no key, took 1.04 of a processor of the sidecar.

operators_that_send_bytes_without_end_do_not_stall_the_process failed before, passes now.

--- a/crates/lentil_process/src/admin.rs
+++ b/crates/lentil_process/src/admin.rs
@@ -91,6 +91,7 @@
             .with_nodelay()
             .with_prebound_server(listener)
             .spawn((
+                close_unread,
                 public_routes(process.clone()),
                 require_key(settings.key),
                 protected_routes(process),
@@ -111,6 +112,18 @@
     }
 }
 
+/// Closes the connection of a request with a body, which no path reads: what is left of it would
+/// be read before the next request, without a limit.
+async fn close_unread(conn: Conn) -> Conn {
+    let headers = conn.request_headers();
+    let length = headers.get_str(KnownHeaderName::ContentLength);
+    let is_empty = length.is_none_or(|length| length.trim() == "0");
+    if is_empty && !headers.has_header(KnownHeaderName::TransferEncoding) {
+        return conn;
+    }
+    conn.with_response_header(KnownHeaderName::Connection, "close")
+}
+
 fn public_routes(process: Arc<dyn ManagedProcess>) -> impl Handler {
     Router::new()
         .get("/healthz", |conn: Conn| async move { conn.ok("ok\n") })
--- a/crates/lentil_tests/tests/endless_answers.rs
+++ b/crates/lentil_tests/tests/endless_answers.rs
@@ -203,6 +203,26 @@
     });
 }
 
+const ADMIN: &[u8] = b"GET /readyz HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;";
+
+#[test]
+fn operators_that_send_bytes_without_end_do_not_stall_the_process() {
+    wait::run(async move {
+        let engine = Engine::start(EngineSettings::default()).expect("an engine starts");
+        let sidecar = Process::sidecar(engine.address(), BackendKind::Engine).await;
+        let script = Script {
+            start: ADMIN,
+            part: letters,
+        };
+        let call = |_| smol::spawn(call_without_end(sidecar.admin, script));
+        let callers: Vec<_> = (0..CALLERS).map(call).collect();
+        assert_bounded(&sidecar).await;
+        let status = wait::within("a status", sidecar.admin_status("/readyz")).await;
+        assert_eq!(status, 200);
+        drop(callers);
+    });
+}
+
 const NOBODY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
 
 async fn start_entry(text: &str) -> (tempfile::NamedTempFile, Process) {
