--- a/crates/lentil_platform/tests/platform.rs
+++ b/crates/lentil_platform/tests/platform.rs
@@ -244,3 +244,50 @@
     assert_eq!((tally.made, tally.denied), (3, 17));
     assert!(!guarded.is_closed());
 }
+
+/// Answers every request with a head and then bytes without end.
+async fn start_endless(head: &'static str, part: &'static [u8]) -> std::net::SocketAddr {
+    use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
+    let listener = smol::net::TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("it binds");
+    let address = listener.local_addr().expect("it has an address");
+    smol::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            smol::spawn(async move {
+                let mut request = [0; 4_096];
+                let read = stream.read(&mut request).await;
+                if read.is_err() || stream.write_all(head.as_bytes()).await.is_err() {
+                    return;
+                }
+                while stream.write_all(part).await.is_ok() {}
+            })
+            .detach();
+        }
+    })
+    .detach();
+    address
+}
+
+#[rstest::rstest]
+#[case::chunks("", b"400\r\n")]
+#[case::extension("1;", b"xxxxxxxxxxxxxxxx")]
+#[case::small_chunks("", b"1\r\nx\r\n")]
+fn an_answer_without_end_is_an_error(#[case] start: &'static str, #[case] part: &'static [u8]) {
+    let head = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{start}");
+    let mut part = part.to_vec();
+    if part == b"400\r\n" {
+        part.extend(vec![b'x'; 0x400]);
+        part.extend(b"\r\n");
+    }
+    smol::block_on(async {
+        let address = start_endless(head.leak(), part.repeat(64).leak()).await;
+        let client = Platform::new(Settings {
+            address,
+            timeout: time::Duration::from_secs(60),
+        });
+        let found = client.read(&key()).await;
+        assert!(matches!(found, Err(StoreError::BrokeOff(_))), "{found:?}");
+        let listed = client.list("config").await;
+        assert!(matches!(listed, Err(StoreError::BrokeOff(_))), "{listed:?}");
+    });
+}
