--- a/crates/lentil_forward/src/lib.rs
+++ b/crates/lentil_forward/src/lib.rs
@@ -6,14 +6,12 @@
 //! - [`cache_store`]: follows which segments a cache store holds.
 //! - [`peers`]: datagrams between a router, agents and other routers.
 //! - [`runner_watch`]: checks runners that owe an answer.
-//! - [`background`]: runs tasks of requests between others.
 //! - [`h1`]: HTTP/1.1 that exposes connection state.
 //!
 //! Deployments supply header names and document formats as [`names::HeaderNames`]
 //! and [`documents::Decoder`]; `lentil_policy::forward` makes the decisions.
 
 pub mod agent;
-pub mod background;
 mod byte_budget;
 pub mod cache;
 pub mod cache_store;
