--- a/crates/lentil_process/src/metrics.rs
+++ b/crates/lentil_process/src/metrics.rs
@@ -78,7 +78,7 @@
     StoreLost,
     /// Listings because the store came back from an older copy.
     StoreRestored,
-    /// Waiting store calls that were ended because they may never be answered.
+    /// Waiting store calls beside which another one was made because they may never be answered.
     WatchesDoubted,
     /// Notices of newer documents from other routers.
     DocumentNotices,
