--- a/review/standin-2/cases/mod.rs
+++ b/review/standin-2/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases, one module each.
 
+pub mod address;
 pub mod copy;
 pub mod entry;
 pub mod isolated;
--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -23,7 +23,6 @@
     pub store: Arc<Store>,
     pub fronts: Vec<Ipv4Addr>,
     pub models: Vec<Arc<Runner>>,
-    // Dropped in this order: processes before their folder.
     processes: Vec<Process>,
     folder: Folder,
 }
@@ -40,7 +39,7 @@
             fronts: vec![instance(101), instance(102)],
             models: Vec::new(),
             processes: Vec::new(),
-            folder: Folder::create(),
+            folder: Folder::open(),
         };
         for number in 1..=2 {
             let work = Duration::from_millis(60);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -31,6 +31,7 @@
     let play = move || {
         let record = record::Record::create(&format!("{folder}/record.txt"));
         match case.as_str() {
+            "address" => cases::address::play(&record, has_trouble),
             "entry" => cases::entry::play(&record, has_trouble),
             "isolated" => cases::isolated::play(&record, has_trouble),
             "lookup" => cases::lookup::play(&record, has_trouble),
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -17,22 +17,20 @@
 /// Longest wait until a router is ready.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
-/// A temporary folder for settings and logs, removed on drop.
+/// The folder for settings and logs. The script that starts the case makes and removes it.
 pub struct Folder(PathBuf);
 
 impl Folder {
-    pub fn create() -> Self {
-        let path = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
-        fs::create_dir_all(&path).expect("a temporary folder can be made");
-        Self(path)
+    pub fn open() -> Self {
+        let path = std::env::var_os("REVIEW_SCRATCH").expect("review/run-case-2.sh starts the cases");
+        Self(path.into())
     }
-}
 
-impl Drop for Folder {
-    fn drop(&mut self) {
-        if std::env::var_os("KEEP").is_none() {
-            let _ = fs::remove_dir_all(&self.0);
-        }
+    /// Notes a process that was started, so that the script can end it if this one is killed.
+    fn note(&self, id: u32) {
+        let file = fs::OpenOptions::new().create(true).append(true).open(self.0.join("ids"));
+        let written = file.and_then(|mut file| writeln!(file, "{id}"));
+        written.expect("the ids of processes can be written");
     }
 }
 
@@ -40,10 +38,10 @@
 pub struct Process(Child);
 
 impl Process {
-    fn start(Folder(folder): &Folder, role: &str, ip: Ipv4Addr, settings: &str) -> Self {
-        let path = folder.join(format!("{role}-{ip}.conf"));
+    fn start(folder: &Folder, role: &str, ip: Ipv4Addr, settings: &str) -> Self {
+        let path = folder.0.join(format!("{role}-{ip}.conf"));
         fs::write(&path, settings).expect("settings can be written");
-        let log = fs::File::create(folder.join(format!("{role}-{ip}.log")));
+        let log = fs::File::create(folder.0.join(format!("{role}-{ip}.log")));
         let log = log.expect("a log can be written");
         let program = Path::new(PROGRAM);
         let child = Command::new(program)
@@ -54,7 +52,9 @@
             .stdout(log)
             .stderr(Stdio::null())
             .spawn();
-        Self(child.expect("target/release/lentil-site can be started"))
+        let child = child.expect("target/release/lentil-site can be started");
+        folder.note(child.id());
+        Self(child)
     }
 
     /// Starts a router.
