--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+folder=$(dirname "$0")
+exec "$folder/../run-case-2.sh" address "$folder"
