--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -565,6 +565,8 @@
         {
             let mut state = self.router.state();
             state.runners_mut().on_replaced(&self.choice.incarnation);
+            drop(state);
+            self.router.log_replacements();
         }
         let mut reader = h1::BodyReader::new(head.framing);
         if self.skip_body(&mut reader).await.is_ok() {
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -44,6 +44,7 @@
                 let now = self.now();
                 let changes = self.state().runners_mut().on_list(now, registrations);
                 self.log_changes(&changes);
+                self.log_replacements();
                 self.agents_listed.notify(usize::MAX);
             }
             Kind::Routing | Kind::Weights => {
@@ -196,10 +197,17 @@
             self.on_dead(&old, DeathSign::Restarted);
         }
         self.log_changes(change.as_slice());
+        self.log_replacements();
         self.availability_changed.notify(usize::MAX);
         self.agents_listed.notify(usize::MAX);
     }
 
+    /// Logs which runners count as replaced since the last call.
+    pub(crate) fn log_replacements(&self) {
+        let replacements = self.state().runners_mut().take_replacements();
+        self.log_changes(&replacements);
+    }
+
     fn on_runner_removed(&self, name: &str) {
         let now = self.now();
         let old = self.state().runners().incarnation(name).cloned();
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -94,6 +94,8 @@
     Gone,
     /// Its registration is missing after an outage of the store, and it is kept.
     Lapsed,
+    /// Another runner is taken to have its address.
+    Replaced,
 }
 
 /// The table of known runners.
@@ -109,6 +111,8 @@
     software: SoftwareHistory,
     /// Whether the next list is that of an older copy of the store.
     is_restored: bool,
+    /// Changes of whether runners count as replaced, not logged yet.
+    replacements: Vec<MembershipChange>,
     /// Paces of the services for which they are learned.
     paces: Table<ServiceName, pace::ServiceState>,
     /// Rates of the requests to each service that may run once.
@@ -129,6 +133,7 @@
             removed: Vec::new(),
             software: SoftwareHistory::default(),
             is_restored: false,
+            replacements: Vec::new(),
             paces: Table::new(),
             once_rates: Table::new(),
         }
@@ -300,6 +305,15 @@
         if let Some(runner) = self.get_mut(incarnation) {
             runner.replaced = true;
         }
+        self.replacements.push(MembershipChange {
+            name: incarnation.name.clone(),
+            kind: ChangeKind::Replaced,
+        });
+    }
+
+    /// Returns the changes of whether runners count as replaced since the last call.
+    pub fn take_replacements(&mut self) -> Vec<MembershipChange> {
+        std::mem::take(&mut self.replacements)
     }
 
     /// Marks older runners at the same address as replaced. An address belongs to one
@@ -310,8 +324,12 @@
         for (_, other) in
             others.filter(|(_, other)| other.registration.address == registration.address)
         {
-            if other.registration.revision < registration.revision {
+            if other.registration.revision < registration.revision && !other.replaced {
                 other.replaced = true;
+                self.replacements.push(MembershipChange {
+                    name: other.registration.incarnation.name.clone(),
+                    kind: ChangeKind::Replaced,
+                });
             }
         }
     }
