A team that becomes isolated leaves no cache entries to others

Cause: teams that are not isolated shared one salt per weights version, whichever teams these were, so what a team left there stayed in use.

The salt now names the group of teams that share: the hash of the set of isolated teams, which follows from the configuration alone. Entries of a group are made and used by its members only, whichever way a team changes and however often. Where no team is isolated the salt is as before. The group is that of the configuration in force when a request is sent, also for one that arrived before a change or is sent on after it; a source of the old group is not used.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: sends a request to one runner and forwards its answer.
 
-use std::{cell, net, rc, time};
+use std::{borrow, cell, net, rc, time};
 
 use compact_str::CompactString;
 use lentil_policy::forward::{
@@ -131,6 +131,8 @@
         None => AttemptEnd::Failed(Failure::Unreachable),
         Some(connection) => {
             plan.attempt_log.borrow_mut().begin();
+            let current = in_current_group(router, plan, choice);
+            let choice = &*current;
             notify_agent(router, plan, choice);
             let mut attempt = Attempt {
                 router,
@@ -210,6 +212,25 @@
     }
 }
 
+/// The choice with the cache group of the configuration in force now, which may have
+/// changed while a connection was opened. A source was chosen for the entries of the old
+/// group.
+fn in_current_group<'a>(
+    router: &Router,
+    plan: &Plan,
+    choice: &'a placement::Choice,
+) -> borrow::Cow<'a, placement::Choice> {
+    let cache_group = router.state().cache_group(plan);
+    if cache_group == choice.cache_group {
+        return borrow::Cow::Borrowed(choice);
+    }
+    borrow::Cow::Owned(placement::Choice {
+        cache_group,
+        source: None,
+        ..choice.clone()
+    })
+}
+
 /// Whether the agent is told of the request, so that its status shows it.
 fn is_announced(choice: &placement::Choice) -> bool {
     choice.version.is_some() && choice.request_cost.uncached >= runners::LONG_PROMPT
@@ -237,7 +258,7 @@
     choice: &placement::Choice,
 ) -> Option<runners::SegmentKey> {
     let (id, _) = placement::shared_prefix(&router.settings.placement, &plan.segments)?;
-    let salt = runners::salt(choice.version?, plan.isolated_team());
+    let salt = runners::salt(choice.version?, &choice.cache_group);
     Some(runners::SegmentKey::new(id, runners::SaltHash::of(&salt)))
 }
 
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -394,12 +394,13 @@
         let model = plan.model.as_ref();
         let stores = state.stores(&plan.routing);
         let software = plan.software.borrow();
+        let cache_group = state.cache_group(plan);
         let requirements = placement::Requirements {
             service: &plan.service,
             model,
             targets: model.map_or(&[], |model| state.target_history(model)),
             segments: &plan.segments,
-            isolated: plan.isolated_team(),
+            cache_group: &cache_group,
             body_bytes: plan.body_bytes,
             place: &self.place,
             time_left: plan.start_by.since(now),
--- a/crates/lentil_forward/src/router/plan.rs
+++ b/crates/lentil_forward/src/router/plan.rs
@@ -8,9 +8,7 @@
     attempt_log, backlog, routing,
     runners::{Incarnation, SegmentId},
 };
-use lentil_types::{
-    Fingerprint, Instant, ModelName, ServiceName, SoftwareVersion, TeamName, Tokens,
-};
+use lentil_types::{Fingerprint, Instant, ModelName, ServiceName, SoftwareVersion, Tokens};
 use xxhash_rust::xxh3;
 
 use crate::{h1, names};
@@ -174,12 +172,6 @@
     pub(super) fn stream(&self) -> backlog::RequestHash {
         backlog::RequestHash::of(self.resumes.as_ref().unwrap_or(&self.id))
     }
-
-    /// The team if it shares no cache with others.
-    pub(super) fn isolated_team(&self) -> Option<&TeamName> {
-        let isolated = self.team.as_ref().filter(|team| team.isolated);
-        isolated.map(|team| &team.name)
-    }
 }
 
 /// Parses the segments of the prompt: `ID:TOKENS`, separated by commas. Malformed
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -14,7 +14,7 @@
     ConfigVersion, Fingerprint, Instant, ModelName, ServiceName, Table, WeightsVersion,
 };
 
-use super::Settings;
+use super::{Settings, plan::Plan};
 
 /// Shared state of a router.
 pub struct State {
@@ -133,6 +133,13 @@
         Some(version)
     }
 
+    /// Teams whose cache entries a request may use by the configuration in force now: it
+    /// may have changed since the request arrived.
+    pub(super) fn cache_group(&self, plan: &Plan) -> runners::CacheGroup {
+        let routing = self.routing.as_ref().unwrap_or(&plan.routing);
+        routing.cache_group(plan.team.as_ref().map(|team| &team.name))
+    }
+
     /// How long the configuration has been in force.
     pub fn routing_age(&self, now: Instant) -> time::Duration {
         now.since(self.routing_since)
--- a/crates/lentil_forward/src/router/upstream.rs
+++ b/crates/lentil_forward/src/router/upstream.rs
@@ -74,7 +74,7 @@
     }
     if let Some(version) = choice.version {
         let _ = write!(out, "{}: {version}\r\n", names.expect_weights);
-        let salt = runners::salt(version, plan.isolated_team());
+        let salt = runners::salt(version, &choice.cache_group);
         let _ = write!(out, "{}: {salt}\r\n", names.cache_salt);
         let _ = write!(out, "{}: {}\r\n", names.priority, plan.priority);
     }
--- a/crates/lentil_policy/src/forward/placement.rs
+++ b/crates/lentil_policy/src/forward/placement.rs
@@ -14,8 +14,7 @@
 use std::{net, time};
 
 use lentil_types::{
-    Instant, ModelName, PlaceName, RunnerName, ServiceName, SoftwareVersion, TeamName, Tokens,
-    WeightsVersion,
+    Instant, ModelName, PlaceName, RunnerName, ServiceName, SoftwareVersion, Tokens, WeightsVersion,
 };
 
 use crate::forward::{
@@ -131,8 +130,8 @@
     pub targets: &'a [(WeightsVersion, Instant)],
     /// Segments of the prompt in order; the last one is not shared.
     pub segments: &'a [(SegmentId, Tokens)],
-    /// Team, if its cache entries are isolated.
-    pub isolated: Option<&'a TeamName>,
+    /// Teams whose cache entries it may use.
+    pub cache_group: &'a runners::CacheGroup,
     /// Size of the request body.
     pub body_bytes: usize,
     /// Data centre of the router.
@@ -195,6 +194,8 @@
     pub software: SoftwareVersion,
     /// Weights that the runner serves; `None` where the request names no model.
     pub version: Option<WeightsVersion>,
+    /// Teams whose cache entries it may use.
+    pub cache_group: runners::CacheGroup,
     /// Runner or store that holds the shared prefix, or may hold it where `prefills`
     /// is set; `None` where there is nothing to fetch.
     pub source: Option<net::SocketAddr>,
@@ -325,6 +326,7 @@
         address: best.runner.registration.address,
         software: best.runner.registration.software.clone(),
         version: best.version,
+        cache_group: requirements.cache_group.clone(),
         source: best.source,
         prefills: best.prefills,
         store: best.store.map(|store| store.info.address),
--- a/crates/lentil_policy/src/forward/placement/sources.rs
+++ b/crates/lentil_policy/src/forward/placement/sources.rs
@@ -111,7 +111,7 @@
 
 impl Sources<'_> {
     fn new(segment: SegmentId, version: WeightsVersion, requirements: &Requirements<'_>) -> Self {
-        let salt = runners::salt(version, requirements.isolated);
+        let salt = runners::salt(version, requirements.cache_group);
         Self {
             version,
             key: SegmentKey::new(segment, SaltHash::of(&salt)),
--- a/crates/lentil_policy/src/forward/routing.rs
+++ b/crates/lentil_policy/src/forward/routing.rs
@@ -7,6 +7,8 @@
     ConfigVersion, ModelName, PlaceName, ServiceName, Table, TeamName, Tokens, UnitRate, Units,
 };
 
+use crate::forward::runners::CacheGroup;
+
 /// Whether a request may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -202,6 +204,8 @@
     /// Sorted by host, then by prefix.
     routes: Vec<Route>,
     teams: Vec<Team>,
+    /// Teams that are not isolated.
+    common_group: CacheGroup,
     /// Sorted API keys, each with the index of its team in `teams`.
     keys: Vec<(CompactString, usize)>,
 }
@@ -242,10 +246,14 @@
             keys.extend(team_keys.iter().map(|key| (key.clone(), index)));
         }
         keys.sort();
+        let teams: Vec<_> = teams.into_iter().map(|(team, _)| team).collect();
+        let isolated = teams.iter().filter(|team| team.isolated);
+        let isolated: Vec<_> = isolated.map(|team| &team.name).collect();
         Self {
             version,
             routes,
-            teams: teams.into_iter().map(|(team, _)| team).collect(),
+            common_group: CacheGroup::all_but(&isolated),
+            teams,
             keys,
             ..Self::default()
         }
@@ -301,6 +309,19 @@
         &self.teams
     }
 
+    /// Teams whose KV cache entries the requests of a team may use; `None`: those of no
+    /// team. A team that is not configured any more shares none.
+    pub fn cache_group(&self, team: Option<&TeamName>) -> CacheGroup {
+        let Some(name) = team else {
+            return self.common_group.clone();
+        };
+        let team = self.teams.iter().find(|team| team.name == *name);
+        match team {
+            Some(team) if !team.isolated => self.common_group.clone(),
+            _ => CacheGroup::isolated(name),
+        }
+    }
+
     /// Routes, sorted by host and prefix.
     pub fn routes(&self) -> &[Route] {
         &self.routes
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -28,7 +28,7 @@
 pub use runner::{
     Incarnation, LONG_PROMPT, ProbeReport, Registration, RequestCost, Runner, Status,
 };
-pub use segments::{SaltHash, SegmentId, SegmentKey, SegmentUpdate, Segments, salt};
+pub use segments::{CacheGroup, SaltHash, SegmentId, SegmentKey, SegmentUpdate, Segments, salt};
 pub use store_contact::LapseSettings;
 use store_contact::StoreContact;
 
--- a/crates/lentil_policy/src/forward/runners/segments.rs
+++ b/crates/lentil_policy/src/forward/runners/segments.rs
@@ -1,7 +1,8 @@
 //! Shared segments of prompts that a runner is expected to hold in its KV cache.
 
-use std::time;
+use std::{fmt, time};
 
+use compact_str::{CompactString, format_compact};
 use lentil_types::{Instant, TeamName, Tokens, WeightsVersion};
 use xxhash_rust::xxh3;
 
@@ -38,13 +39,48 @@
     }
 }
 
+/// Teams that find each other's cache entries, as a part of the cache salt. It follows
+/// from the configuration alone, so all routers agree on it, also after a restart.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CacheGroup(CompactString);
+
+impl CacheGroup {
+    /// A team that shares no entries.
+    pub fn isolated(team: &TeamName) -> Self {
+        Self(format_compact!("t/{team}"))
+    }
+
+    /// All teams but these. Each set has a group of its own: a team that joins or leaves
+    /// the set would otherwise find entries from before, or leave its own to others.
+    pub fn all_but(isolated: &[&TeamName]) -> Self {
+        if isolated.is_empty() {
+            return Self::default();
+        }
+        let mut names = isolated.to_vec();
+        names.sort();
+        names.dedup();
+        let mut hash = xxh3::Xxh3::new();
+        for name in names {
+            hash.update(&(name.len() as u64).to_le_bytes());
+            hash.update(name.as_bytes());
+        }
+        Self(format_compact!("c/{:016x}", hash.digest()))
+    }
+}
+
+impl fmt::Display for CacheGroup {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 /// Cache salt of entries under these weights. It keeps requests from finding entries
 /// of other weights, or of another team where one of the two is isolated.
-pub fn salt(version: WeightsVersion, isolated: Option<&TeamName>) -> String {
-    match isolated {
-        Some(team) => format!("w{version}/t/{team}"),
-        None => format!("w{version}"),
+pub fn salt(version: WeightsVersion, group: &CacheGroup) -> String {
+    if group.0.is_empty() {
+        return format!("w{version}");
     }
+    format!("w{version}/{group}")
 }
 
 /// How long a segment that this router saw used outlives a full list without it:
--- a/crates/lentil_policy/tests/forward_placement.rs
+++ b/crates/lentil_policy/tests/forward_placement.rs
@@ -7,13 +7,13 @@
     placement::{self, Choice, Context, Refusal, Requirements, Settings},
     routing::{CacheStore, Engine},
     runners::{
-        self, Incarnation, LivenessAction, Registration, RequestCost, Runners, SaltHash, SegmentId,
-        SegmentKey, Status,
+        self, CacheGroup, Incarnation, LivenessAction, Registration, RequestCost, Runners,
+        SaltHash, SegmentId, SegmentKey, Status,
     },
 };
 use lentil_types::{
-    Instant, ModelName, PlaceName, RequestRate, RunnerName, ServiceName, SoftwareVersion, TeamName,
-    Tokens, WeightsVersion,
+    Instant, ModelName, PlaceName, RequestRate, RunnerName, ServiceName, SoftwareVersion, Tokens,
+    WeightsVersion,
 };
 use rand::SeedableRng as _;
 use rstest::rstest;
@@ -32,7 +32,7 @@
     engine: Engine,
     targets: Vec<(WeightsVersion, Instant)>,
     stores: Vec<placement::Store<'static>>,
-    isolated: Option<TeamName>,
+    cache_group: CacheGroup,
     time_left: time::Duration,
     max_status_age: Option<time::Duration>,
     runs_once: bool,
@@ -60,7 +60,7 @@
             },
             targets: Vec::new(),
             stores: Vec::new(),
-            isolated: None,
+            cache_group: CacheGroup::default(),
             time_left: time::Duration::from_secs(6),
             max_status_age: None,
             runs_once: false,
@@ -82,7 +82,7 @@
             model: Some(&self.model),
             targets: &self.targets,
             segments: &segments,
-            isolated: self.isolated.as_ref(),
+            cache_group: &self.cache_group,
             body_bytes: 100,
             place: &self.place,
             time_left: self.time_left,
@@ -106,8 +106,8 @@
         )
     }
 
-    fn add_segment(&mut self, number: usize, segment: &str, team: Option<&TeamName>) {
-        let salt = runners::salt(WeightsVersion(1), team);
+    fn add_segment(&mut self, number: usize, segment: &str) {
+        let salt = runners::salt(WeightsVersion(1), &CacheGroup::default());
         let key = SegmentKey::new(SegmentId::of(segment), SaltHash::of(&salt));
         let now = self.now;
         let runner = self.runners.get_mut(&incarnation(number)).unwrap();
@@ -155,7 +155,7 @@
 #[test]
 fn a_runner_with_the_shared_segment_cached_is_chosen() {
     let mut router = RouterFixture::new(9, 1);
-    router.add_segment(5, "rules", None);
+    router.add_segment(5, "rules");
     let choice = router.choose(&LONG, &[]).unwrap();
     assert_eq!(choice.incarnation, incarnation(5));
     assert_eq!(choice.request_cost.uncached, Tokens(4_000));
@@ -165,7 +165,7 @@
 #[test]
 fn another_runner_fetches_the_segment_from_a_busy_holder() {
     let mut router = RouterFixture::new(9, 1);
-    router.add_segment(5, "rules", None);
+    router.add_segment(5, "rules");
     router.report_status(
         5,
         Status {
@@ -173,7 +173,7 @@
             ..Status::default()
         },
     );
-    router.add_segment(5, "rules", None);
+    router.add_segment(5, "rules");
     let choice = router.choose(&LONG, &[]).unwrap();
     assert_ne!(choice.incarnation, incarnation(5));
     assert_eq!(choice.source, Some("127.0.0.1:1005".parse().unwrap()));
@@ -219,8 +219,8 @@
             || Some(registration(*number).address) == home.source
     };
     let other = (0..9).find(|number| !is_home(number)).unwrap();
-    router.add_segment(other, "rules", None);
-    router.isolated = Some("red".parse().unwrap());
+    router.add_segment(other, "rules");
+    router.cache_group = CacheGroup::isolated(&"red".parse().unwrap());
     let choice = router.choose(&LONG, &[]).unwrap();
     assert_eq!(choice.request_cost.uncached, Tokens(17_000));
     assert!(choice.prefills);
@@ -323,7 +323,7 @@
     let mut router = RouterFixture::new(5, 1);
     let home = router.choose(&LONG, &[]).unwrap().incarnation;
     let prefiller = (0..5).find(|number| incarnation(*number) != home).unwrap();
-    let salt = runners::salt(WeightsVersion(1), None);
+    let salt = runners::salt(WeightsVersion(1), &CacheGroup::default());
     let key = SegmentKey::new(SegmentId::of("rules"), SaltHash::of(&salt));
     router.report_status(
         prefiller,
@@ -342,14 +342,14 @@
 #[test]
 fn a_prompt_goes_to_a_runner_with_free_memory() {
     let mut router = RouterFixture::new(2, 1);
-    router.add_segment(0, "rules", None);
+    router.add_segment(0, "rules");
     let full = Status {
         committed: Tokens(135_000),
         capacity: Tokens(140_000),
         ..Status::default()
     };
     router.report_status(0, full);
-    router.add_segment(0, "rules", None);
+    router.add_segment(0, "rules");
     let choice = router.choose(&LONG, &[]).unwrap();
     assert_eq!(
         choice.incarnation,
@@ -882,7 +882,7 @@
     let mut router = RouterFixture::new(5, 1);
     let home = router.choose(&LONG, &[]).unwrap().incarnation;
     let prefiller = (0..5).find(|number| incarnation(*number) != home).unwrap();
-    let salt = runners::salt(WeightsVersion(1), None);
+    let salt = runners::salt(WeightsVersion(1), &CacheGroup::default());
     let key = SegmentKey::new(SegmentId::of("rules"), SaltHash::of(&salt));
     let status = Status {
         prefilling: vec![key],
--- a/crates/lentil_policy/tests/forward_routing.rs
+++ b/crates/lentil_policy/tests/forward_routing.rs
@@ -2,8 +2,12 @@
 
 use std::time;
 
-use lentil_policy::forward::routing::{self, Repeat, Route, Routing, Target, Team, UnknownKey};
-use lentil_types::ConfigVersion;
+use lentil_policy::forward::{
+    routing::{self, Repeat, Route, Routing, Target, Team, UnknownKey},
+    runners,
+};
+use lentil_types::{ConfigVersion, TeamName, WeightsVersion};
+use rand::{RngExt as _, SeedableRng as _};
 use rstest::rstest;
 
 fn route(host: &str, prefix: &str) -> Route {
@@ -132,3 +136,71 @@
     );
     assert_eq!(of(Some(200), 200), routing::MAX_RANK);
 }
+
+/// A configuration version with these teams, each with whether it is isolated.
+fn sharing(version: u64, teams: &[(TeamName, bool)]) -> Routing {
+    let teams = teams.iter().map(|(name, isolated)| {
+        let team = Team {
+            isolated: *isolated,
+            ..team(name, None)
+        };
+        (team, Vec::new())
+    });
+    Routing::new(ConfigVersion(version), Vec::new(), teams.collect())
+}
+
+// A team that became isolated had left its cache entries to the others (review 7).
+#[rstest]
+fn no_team_finds_entries_of_another_one_that_is_isolated(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+    let names: [TeamName; 5] = ["a", "b", "c", "d", "e"].map(|name| name.parse().unwrap());
+    let mut makers: Vec<(String, TeamName)> = Vec::new();
+    for version in 0..200 {
+        let present = names.iter().filter(|_| rng.random_bool(0.8));
+        let present: Vec<_> = present.cloned().collect();
+        let teams = present.into_iter().map(|name| (name, rng.random_bool(0.4)));
+        let teams: Vec<_> = teams.collect();
+        let routing = sharing(version, &teams);
+        let is_isolated = |name: &TeamName| teams.contains(&(name.clone(), true));
+        for (name, _) in &teams {
+            let salt = runners::salt(WeightsVersion(1), &routing.cache_group(Some(name)));
+            let mut found = makers.iter().filter(|(other, _)| *other == salt);
+            let has_foreign =
+                found.any(|(_, maker)| maker != name && (is_isolated(maker) || is_isolated(name)));
+            assert!(!has_foreign, "{name} under {teams:?}");
+            makers.push((salt, name.clone()));
+        }
+    }
+}
+
+#[test]
+fn teams_that_are_not_isolated_share_entries_whatever_else_changes() {
+    let name = |name: &str| -> TeamName { name.parse().unwrap() };
+    let teams = |isolated: &str| {
+        vec![
+            (name("a"), false),
+            (name("b"), false),
+            (name(isolated), true),
+        ]
+    };
+    let before = sharing(1, &teams("c"));
+    let mut more = teams("c");
+    more.insert(0, (name("d"), false));
+    let after = sharing(2, &more);
+    let group = |routing: &Routing, team: &str| routing.cache_group(Some(&name(team)));
+    assert_eq!(group(&before, "a"), group(&before, "b"));
+    assert_eq!(group(&before, "a"), before.cache_group(None), "no team");
+    assert_eq!(
+        group(&before, "a"),
+        group(&after, "d"),
+        "a new team shares them"
+    );
+    assert_ne!(group(&before, "a"), group(&sharing(3, &teams("d")), "a"));
+    assert_ne!(
+        group(&before, "a"),
+        group(&before, "gone"),
+        "a removed team shares none"
+    );
+}
--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -2,8 +2,8 @@
 
 use lentil_policy::forward::backlog::RequestHash;
 use lentil_policy::forward::runners::{
-    ChangeKind, HealthSignal, Incarnation, LivenessAction, ProbeReport, Registration, RequestCost,
-    Runners, SaltHash, SegmentId, SegmentKey, Settings, Share, Status, salt,
+    CacheGroup, ChangeKind, HealthSignal, Incarnation, LivenessAction, ProbeReport, Registration,
+    RequestCost, Runners, SaltHash, SegmentId, SegmentKey, Settings, Share, Status, salt,
 };
 use lentil_types::{Instant, ServiceName, SoftwareVersion, Tokens, WeightsVersion};
 use rstest::rstest;
@@ -199,7 +199,7 @@
     let mut runners = runners(&["a"]);
     let key = SegmentKey::new(
         SegmentId::of("p"),
-        SaltHash::of(&salt(WeightsVersion(1), None)),
+        SaltHash::of(&salt(WeightsVersion(1), &CacheGroup::default())),
     );
     let old = runners.get_mut(&incarnation("a", 1)).unwrap();
     old.segments
@@ -280,12 +280,13 @@
 
 #[test]
 fn cache_salts_differ_by_version_and_isolated_team() {
-    let team = "red".parse().unwrap();
+    let common = CacheGroup::default();
+    let own = CacheGroup::isolated(&"red".parse().unwrap());
     let salts = [
-        salt(WeightsVersion(1), None),
-        salt(WeightsVersion(2), None),
-        salt(WeightsVersion(1), Some(&team)),
-        salt(WeightsVersion(2), Some(&team)),
+        salt(WeightsVersion(1), &common),
+        salt(WeightsVersion(2), &common),
+        salt(WeightsVersion(1), &own),
+        salt(WeightsVersion(2), &own),
     ];
     for (index, own) in salts.iter().enumerate() {
         assert!(salts[index + 1..].iter().all(|other| other != own));
--- a/crates/lentil_policy/tests/forward_search.rs
+++ b/crates/lentil_policy/tests/forward_search.rs
@@ -10,7 +10,9 @@
     placement::{self, Refusal, Requirements},
     rollout_schedule::RolloutPosition,
     routing::{Repeat, Route, Target},
-    runners::{HealthSignal, Incarnation, Registration, Runners, SegmentId, Settings, Status},
+    runners::{
+        CacheGroup, HealthSignal, Incarnation, Registration, Runners, SegmentId, Settings, Status,
+    },
     weights_update::{self, Order, Report, WeightsUpdater},
 };
 use lentil_types::{
@@ -287,7 +289,7 @@
             model: Some(&model),
             targets: &self.targets,
             segments: &segments,
-            isolated: None,
+            cache_group: &CacheGroup::default(),
             body_bytes: 100,
             place: &"here".parse().unwrap(),
             time_left: time::Duration::from_secs(5),
--- a/crates/lentil_policy/tests/forward_uneven.rs
+++ b/crates/lentil_policy/tests/forward_uneven.rs
@@ -7,7 +7,9 @@
 use lentil_policy::forward::{
     pace,
     placement::{self, Choice, Context, Refusal, Requirements},
-    runners::{self, Incarnation, Registration, RequestCost, Runners, SegmentId, Status},
+    runners::{
+        self, CacheGroup, Incarnation, Registration, RequestCost, Runners, SegmentId, Status,
+    },
 };
 use lentil_types::{
     Instant, ModelName, PlaceName, ServiceName, SoftwareVersion, Tokens, WeightsVersion,
@@ -160,7 +162,7 @@
             model: Some(&model()),
             targets: &[],
             segments: &[(SegmentId(rng.random()), Tokens(tokens))],
-            isolated: None,
+            cache_group: &CacheGroup::default(),
             body_bytes: 100,
             place: &self.place,
             time_left: left(allowed),
