Registrations of an unknown service take no runner away

What callers saw: another writer's registrations named a service that is not configured and the addresses of three live runners.

Cause: any decoded registration marked older ones at its address as replaced, and nothing took the mark back: neither its removal nor an answer of the runner. Evidence: the log of the case shows d-1, d-2 and d-3 replaced when the odd registrations appeared, and no change when these were removed.

Who has an address is now derived from the registrations as they are, and from what is answered there: a registration of a service that is not configured says nothing, the later of two others counts for 5 s, and an answer to a request that was sent after both were registered, or a refusal by another runner, counts more. Each of these ends after 5 s unless it is seen again, so nothing is out of use for good. A refusal that names no runner counts too.

--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -361,6 +361,10 @@
         if !has_seal || (is_success && !has_id) {
             return AttemptEnd::Failed(Failure::BadAnswer);
         }
+        if has_id {
+            self.router
+                .on_confirmed(&self.choice.incarnation, self.sent_at);
+        }
         let has_body = head.framing != h1::Framing::Empty;
         if answer.has_started() && !(is_success && has_body) {
             return AttemptEnd::Failed(Failure::BadAnswer);
@@ -582,12 +586,10 @@
         self.router.metrics.count(Counter::RunnerRefusals);
         self.plan.note_refusal(&self.choice.incarnation);
         let other = head.headers.text(self.router.names.runner);
-        if head.status == 421 && other.is_some_and(|other| other != &*self.choice.incarnation.name)
-        {
-            let mut state = self.router.state();
-            state.runners_mut().on_replaced(&self.choice.incarnation);
-            drop(state);
-            self.router.log_replacements();
+        let name = &*self.choice.incarnation.name;
+        if head.status == 421 && other != Some(name) {
+            self.router
+                .on_denied(&self.choice.incarnation, self.sent_at, other);
         }
         let mut reader = h1::BodyReader::new(head.framing);
         if self.skip_body(&mut reader).await.is_ok() {
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -221,6 +221,7 @@
         let now = self.now();
         let changes = self.state().runners_mut().tick(now);
         self.log_changes(&changes);
+        self.log_replacements();
         let state = self.state();
         let is_known =
             |incarnation: &runners::Incarnation| state.runners().get(incarnation).is_some();
--- a/crates/lentil_forward/src/router/state.rs
+++ b/crates/lentil_forward/src/router/state.rs
@@ -128,6 +128,7 @@
             return None;
         }
         self.limits.set_teams(now, routing.teams());
+        self.runners.set_services(now, routing.service_names());
         self.routing = Some(rc::Rc::new(routing));
         self.routing_since = now;
         Some(version)
--- a/crates/lentil_forward/src/router/updates.rs
+++ b/crates/lentil_forward/src/router/updates.rs
@@ -108,6 +108,7 @@
         if let Some(version) = version {
             self.metrics.count(Counter::ConfigChanges);
             self.metrics.gauge(Gauge::ConfigVersion, version.0);
+            self.log_replacements();
             log::info!(config = version.0, old:?, revision = document.version.0, routes, teams, outdated_ms:?; "configuration in force");
             self.availability_changed.notify(usize::MAX);
             self.agents_listed.notify(usize::MAX);
@@ -202,10 +203,40 @@
         self.agents_listed.notify(usize::MAX);
     }
 
-    /// Logs which runners count as replaced since the last call.
-    pub(crate) fn log_replacements(&self) {
+    /// Logs which runners count as replaced, or do not any more, since the last call.
+    pub(super) fn log_replacements(&self) {
         let replacements = self.state().runners_mut().take_replacements();
-        self.log_changes(&replacements);
+        if !replacements.is_empty() {
+            self.log_changes(&replacements);
+            self.availability_changed.notify(usize::MAX);
+            self.agents_listed.notify(usize::MAX);
+        }
+    }
+
+    /// A runner answered a request that was sent at `sent_at`.
+    pub(super) fn on_confirmed(&self, incarnation: &runners::Incarnation, sent_at: Instant) {
+        let now = self.now();
+        let mut state = self.state();
+        state.runners_mut().on_confirmed(now, incarnation, sent_at);
+        drop(state);
+        self.log_replacements();
+    }
+
+    /// A request for a runner, sent at `sent_at`, was refused at its address by another
+    /// one.
+    pub(super) fn on_denied(
+        &self,
+        incarnation: &runners::Incarnation,
+        sent_at: Instant,
+        other: Option<&str>,
+    ) {
+        let now = self.now();
+        let mut state = self.state();
+        state
+            .runners_mut()
+            .on_denied(now, incarnation, sent_at, other);
+        drop(state);
+        self.log_replacements();
     }
 
     fn on_runner_removed(&self, name: &str) {
@@ -213,6 +244,7 @@
         let old = self.state().runners().incarnation(name).cloned();
         let change = self.state().runners_mut().on_removed(now, name);
         self.log_changes(change.as_slice());
+        self.log_replacements();
         let is_gone = change.is_some_and(|change| change.kind == runners::ChangeKind::Gone);
         if let Some(old) = old.filter(|_| is_gone) {
             self.on_dead(&old, DeathSign::Expired);
--- a/crates/lentil_policy/src/forward/routing.rs
+++ b/crates/lentil_policy/src/forward/routing.rs
@@ -309,6 +309,13 @@
         &self.teams
     }
 
+    /// Names of the services, with those that only routes name.
+    pub fn service_names(&self) -> Vec<ServiceName> {
+        let targets = self.routes.iter().flat_map(|route| &route.targets);
+        let targets = targets.map(|target| &target.service);
+        self.services.keys().chain(targets).cloned().collect()
+    }
+
     /// Teams whose KV cache entries the requests of a team may use; `None`: those of no
     /// team. A team that is not configured any more shares none.
     pub fn cache_group(&self, team: Option<&TeamName>) -> CacheGroup {
--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -4,12 +4,13 @@
 mod announcements;
 mod health;
 mod liveness;
+mod occupancy;
 mod runner;
 mod segments;
 mod store_contact;
 mod trust;
 
-use std::time;
+use std::{net, time};
 
 use lentil_types::{Instant, RunnerName, ServiceName, SoftwareVersion, Table, Tokens};
 
@@ -25,6 +26,7 @@
 };
 pub use health::{HealthSettings, HealthSignal};
 pub use liveness::{LivenessAction, LivenessSettings};
+pub use occupancy::OccupancySettings;
 pub use runner::{
     Incarnation, LONG_PROMPT, ProbeReport, Registration, RequestCost, Runner, Status,
 };
@@ -53,6 +55,8 @@
     pub learns_pace: bool,
     /// Runners kept for short prompts.
     pub lanes: lanes::Settings,
+    /// How long evidence of who has an address counts.
+    pub occupancy: OccupancySettings,
 }
 
 impl Default for Settings {
@@ -66,6 +70,7 @@
             announcements: AnnouncementSettings::default(),
             learns_pace: false,
             lanes: lanes::Settings::default(),
+            occupancy: OccupancySettings::default(),
         }
     }
 }
@@ -96,6 +101,8 @@
     Lapsed,
     /// Another runner is taken to have its address.
     Replaced,
+    /// It is taken to have its address again.
+    Reinstated,
 }
 
 /// The table of known runners.
@@ -111,8 +118,10 @@
     software: SoftwareHistory,
     /// Whether the next list is that of an older copy of the store.
     is_restored: bool,
-    /// Changes of whether runners count as replaced, not logged yet.
+    /// Changes of whether runners count as replaced, not taken yet.
     replacements: Vec<MembershipChange>,
+    /// Sorted names of the configured services; `None` before a configuration is known.
+    services: Option<Vec<ServiceName>>,
     /// Paces of the services for which they are learned.
     paces: Table<ServiceName, pace::ServiceState>,
     /// Rates of the requests to each service that may run once.
@@ -134,6 +143,7 @@
             software: SoftwareHistory::default(),
             is_restored: false,
             replacements: Vec::new(),
+            services: None,
             paces: Table::new(),
             once_rates: Table::new(),
         }
@@ -182,21 +192,35 @@
             }
             registration.is_leaving |= is_copy && self.was_leaving(&registration.incarnation);
             unlisted.retain(|name| *name != registration.incarnation.name);
-            changes.extend(self.on_registration(now, registration));
+            changes.extend(self.apply_registration(now, registration));
         }
         for name in unlisted {
-            changes.extend(self.on_removed(now, &name));
+            changes.extend(self.apply_removal(now, &name));
         }
+        self.update_replaced(now, &self.contested_addresses());
         changes
     }
 
     /// Adds or updates a registration.
     pub fn on_registration(
+        &mut self,
+        now: Instant,
+        registration: Registration,
+    ) -> Option<MembershipChange> {
+        let old = self.table.get(&registration.incarnation.name);
+        let old = old.map(|runner| runner.registration.address);
+        let addresses = [Some(registration.address), old];
+        let change = self.apply_registration(now, registration);
+        let addresses: Vec<_> = addresses.into_iter().flatten().collect();
+        self.update_replaced(now, &addresses);
+        change
+    }
+
+    fn apply_registration(
         &mut self,
         now: Instant,
         mut registration: Registration,
     ) -> Option<MembershipChange> {
-        self.mark_replaced(&registration);
         self.software
             .on_registered(now, &registration.service, &registration.software);
         let name = registration.incarnation.name.clone();
@@ -212,13 +236,8 @@
             } else {
                 ChangeKind::Joined
             };
-            let is_superseded = self.table.values().any(|other| {
-                other.registration.address == registration.address
-                    && other.registration.revision > registration.revision
-            });
             let announcements = self.take_removed(&registration.incarnation);
             let mut runner = Runner::new(now, registration);
-            runner.replaced = is_superseded;
             runner.announcements = announcements;
             self.table.insert(name.clone(), runner);
             return change(kind);
@@ -236,7 +255,7 @@
         registration.is_leaving |= is_same && runner.registration.is_leaving;
         let began_leaving = registration.is_leaving && !runner.registration.is_leaving;
         runner.lapsed = None;
-        runner.on_registration(registration);
+        runner.on_registration(now, registration);
         if began_leaving {
             change(ChangeKind::Leaving)
         } else {
@@ -300,15 +319,46 @@
         *self.removed_mut(incarnation) = runner.announcements;
     }
 
-    /// Another runner answers at this runner's address.
-    pub fn on_replaced(&mut self, incarnation: &Incarnation) {
-        if let Some(runner) = self.get_mut(incarnation) {
-            runner.replaced = true;
+    /// Sets the configured services. A registration of another service is no evidence of
+    /// who has its address.
+    pub fn set_services(&mut self, now: Instant, mut services: Vec<ServiceName>) {
+        services.sort();
+        services.dedup();
+        self.services = Some(services);
+        self.update_replaced(now, &self.contested_addresses());
+    }
+
+    /// A runner answered a request that was sent at `sent_at`.
+    pub fn on_confirmed(&mut self, now: Instant, incarnation: &Incarnation, sent_at: Instant) {
+        let Some(runner) = self.get_mut(incarnation) else {
+            return;
+        };
+        runner.occupancy.on_confirmed(sent_at);
+        if runner.contested {
+            let address = runner.registration.address;
+            self.update_replaced(now, &[address]);
         }
-        self.replacements.push(MembershipChange {
-            name: incarnation.name.clone(),
-            kind: ChangeKind::Replaced,
-        });
+    }
+
+    /// A request for a runner, sent at `sent_at`, was refused at its address by another
+    /// one, which may give its name.
+    pub fn on_denied(
+        &mut self,
+        now: Instant,
+        incarnation: &Incarnation,
+        sent_at: Instant,
+        other: Option<&str>,
+    ) {
+        let Some(runner) = self.get_mut(incarnation) else {
+            return;
+        };
+        runner.occupancy.on_denied(sent_at);
+        let address = runner.registration.address;
+        let other = other.and_then(|name| self.table.get_mut(name));
+        if let Some(other) = other.filter(|other| other.registration.address == address) {
+            other.occupancy.on_confirmed(sent_at);
+        }
+        self.update_replaced(now, &[address]);
     }
 
     /// Returns the changes of whether runners count as replaced since the last call.
@@ -316,26 +366,77 @@
         std::mem::take(&mut self.replacements)
     }
 
-    /// Marks older runners at the same address as replaced. An address belongs to one
-    /// runner at a time, but the registration of a dead one stays for some seconds.
-    fn mark_replaced(&mut self, registration: &Registration) {
-        let others = self.table.iter_mut();
-        let others = others.filter(|(name, _)| **name != registration.incarnation.name);
-        for (_, other) in
-            others.filter(|(_, other)| other.registration.address == registration.address)
-        {
-            if other.registration.revision < registration.revision && !other.replaced {
-                other.replaced = true;
-                self.replacements.push(MembershipChange {
-                    name: other.registration.incarnation.name.clone(),
-                    kind: ChangeKind::Replaced,
+    /// Addresses that several registrations name, or where a runner was denied.
+    fn contested_addresses(&self) -> Vec<net::SocketAddr> {
+        let runners = self.table.values();
+        let mut addresses: Vec<_> = runners.map(|r| r.registration.address).collect();
+        addresses.sort();
+        let named_twice = addresses.windows(2).filter(|pair| pair[0] == pair[1]);
+        let named_twice = named_twice.map(|pair| pair[0]);
+        let contested = self.table.values().filter(|runner| runner.contested);
+        let contested = contested.map(|runner| runner.registration.address);
+        let mut found: Vec<_> = named_twice.chain(contested).collect();
+        found.sort();
+        found.dedup();
+        found
+    }
+
+    /// Derives which of the runners at these addresses count as replaced.
+    fn update_replaced(&mut self, now: Instant, addresses: &[net::SocketAddr]) {
+        let settings = self.settings.occupancy;
+        for address in addresses {
+            let is_claim = |runner: &&Runner| runner.registration.address == *address;
+            let claims: Vec<_> = self.table.values().filter(is_claim).collect();
+            let decide = |runner: &Runner| {
+                let own = &runner.occupancy;
+                let others = claims.iter().filter(|other| {
+                    other.registration.incarnation != runner.registration.incarnation
                 });
+                let has_others = others.clone().next().is_some();
+                let mut credible = others.filter(|other| {
+                    self.is_configured(&other.registration.service)
+                        && !other.occupancy.is_denied(now, &settings)
+                });
+                let is_denied = own.is_denied(now, &settings);
+                let is_displaced =
+                    credible.any(|other| own.is_displaced(now, &settings, &other.occupancy));
+                (has_others || is_denied, is_denied || is_displaced)
+            };
+            let decisions = claims.iter().map(|runner| {
+                let name = runner.registration.incarnation.name.clone();
+                (name, decide(runner))
+            });
+            let decisions: Vec<_> = decisions.collect();
+            for (name, (contested, replaced)) in decisions {
+                let Some(runner) = self.table.get_mut(&name) else {
+                    continue;
+                };
+                runner.contested = contested;
+                if std::mem::replace(&mut runner.replaced, replaced) != replaced {
+                    let kind = match replaced {
+                        true => ChangeKind::Replaced,
+                        false => ChangeKind::Reinstated,
+                    };
+                    self.replacements.push(MembershipChange { name, kind });
+                }
             }
         }
     }
 
+    fn is_configured(&self, service: &ServiceName) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|services| services.binary_search(service).is_ok())
+    }
+
     /// A registration was removed from the store.
     pub fn on_removed(&mut self, now: Instant, name: &str) -> Option<MembershipChange> {
+        let address = self.table.get(name)?.registration.address;
+        let change = self.apply_removal(now, name);
+        self.update_replaced(now, &[address]);
+        change
+    }
+
+    fn apply_removal(&mut self, now: Instant, name: &str) -> Option<MembershipChange> {
         let may_return = self.store.may_have_lapsed(now, &self.settings.lapses);
         let runner = self.table.get_mut(name)?;
         let incarnation = runner.registration.incarnation.clone();
@@ -355,8 +456,19 @@
         })
     }
 
-    /// Removes lapsed runners that were not registered again in time.
+    /// Removes lapsed runners that were not registered again in time, and ends what old
+    /// evidence says of who has an address.
     pub fn tick(&mut self, now: Instant) -> Vec<MembershipChange> {
+        let changes = self.remove_lapsed(now);
+        let contested = self.table.values().filter(|runner| runner.contested);
+        let mut contested: Vec<_> = contested.map(|r| r.registration.address).collect();
+        contested.sort();
+        contested.dedup();
+        self.update_replaced(now, &contested);
+        changes
+    }
+
+    fn remove_lapsed(&mut self, now: Instant) -> Vec<MembershipChange> {
         if !self.store.has_settled(now, &self.settings.lapses) {
             return Vec::new();
         }
--- a/crates/lentil_policy/src/forward/runners/runner.rs
+++ b/crates/lentil_policy/src/forward/runners/runner.rs
@@ -8,7 +8,10 @@
 
 use crate::forward::{backlog::RequestHash, concurrency_limit, pace};
 
-use super::{announcements::Announcements, health::Health, liveness::Liveness, segments};
+use super::{
+    announcements::Announcements, health::Health, liveness::Liveness, occupancy::Occupancy,
+    segments,
+};
 
 /// One start of a runner. Compared only for equality: the boot id derives from
 /// another machine's clock.
@@ -100,7 +103,12 @@
     pub registration: Registration,
     /// When its registration lapsed in an outage of the store.
     pub(super) lapsed: Option<Instant>,
-    /// Whether another runner has its address.
+    /// What is known of it at its address.
+    pub(super) occupancy: Occupancy,
+    /// Whether others are registered at its address, or answer there.
+    pub(super) contested: bool,
+    /// Whether another runner has its address; derived whenever what it follows from
+    /// changes.
     pub(super) replaced: bool,
     /// Last status, and when it was received.
     pub(super) status: Option<(Instant, Status)>,
@@ -139,9 +147,12 @@
 
 impl Runner {
     pub(super) fn new(now: Instant, registration: Registration) -> Self {
+        let occupancy = Occupancy::new(now, registration.revision);
         Self {
             registration,
             lapsed: None,
+            occupancy,
+            contested: false,
             replaced: false,
             status: None,
             changing_since: None,
@@ -160,7 +171,12 @@
         }
     }
 
-    pub(super) fn on_registration(&mut self, registration: Registration) {
+    pub(super) fn on_registration(&mut self, now: Instant, registration: Registration) {
+        if self.registration.address == registration.address {
+            self.occupancy.on_registration(registration.revision);
+        } else {
+            self.occupancy = Occupancy::new(now, registration.revision);
+        }
         if self.registration.weights != registration.weights {
             self.segments.clear();
         }
--- a/crates/lentil_policy/tests/forward_runners.rs
+++ b/crates/lentil_policy/tests/forward_runners.rs
@@ -72,7 +72,7 @@
         assert_eq!(usable(&runners, at(1)), ["b"]);
     }
     let mut runners = runners(&["a", "b"]);
-    runners.on_replaced(&incarnation("a", 1));
+    runners.on_denied(at(1), &incarnation("a", 1), at(1), None);
     assert_eq!(usable(&runners, at(1)), ["b"]);
 }
 
