An answer without length that is reset during an upload is not complete

What callers saw: a runner answers an upload at once with a 200 without length, sends a part of its body and resets the connection.

Cause: a reset is reported once. If a write meets it, the reads after it return what is queued and then 0, like a clean end; the writer's error was dropped. And the router stopped writing once it had the head, so that runner and router waited for each other.

The request is now written on while the answer is read, and the end of a body without length is believed only if the whole request was written without an error by then. Answers with a length or in chunks show their end themselves and are delivered as before.

--- a/crates/lentil_forward/src/h1/body.rs
+++ b/crates/lentil_forward/src/h1/body.rs
@@ -61,6 +61,11 @@
         self.state == State::Done
     }
 
+    /// Whether the body ends with its connection.
+    pub fn is_until_close(&self) -> bool {
+        self.state == State::UntilClose
+    }
+
     /// The next bytes of the body, `None` at its end.
     ///
     /// # Errors
--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: sends a request to one runner and forwards its answer.
 
-use std::{borrow, cell, net, rc, time};
+use std::{borrow, net, rc, time};
 
 use compact_str::CompactString;
 use lentil_policy::forward::{
@@ -20,7 +20,9 @@
     plan::{Plan, Request},
     rejection,
     state::BrokenRequest,
-    stream_origin, upstream,
+    stream_origin,
+    upload::Upload,
+    upstream,
 };
 use crate::{datagram::Datagram, events::EventSplitter, h1, peers::Recipient};
 
@@ -141,7 +143,7 @@
                 connection,
                 in_flight,
                 sent_at: router.now(),
-                written: rc::Rc::new(cell::Cell::new(false)),
+                upload: None,
                 has_head: false,
                 answer_head: None,
             };
@@ -318,8 +320,8 @@
     connection: h1::Connection,
     in_flight: InFlight,
     sent_at: Instant,
-    /// Whether the request was written completely.
-    written: rc::Rc<cell::Cell<bool>>,
+    /// Writes the request; `None` before it is sent.
+    upload: Option<Upload>,
     /// Whether the head of an answer was received.
     has_head: bool,
     /// When the answer began, and how its body is framed.
@@ -398,16 +400,7 @@
                 save_to: progress.save_to,
             },
         );
-        let stream = self.connection.stream();
-        let written = self.written.clone();
-        let write = async move {
-            use futures_lite::AsyncWriteExt as _;
-            let mut stream = stream;
-            // A runner that answers early may stop reading; its answer is valid.
-            let end = stream.write_all(&bytes).await;
-            written.set(end.is_ok());
-            std::future::pending().await
-        };
+        let mut upload = Upload::new(&self.connection, bytes);
         let (router, choice) = (self.router.clone(), self.choice);
         let can_repeat = self.plan.can_repeat();
         let silent = answer_timeout(&router, self.plan, choice, self.sent_at, can_repeat);
@@ -416,8 +409,11 @@
             router.until_refused(plan).await;
             Err(Failure::Withdrawn)
         };
-        let wait = futures_lite::future::or(write, futures_lite::future::or(silent, withdrawn));
-        futures_lite::future::or(self.matching_head(request), wait).await
+        let wait = futures_lite::future::or(silent, withdrawn);
+        let head = futures_lite::future::or(self.matching_head(request), wait);
+        let head = upload.beside(head).await;
+        self.upload = Some(upload);
+        head
     }
 
     /// Reads the head of the answer to this request and skips answers to others.
@@ -465,8 +461,7 @@
         &mut self,
         reader: &mut h1::BodyReader,
     ) -> Result<Option<bytes::Bytes>, Failure> {
-        let bytes = reader.next(&mut self.connection).await;
-        bytes.map_err(|error| read_failure(&error))
+        next_bytes(reader, &mut self.connection, self.upload.as_mut()).await
     }
 
     /// Reads a whole body within the limit of one answer and of all buffered bodies.
@@ -716,12 +711,7 @@
                 }
             }
         };
-        let next = async {
-            reader
-                .next(&mut self.connection)
-                .await
-                .map_err(|error| read_failure(&error))
-        };
+        let next = next_bytes(reader, &mut self.connection, self.upload.as_mut());
         futures_lite::future::or(next, stalled).await
     }
 
@@ -730,7 +720,8 @@
     fn return_connection(&mut self, head: &h1::ResponseHead, reader: &h1::BodyReader) {
         self.in_flight.on_answered();
         let is_clean = reader.is_done() && self.connection.buffered() == 0;
-        if !head.keep_alive || !is_clean || !self.written.get() {
+        let is_written = self.upload.as_ref().is_some_and(Upload::is_complete);
+        if !head.keep_alive || !is_clean || !is_written {
             return;
         }
         let stream = self.connection.stream();
@@ -778,6 +769,29 @@
     std::future::pending().await
 }
 
+/// The next bytes of a body, `None` at its end, while the request is still being written. A
+/// body without length ends with its connection, and that end is believed only after the
+/// whole request was written: a reset is reported once, and if a write meets it, the reads
+/// after it end as if the runner had closed the connection.
+async fn next_bytes(
+    reader: &mut h1::BodyReader,
+    connection: &mut h1::Connection,
+    mut upload: Option<&mut Upload>,
+) -> Result<Option<bytes::Bytes>, Failure> {
+    let is_until_close = reader.is_until_close();
+    let next = reader.next(connection);
+    let bytes = match upload.as_mut() {
+        Some(upload) => upload.beside(next).await,
+        None => next.await,
+    };
+    let bytes = bytes.map_err(|error| read_failure(&error))?;
+    let is_written = upload.is_none_or(|upload| upload.is_complete());
+    if bytes.is_none() && is_until_close && !is_written {
+        return Err(Failure::Broken);
+    }
+    Ok(bytes)
+}
+
 fn read_failure(error: &h1::ReadError) -> Failure {
     match error {
         h1::ReadError::Closed | h1::ReadError::Truncated | h1::ReadError::Broken(_) => {
--- a/crates/lentil_forward/src/router/mod.rs
+++ b/crates/lentil_forward/src/router/mod.rs
@@ -21,6 +21,7 @@
 mod state;
 mod stream_origin;
 mod updates;
+mod upload;
 mod upstream;
 
 use std::{cell, net, rc, sync, time};
