Status codes that HTTP does not know are failures at once

What callers saw: an answer with status 000, 001 or 099 was skipped as an informational one, and the caller waited for its whole deadline though a failure was known; if a 200 followed on the connection, this was served. 600 and 999 were handed to the caller.

Cause: a status of at least 200 was the only check. Heads with a status outside 100 to 599 are now invalid, for runners, the store, other routers and agents alike. The tests of odd_statuses.rs failed before, except for the heads with sound statuses.

--- a/crates/lentil_forward/src/h1/head.rs
+++ b/crates/lentil_forward/src/h1/head.rs
@@ -1,6 +1,6 @@
 //! Parsing of request and response heads.
 
-use std::time;
+use std::{ops, time};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -13,6 +13,8 @@
 
 /// Most header fields of a head.
 const MAX_FIELDS: usize = 100;
+/// Status codes of HTTP. Others have no meaning that a caller could rely on.
+const STATUSES: ops::RangeInclusive<u16> = 100..=599;
 
 /// Head of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -120,7 +122,8 @@
             _ => return Err(BadHead::Syntax),
         }
         let version = response.version.ok_or(BadHead::Syntax)?;
-        let status = response.code.ok_or(BadHead::Syntax)?;
+        let status = response.code.filter(|status| STATUSES.contains(status));
+        let status = status.ok_or(BadHead::Syntax)?;
         let headers = to_headers(head, response.headers);
         let named = body_framing(&headers)?;
         let framing = match (status, named) {
