A sidecar goes on calling an engine that answered with an unknown status

Cause: the HTTP library panics on a status that HTTP does not know. Only calls of requests were contained; the tasks that read the engine's status and cache ended with the panic, and nothing started them again. All calls to the backend server are now contained and count as unreadable answers, with the usual pauses, and both tasks are supervised.

--- a/crates/lentil_sidecar/src/backend/cache.rs
+++ b/crates/lentil_sidecar/src/backend/cache.rs
@@ -9,7 +9,7 @@
 use crate::driver::Input;
 
 use super::{
-    Backend,
+    Backend, contained,
     error::BackendError,
     sse::{EventReader, Limits},
 };
@@ -51,7 +51,8 @@
     let mut delay = MIN_RETRY_DELAY;
     loop {
         let mut applied = 0;
-        if let Err(error) = follow(&backend, &events, &mut applied).await {
+        let followed = contained(follow(&backend, &events, &mut applied)).await;
+        if let Err(error) = followed {
             log::debug!(applied; "lost the stream of cache events: {error}");
         }
         delay = match applied {
@@ -94,7 +95,7 @@
         let late = std::io::Error::from(std::io::ErrorKind::TimedOut);
         Err(BackendError::AnswerCut(late))
     };
-    match smol::future::or(list(&backend), timeout).await {
+    match smol::future::or(contained(list(&backend)), timeout).await {
         Ok(listing) => {
             let change = CacheChange::Listed(listing.pieces);
             report(&events, listing.boot, listing.number, change).await;
--- a/crates/lentil_sidecar/src/backend/mod.rs
+++ b/crates/lentil_sidecar/src/backend/mod.rs
@@ -67,17 +67,14 @@
     pub(crate) async fn cancel(&self, id: AttemptId) {
         let path = format!("requests/{}/cancel", request::engine_id(id));
         let call = async {
-            match self.pooled.post(self.url(&path)).await {
-                Ok(mut conn) => {
-                    // Its connection is used again once the answer is read.
-                    let body = lentil_http::read_all(conn.response_body(), MAX_CANCEL_BYTES);
-                    if let Err(error) = body.await {
-                        log::debug!(request:% = id.request; "cannot read the answer to a cancellation: {error}");
-                    }
-                }
-                Err(error) => {
-                    log::debug!(request:% = id.request; "cannot cancel a request at the engine: {error}");
-                }
+            let mut conn = self.pooled.post(self.url(&path)).await?;
+            // Its connection is used again once the answer is read.
+            let body = lentil_http::read_all(conn.response_body(), MAX_CANCEL_BYTES).await;
+            body.map_err(BackendError::AnswerCut)
+        };
+        let call = async {
+            if let Err(error) = contained(call).await {
+                log::debug!(request:% = id.request; "cannot cancel a request at the engine: {error}");
             }
         };
         let timer = async {
@@ -87,6 +84,15 @@
     }
 }
 
+/// Makes a call to the backend server. The HTTP client panics on a status that HTTP does
+/// not know.
+async fn contained<T>(
+    call: impl Future<Output = Result<T, BackendError>>,
+) -> Result<T, BackendError> {
+    let end = panic::AssertUnwindSafe(call).catch_unwind().await;
+    end.unwrap_or(Err(BackendError::ClientPanicked))
+}
+
 /// Runs one request and reports its progress and result.
 pub(crate) async fn run(
     backend: Arc<Backend>,
@@ -101,9 +107,7 @@
             BackendKind::Plain => plain::run(&backend, &dispatch, &reporter).await,
         }
     };
-    // The HTTP client panics on an invalid HTTP status.
-    let answer = panic::AssertUnwindSafe(answer).catch_unwind().await;
-    let event = match answer.unwrap_or(Err(BackendError::ClientPanicked)) {
+    let event = match contained(answer).await {
         Ok(usage) => sidecar::Event::Ended { id, usage },
         Err(error) => {
             log::warn!(request:% = id.request, attempt:% = id.attempt, team:% = dispatch.offer.work.team; "the backend server failed: {error}");
--- a/crates/lentil_sidecar/src/backend/order.rs
+++ b/crates/lentil_sidecar/src/backend/order.rs
@@ -4,7 +4,7 @@
 
 use lentil_policy::rollout;
 
-use super::Backend;
+use super::{Backend, contained};
 
 /// Longest wait for the answer to an order.
 const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(30);
@@ -22,7 +22,8 @@
             .post(self.url("orders"))
             .with_body(body.to_string());
         let answer = async {
-            let conn = conn.await.map_err(|_| rollout::OrderFault::Lost)?;
+            let conn = contained(async { Ok(conn.await?) }).await;
+            let conn = conn.map_err(|_| rollout::OrderFault::Lost)?;
             result_of_status(conn.status().map_or(0, |status| status as u16))
         };
         let timer = async {
--- a/crates/lentil_sidecar/src/backend/status.rs
+++ b/crates/lentil_sidecar/src/backend/status.rs
@@ -8,7 +8,7 @@
 
 use crate::{BackendKind, driver::Input};
 
-use super::{ANSWER_TIMEOUT, Backend, error::BackendError};
+use super::{ANSWER_TIMEOUT, Backend, contained, error::BackendError};
 
 /// Boot ID of a plain backend server, which does not report one.
 const PLAIN_BOOT: BootId = BootId(1);
@@ -96,12 +96,14 @@
 
 async fn poll(backend: &Backend) -> Poll {
     let answer = async {
-        match status(backend).await {
+        match contained(status(backend)).await {
             Ok(status) => Poll::Up(status),
             Err(BackendError::Unreachable(_)) => Poll::Refused,
-            Err(error @ (BackendError::AnswerCut(_) | BackendError::Chunk(_))) => {
-                Poll::Unreadable(error)
-            }
+            Err(
+                error @ (BackendError::AnswerCut(_)
+                | BackendError::Chunk(_)
+                | BackendError::ClientPanicked),
+            ) => Poll::Unreadable(error),
             Err(_) => Poll::NoAnswer,
         }
     };
--- a/crates/lentil_sidecar/src/sidecar.rs
+++ b/crates/lentil_sidecar/src/sidecar.rs
@@ -10,6 +10,7 @@
     Clock,
     admin::{self, NotReady},
     metrics::Metrics,
+    panics,
 };
 use lentil_types::RunnerState;
 use lentil_wire::{Identity, PoisonNotice, RefusalLog};
@@ -91,10 +92,11 @@
         };
         let mut tasks = vec![
             smol::spawn(driver::run(resources, inbox)),
-            smol::spawn(backend::watch(backend.clone(), events.clone())),
+            supervised(&settings.metrics, &backend, &events, backend::watch),
         ];
         if settings.kind == BackendKind::Engine {
-            tasks.push(smol::spawn(backend::follow_cache(backend, events.clone())));
+            let follow = backend::follow_cache;
+            tasks.push(supervised(&settings.metrics, &backend, &events, follow));
         }
         let service = smol::spawn(service::run(Arc::new(service), listener));
         Ok(Self {
@@ -208,3 +210,16 @@
         smol::spawn(async move { handle.begin_drain().await }).detach();
     }
 }
+
+/// Spawns a task that reads from the backend server, and starts it again after a panic.
+fn supervised<F: Future<Output = ()> + Send + 'static>(
+    metrics: &Metrics,
+    backend: &Arc<backend::Backend>,
+    events: &Sender<Input>,
+    run: fn(Arc<backend::Backend>, Sender<Input>) -> F,
+) -> smol::Task<()> {
+    let (metrics, backend, events) = (metrics.clone(), backend.clone(), events.clone());
+    smol::spawn(async move {
+        panics::supervise(&metrics, || run(backend.clone(), events.clone())).await;
+    })
+}
