A process that was taken for gone is used again once it is found

Seen by reading, as the same class as the runners that counted as replaced for good: a process that was off the list and silent for a minute is gone, and stayed so for ten more, though it was listed again or reported under the same boot. Gone was final without regard to whose word it was. What a process says of itself stays final; what is only inferred from silence now ends with it. The new tests of membership.rs failed before (the process stayed gone).

--- a/crates/lentil_policy/src/membership/table.rs
+++ b/crates/lentil_policy/src/membership/table.rs
@@ -71,6 +71,8 @@
     pub silent_since: Option<Instant>,
     /// When it was first off the list; `None` while listed.
     unlisted_since: Option<Instant>,
+    /// State from before it was taken for gone; `None` if it said so itself, or is not gone.
+    lost_from: Option<RunnerState>,
     /// Earlier boots, oldest first.
     retired_boots: Vec<BootId>,
     changed_at: Instant,
@@ -114,6 +116,7 @@
         let mut is_changed = false;
         for (_, member) in self.members.iter_mut() {
             if member.is_lost(now, gone_after) && member.state != RunnerState::Gone {
+                member.lost_from = Some(member.state);
                 member.set_state(now, RunnerState::Gone);
                 is_changed = true;
             }
@@ -166,6 +169,7 @@
             member.place = listed.place.clone();
             member.address = listed.address;
             member.unlisted_since = None;
+            member.on_found(now);
             member.on_list_state(now, state);
         }
         self.is_changed = true;
@@ -179,9 +183,10 @@
             return;
         }
         let before = (member.state, member.silent_since.is_some());
+        member.on_found(now);
         member.on_boot(boot);
         member.silent_since = None;
-        // Within one boot, leaving and gone are final.
+        // Within one boot, leaving and gone are final if it said so itself.
         let is_regression = state < member.state && member.state >= RunnerState::Leaving;
         if !is_regression {
             member.set_state(now, state);
@@ -207,6 +212,7 @@
             boot: None,
             silent_since: None,
             unlisted_since: None,
+            lost_from: None,
             retired_boots: Vec::new(),
             changed_at: now,
         }
@@ -224,6 +230,13 @@
         }
     }
 
+    /// It is listed or reports, so it was not gone if it was only taken for it.
+    fn on_found(&mut self, now: Instant) {
+        if let Some(state) = self.lost_from.take() {
+            self.set_state(now, state);
+        }
+    }
+
     /// The list lags, so it only counts if it says leaving, or if the process is
     /// gone and never reported.
     fn on_list_state(&mut self, now: Instant, state: RunnerState) {
--- a/crates/lentil_policy/tests/membership.rs
+++ b/crates/lentil_policy/tests/membership.rs
@@ -113,6 +113,33 @@
     assert_eq!(state(&table, "a"), None);
 }
 
+// A process that was cut off for a minute was out of use for ten more.
+#[rstest::rstest]
+#[case::listed(Event::Listed(vec![listed("a", RunnerState::Live)]))]
+#[case::reporting(reported("a", 1, RunnerState::Live))]
+fn a_process_that_was_taken_for_gone_is_used_again_once_it_is_found(#[case] found: Event) {
+    let mut table = two_live();
+    table.on_event(Instant::ZERO, Event::Listed(Vec::new()));
+    table.on_event(Instant::ZERO, Event::Unanswered(node("a")));
+    table.tick(Instant::ZERO + MINUTE);
+    assert_eq!(state(&table, "a"), Some(RunnerState::Gone));
+    table.on_event(Instant::ZERO + MINUTE, found);
+    assert!(table.tick(Instant::ZERO + MINUTE));
+    assert_eq!(state(&table, "a"), Some(RunnerState::Live));
+}
+
+#[test]
+fn a_leaving_process_that_was_taken_for_gone_is_leaving_once_it_is_found() {
+    let mut table = two_live();
+    table.on_event(Instant::ZERO, reported("a", 1, RunnerState::Leaving));
+    table.on_event(Instant::ZERO, Event::Listed(Vec::new()));
+    table.on_event(Instant::ZERO, Event::Unanswered(node("a")));
+    table.tick(Instant::ZERO + MINUTE);
+    assert_eq!(state(&table, "a"), Some(RunnerState::Gone));
+    table.on_event(Instant::ZERO + MINUTE, reported("a", 1, RunnerState::Live));
+    assert_eq!(state(&table, "a"), Some(RunnerState::Leaving));
+}
+
 #[test]
 fn a_leaving_process_gets_no_new_work_whichever_source_said_so() {
     let mut table = two_live();
