A team that leaves a scope leaves no cache entries to the others

The seed of a prompt now starts from the scope and the sorted names of its teams. The new test of answers.rs failed before: after the change one of the salts was still that of the scope with both teams. The replay's teams never change; its seeds are as before.

--- a/crates/lentil_config/src/config.rs
+++ b/crates/lentil_config/src/config.rs
@@ -313,6 +313,14 @@
         self.teams.iter().find(|team| team.name.as_str() == name)
     }
 
+    /// Names of the teams in a cache scope, sorted.
+    pub fn scope_teams(&self, scope: &ScopeName) -> Vec<&TeamName> {
+        let teams = self.teams.iter().filter(|team| team.scope == *scope);
+        let mut names: Vec<_> = teams.map(|team| &team.name).collect();
+        names.sort();
+        names
+    }
+
     /// The runner with this name, and its service.
     pub fn runner(&self, name: &str) -> Option<(&Service, &Runner)> {
         let index_in = |service: &'_ Service| {
--- a/crates/lentil_entry/src/check.rs
+++ b/crates/lentil_entry/src/check.rs
@@ -167,8 +167,9 @@
     }
 
     fn seed(&self, team: &TeamName, model: &Model) -> Result<PieceSeed, Refusal> {
-        let team = self.config().team(team).ok_or(Refusal::Unauthorized)?;
-        Ok(PieceSeed::new(&team.scope, &model.name, model.weights))
+        let scope = &self.config().team(team).ok_or(Refusal::Unauthorized)?.scope;
+        let teams = self.config().scope_teams(scope);
+        Ok(PieceSeed::new(scope, &teams, &model.name, model.weights))
     }
 
     fn class(&self, service: &ServiceName) -> Result<Class, Refusal> {
--- a/crates/lentil_entry/tests/callers/answers.rs
+++ b/crates/lentil_entry/tests/callers/answers.rs
@@ -1,8 +1,10 @@
 //! Answers to model requests.
 
-use crate::support::{Bench, Script, Step, auth, run};
+use std::sync::Arc;
+
+use crate::support::{Bench, Script, Step, auth, config, run};
 use lentil_policy::protocol;
-use lentil_types::{FailReason, Outcome, Tokens};
+use lentil_types::{ConfigVersion, FailReason, Outcome, Tokens};
 use serde_json::{Value, json};
 
 const USAGE: protocol::Usage = protocol::Usage {
@@ -224,6 +226,47 @@
     });
 }
 
+// A team that left a scope had left its cache entries to the teams in it.
+#[test]
+fn a_team_that_leaves_a_scope_leaves_no_cache_entries_to_the_others() {
+    const OTHER: &str = "authorization: Bearer demo-recycler-b\r\n";
+    run(async {
+        let chunks = vec![chunk(0, &json!({ "content": "x" }), &json!("stop"))];
+        let bench = Bench::start(engine(chunks)).await;
+        let body = request_body(&json!({ "stream": false })).to_string();
+        let salts = async || {
+            let mut salts = Vec::new();
+            for key in [auth().as_str(), OTHER] {
+                let path = "/v1/chat/completions";
+                let answer = bench.call("POST", path, key, body.as_bytes()).await;
+                assert_eq!(answer.status, 200);
+                let dispatch = bench.runner.dispatch().await;
+                let mut headers = dispatch.call.headers.iter();
+                let salt = headers.find(|header| header.name == "x-cache-salt");
+                salts.push(salt.expect("there is a salt").value.clone());
+            }
+            salts
+        };
+        let apart = config(bench.runner.addresses, "");
+        let mut together = apart.clone();
+        together.teams[1].scope = together.teams[0].scope.clone();
+        let (apart, together) = (Arc::new(apart), Arc::new(together));
+        assert!(bench.entry.set_config(ConfigVersion(2), &together));
+        let shared = salts().await;
+        assert_eq!(shared[0], shared[1], "they share a scope");
+        assert!(bench.entry.set_config(ConfigVersion(3), &apart));
+        let after = salts().await;
+        assert!(!after.contains(&shared[0]), "{after:?}, {shared:?}");
+        assert_ne!(after[0], after[1]);
+        assert!(bench.entry.set_config(ConfigVersion(4), &together));
+        assert_eq!(
+            salts().await,
+            shared,
+            "they share again what they made together"
+        );
+    });
+}
+
 #[test]
 fn models_are_listed_and_shown() {
     run(async {
--- a/crates/lentil_replay/src/traffic.rs
+++ b/crates/lentil_replay/src/traffic.rs
@@ -256,7 +256,7 @@
     }
 
     fn seed(&self, scope: &ScopeName) -> PieceHash {
-        PieceSeed::new(scope, &self.model, WeightsVersion(1)).0
+        PieceSeed::new(scope, &[], &self.model, WeightsVersion(1)).0
     }
 
     fn short_pieces(&self, team: usize) -> Vec<PieceHash> {
--- a/crates/lentil_types/src/piece.rs
+++ b/crates/lentil_types/src/piece.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3;
 
-use crate::{ModelName, ScopeName, WeightsVersion};
+use crate::{ModelName, ScopeName, TeamName, WeightsVersion};
 
 /// Tokens in a full cache piece.
 pub const PIECE_TOKENS: u32 = 1_000;
@@ -48,11 +48,22 @@
 pub struct PieceSeed(pub PieceHash);
 
 impl PieceSeed {
-    /// The seed of one cache scope, model and weights version.
-    pub fn new(scope: &ScopeName, model: &ModelName, weights: WeightsVersion) -> Self {
+    /// The seed of one cache scope, model and weights version. Each set of teams in the
+    /// scope has a seed of its own: a team that leaves the scope or joins it would otherwise
+    /// leave its entries to the others, or find theirs. `teams` are sorted.
+    pub fn new(
+        scope: &ScopeName,
+        teams: &[&TeamName],
+        model: &ModelName,
+        weights: WeightsVersion,
+    ) -> Self {
         let from_weights = PieceHash(u64::from(weights.0));
         let from_scope = from_weights.chain(scope.as_bytes());
-        Self(from_scope.chain(model.as_bytes()))
+        let from_teams = teams.iter().fold(from_scope, |seed, team| {
+            let length = (team.len() as u64).to_le_bytes();
+            seed.chain(&length).chain(team.as_bytes())
+        });
+        Self(from_teams.chain(model.as_bytes()))
     }
 }
 
