--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -581,8 +581,12 @@
         self.router.metrics.count(Counter::RunnerRefusals);
         self.plan.note_refusal(&self.choice.incarnation);
         let other = head.headers.text(self.router.names.runner);
-        let name = &*self.choice.incarnation.name;
-        if head.status == 421 && other != Some(name) {
+        let is_other = match other {
+            Some(other) => other != &*self.choice.incarnation.name,
+            // The runner itself answers so if it has other weights than the request names.
+            None => self.choice.version.is_none(),
+        };
+        if head.status == 421 && is_other {
             self.router
                 .on_denied(&self.choice.incarnation, self.sent_at, other);
         }
