Evidence of who has an address counts for four heartbeats

It counted for 5 s, which is longer than the registration of a dead runner stays only where runners renew theirs every 1.2 s. It now follows from the heartbeat of the platform.

--- a/crates/lentil_policy/src/forward/runners.rs
+++ b/crates/lentil_policy/src/forward/runners.rs
@@ -26,7 +26,6 @@
 };
 pub use health::{HealthSettings, HealthSignal};
 pub use liveness::{LivenessAction, LivenessSettings};
-pub use occupancy::OccupancySettings;
 pub use runner::{
     Incarnation, LONG_PROMPT, ProbeReport, Registration, RequestCost, Runner, Status,
 };
@@ -55,8 +54,6 @@
     pub learns_pace: bool,
     /// Runners kept for short prompts.
     pub lanes: lanes::Settings,
-    /// How long evidence of who has an address counts.
-    pub occupancy: OccupancySettings,
 }
 
 impl Default for Settings {
@@ -70,7 +67,6 @@
             announcements: AnnouncementSettings::default(),
             learns_pace: false,
             lanes: lanes::Settings::default(),
-            occupancy: OccupancySettings::default(),
         }
     }
 }
@@ -383,7 +379,7 @@
 
     /// Derives which of the runners at these addresses count as replaced.
     fn update_replaced(&mut self, now: Instant, addresses: &[net::SocketAddr]) {
-        let settings = self.settings.occupancy;
+        let ttl = self.settings.lapses.longest_stay();
         for address in addresses {
             let is_claim = |runner: &&Runner| runner.registration.address == *address;
             let claims: Vec<_> = self.table.values().filter(is_claim).collect();
@@ -395,11 +391,11 @@
                 let has_others = others.clone().next().is_some();
                 let mut credible = others.filter(|other| {
                     self.is_configured(&other.registration.service)
-                        && !other.occupancy.is_denied(now, &settings)
+                        && !other.occupancy.is_denied(now, ttl)
                 });
-                let is_denied = own.is_denied(now, &settings);
+                let is_denied = own.is_denied(now, ttl);
                 let is_displaced =
-                    credible.any(|other| own.is_displaced(now, &settings, &other.occupancy));
+                    credible.any(|other| own.is_displaced(now, ttl, &other.occupancy));
                 (has_others || is_denied, is_denied || is_displaced)
             };
             let decisions = claims.iter().map(|runner| {
--- a/crates/lentil_policy/src/forward/runners/occupancy.rs
+++ b/crates/lentil_policy/src/forward/runners/occupancy.rs
@@ -8,26 +8,11 @@
 
 use lentil_types::Instant;
 
-/// How long evidence of who has an address counts.
-#[derive(Clone, Copy, Debug)]
-pub struct OccupancySettings {
-    /// Age up to which a registration, an answer or a refusal counts. Longer than the
-    /// registration of a dead runner stays.
-    pub evidence_ttl: time::Duration,
-}
-
-impl Default for OccupancySettings {
-    fn default() -> Self {
-        Self {
-            evidence_ttl: time::Duration::from_secs(5),
-        }
-    }
-}
-
 /// What is known of a runner at the address that its registration names.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Occupancy {
-    /// When this router first saw it registered there.
+    /// When this router first saw it registered there. Later than it was written, so that
+    /// an answer to a request sent since is certainly newer.
     claimed_at: Instant,
     /// Revision of its registration.
     revision: u64,
@@ -59,42 +44,32 @@
         self.denied_at = self.denied_at.max(Some(sent_at));
     }
 
-    /// Whether another runner answers at the address, whether it is known or not.
-    pub(super) fn is_denied(&self, now: Instant, settings: &OccupancySettings) -> bool {
-        let denied_at = self.denied_at.filter(|at| settings.is_recent(now, *at));
+    /// Whether another runner answers at the address, whether it is known or not. Evidence
+    /// counts up to the age `ttl`.
+    pub(super) fn is_denied(&self, now: Instant, ttl: time::Duration) -> bool {
+        let denied_at = self.denied_at.filter(|at| now.since(*at) <= ttl);
         denied_at.is_some_and(|at| self.confirmed_at.is_none_or(|confirmed| confirmed < at))
     }
 
     /// Whether another runner, registered at the same address and not denied there, has
     /// taken it over.
-    pub(super) fn is_displaced(
-        &self,
-        now: Instant,
-        settings: &OccupancySettings,
-        other: &Self,
-    ) -> bool {
-        let own = self.confirmed_against(now, settings, other);
-        let others = other.confirmed_against(now, settings, self);
+    pub(super) fn is_displaced(&self, now: Instant, ttl: time::Duration, other: &Self) -> bool {
+        let own = self.confirmed_against(now, ttl, other);
+        let others = other.confirmed_against(now, ttl, self);
         if own.is_some() || others.is_some() {
             return others > own;
         }
-        other.revision > self.revision && settings.is_recent(now, other.claimed_at)
+        other.revision > self.revision && now.since(other.claimed_at) <= ttl
     }
 
     /// When it last answered a request that was sent after the other one was registered.
     fn confirmed_against(
         &self,
         now: Instant,
-        settings: &OccupancySettings,
+        ttl: time::Duration,
         other: &Self,
     ) -> Option<Instant> {
         self.confirmed_at
-            .filter(|at| *at >= other.claimed_at && settings.is_recent(now, *at))
-    }
-}
-
-impl OccupancySettings {
-    fn is_recent(&self, now: Instant, at: Instant) -> bool {
-        now.since(at) <= self.evidence_ttl
+            .filter(|at| *at >= other.claimed_at && now.since(*at) <= ttl)
     }
 }
--- a/crates/lentil_policy/src/forward/runners/store_contact.rs
+++ b/crates/lentil_policy/src/forward/runners/store_contact.rs
@@ -12,6 +12,8 @@
 /// Heartbeats that an outage lasts at least if registrations of live runners lapse: they
 /// lapse after three, and may be one old when the outage begins.
 const LAPSE_HEARTBEATS: u32 = 2;
+/// Heartbeats that the registration of a dead runner stays at most.
+const STAY_HEARTBEATS: u32 = 4;
 
 /// How long registrations are kept that may have lapsed.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +35,12 @@
 }
 
 impl LapseSettings {
+    /// Longest time that the registration of a dead runner stays: it lapses after three
+    /// heartbeats, and routers learn of it within another one.
+    pub fn longest_stay(&self) -> time::Duration {
+        self.heartbeat * STAY_HEARTBEATS
+    }
+
     /// Shortest outage of the store in which a registration of a live runner lapses.
     pub fn shortest_outage(&self) -> time::Duration {
         self.heartbeat * LAPSE_HEARTBEATS
