--- a/crates/lentil_forward/src/router/attempt.rs
+++ b/crates/lentil_forward/src/router/attempt.rs
@@ -355,7 +355,7 @@
         if head.status == 421 || head.headers.get(names.not_run).is_some() {
             let rejection = rejection::on_rejected(self.router, self.choice, self.sent_at, &head);
             progress.rejection = Some(rejection);
-            return self.on_refusal(&head).await;
+            return self.on_refusal(&head, rejection).await;
         }
         let has_seal = head.headers.get(names.seal).is_some();
         let is_success = (200..300).contains(&head.status);
@@ -577,16 +577,15 @@
     }
 
     /// Reads a refusal to its end, so that the connection can be reused.
-    async fn on_refusal(&mut self, head: &h1::ResponseHead) -> AttemptEnd {
+    async fn on_refusal(
+        &mut self,
+        head: &h1::ResponseHead,
+        rejection: concurrency_limit::Rejection,
+    ) -> AttemptEnd {
         self.router.metrics.count(Counter::RunnerRefusals);
         self.plan.note_refusal(&self.choice.incarnation);
-        let other = head.headers.text(self.router.names.runner);
-        let is_other = match other {
-            Some(other) => other != &*self.choice.incarnation.name,
-            // The runner itself answers so if it has other weights than the request names.
-            None => self.choice.version.is_none(),
-        };
-        if head.status == 421 && is_other {
+        if rejection.is_by_other() {
+            let other = head.headers.text(self.router.names.runner);
             self.router
                 .on_denied(&self.choice.incarnation, self.sent_at, other);
         }
@@ -773,10 +772,7 @@
     std::future::pending().await
 }
 
-/// The next bytes of a body, `None` at its end, while the request is still being written. A
-/// body without length ends with its connection, and that end is believed only after the
-/// whole request was written: a reset is reported once, and if a write meets it, the reads
-/// after it end as if the runner had closed the connection.
+/// The next bytes of a body, `None` at its end, while the request is still being written.
 async fn next_bytes(
     reader: &mut h1::BodyReader,
     connection: &mut h1::Connection,
@@ -790,7 +786,7 @@
     };
     let bytes = bytes.map_err(|error| read_failure(&error))?;
     let is_written = upload.is_none_or(|upload| upload.is_complete());
-    if bytes.is_none() && is_until_close && !is_written {
+    if bytes.is_none() && !attempt_log::is_whole_at_end(!is_until_close, is_written) {
         return Err(Failure::Broken);
     }
     Ok(bytes)
--- a/crates/lentil_forward/src/router/rejection.rs
+++ b/crates/lentil_forward/src/router/rejection.rs
@@ -25,7 +25,8 @@
     let rejection = Rejection {
         status: head.status,
         has_retry: head.headers.get(names.retry_after).is_some(),
-        is_own: answered == Some(&*choice.incarnation.name),
+        is_own: answered.map(|name| name == &*choice.incarnation.name),
+        names_weights: choice.version.is_some(),
         is_changing: runner
             .as_ref()
             .is_some_and(|runner| runner.changing_since().is_some()),
--- a/crates/lentil_policy/src/forward/attempt_log.rs
+++ b/crates/lentil_policy/src/forward/attempt_log.rs
@@ -38,6 +38,15 @@
     }
 }
 
+/// Whether an answer whose bytes have ended is whole. `shows_end`: its length or chunks
+/// show its end. `is_written`: the whole request was written without an error before.
+///
+/// Otherwise the end of the connection is the only sign. A reset is reported once for a
+/// socket: if a write meets it, the reads after it end as if the runner had closed.
+pub fn is_whole_at_end(shows_end: bool, is_written: bool) -> bool {
+    shows_end || is_written
+}
+
 /// The attempts at one request.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AttemptLog {
--- a/crates/lentil_policy/src/forward/concurrency_limit.rs
+++ b/crates/lentil_policy/src/forward/concurrency_limit.rs
@@ -87,13 +87,21 @@
     pub status: u16,
     /// Whether the answer says when the runner wants requests again.
     pub has_retry: bool,
-    /// Whether the answer names the runner that was asked.
-    pub is_own: bool,
+    /// Whether the answer names the runner that was asked; `None` if it names none.
+    pub is_own: Option<bool>,
+    /// Whether the request named the weights that it needs.
+    pub names_weights: bool,
     /// Whether the runner changes its weights, by its last status.
     pub is_changing: bool,
 }
 
 impl Rejection {
+    /// Whether it proves that another runner has the address. One with other weights than
+    /// the request names answers with the same status, and may not give its name.
+    pub fn is_by_other(&self) -> bool {
+        self.status == 421 && !self.is_own.unwrap_or(self.names_weights)
+    }
+
     /// The reason.
     pub fn kind(&self) -> RejectionKind {
         match self.status {
@@ -101,7 +109,7 @@
             503 if self.is_changing => RejectionKind::ChangingWeights,
             503 => RejectionKind::Full,
             // The runner is the right one, so what it lacks is the weights.
-            421 if self.is_own => RejectionKind::WrongVersion,
+            421 if self.is_own == Some(true) => RejectionKind::WrongVersion,
             421 => RejectionKind::WrongRunner,
             409 | 412 => RejectionKind::WrongVersion,
             408 | 504 => RejectionKind::Deadline,
--- a/crates/lentil_policy/src/membership/table.rs
+++ b/crates/lentil_policy/src/membership/table.rs
@@ -230,7 +230,7 @@
         }
     }
 
-    /// It is listed or reports, so it was not gone if it was only taken for it.
+    /// It is listed or reports: takes back that it was taken for gone.
     fn on_found(&mut self, now: Instant) {
         if let Some(state) = self.lost_from.take() {
             self.set_state(now, state);
--- a/crates/lentil_policy/tests/forward_attempt_log.rs
+++ b/crates/lentil_policy/tests/forward_attempt_log.rs
@@ -20,3 +20,17 @@
     let (sent, named) = (sent.map(str::as_bytes), named.map(str::as_bytes));
     assert_eq!(attempt_log::is_own_answer(sent, named, is_first), is_own);
 }
+
+// A part of an answer passed for the whole after a reset that a write had met.
+#[rstest]
+#[case::with_a_length(true, false, true)]
+#[case::after_the_whole_request(false, true, true)]
+#[case::during_the_request(false, false, false)]
+fn the_end_of_a_connection_ends_an_answer_only_after_the_whole_request(
+    #[case] shows_end: bool,
+    #[case] is_written: bool,
+    #[case] is_whole: bool,
+) {
+    let found = attempt_log::is_whole_at_end(shows_end, is_written);
+    assert_eq!(found, is_whole);
+}
--- a/crates/lentil_policy/tests/forward_concurrency_limit.rs
+++ b/crates/lentil_policy/tests/forward_concurrency_limit.rs
@@ -84,17 +84,18 @@
 
 /// Guards against a limit that falls for rejections that say nothing about room.
 #[rstest]
-#[case(503, false, false, false, RejectionKind::Full)]
-#[case(503, true, false, false, RejectionKind::Deferred)]
-#[case(503, false, false, true, RejectionKind::ChangingWeights)]
-#[case(421, false, false, false, RejectionKind::WrongRunner)]
-#[case(421, false, true, false, RejectionKind::WrongVersion)]
-#[case(408, false, false, false, RejectionKind::Deadline)]
-#[case(429, false, false, false, RejectionKind::Other)]
+#[case(503, false, None, false, RejectionKind::Full)]
+#[case(503, true, None, false, RejectionKind::Deferred)]
+#[case(503, false, None, true, RejectionKind::ChangingWeights)]
+#[case(421, false, None, false, RejectionKind::WrongRunner)]
+#[case(421, false, Some(false), false, RejectionKind::WrongRunner)]
+#[case(421, false, Some(true), false, RejectionKind::WrongVersion)]
+#[case(408, false, None, false, RejectionKind::Deadline)]
+#[case(429, false, None, false, RejectionKind::Other)]
 fn rejections_are_told_apart(
     #[case] status: u16,
     #[case] has_retry: bool,
-    #[case] is_own: bool,
+    #[case] is_own: Option<bool>,
     #[case] is_changing: bool,
     #[case] kind: RejectionKind,
 ) {
@@ -102,7 +103,31 @@
         status,
         has_retry,
         is_own,
+        names_weights: false,
         is_changing,
     };
     assert_eq!(rejection.kind(), kind);
 }
+
+// A runner with other weights than a request names was taken for another one.
+#[rstest]
+#[case::another_name(421, Some(false), true, true)]
+#[case::its_own_name(421, Some(true), true, false)]
+#[case::no_name_and_no_weights(421, None, false, true)]
+#[case::no_name_but_weights(421, None, true, false)]
+#[case::another_status(503, Some(false), false, false)]
+fn only_some_rejections_prove_another_runner(
+    #[case] status: u16,
+    #[case] is_own: Option<bool>,
+    #[case] names_weights: bool,
+    #[case] is_by_other: bool,
+) {
+    let rejection = Rejection {
+        status,
+        has_retry: false,
+        is_own,
+        names_weights,
+        is_changing: false,
+    };
+    assert_eq!(rejection.is_by_other(), is_by_other);
+}
