A sound body is not cut if a read ends within the line of a chunk

What callers saw: now and then a fast stream broke off and ended as unknown, with 'too many bytes between the parts of a body' in the sidecar's log.

Cause: after a read that ends within a chunk's line the HTTP library takes a whole buffer for the rest of the line and reads again before it decodes what follows. The limit on bytes that belong to no body was one buffer, so this second read was refused.

The limit is now two buffers, and a read takes one at most.

--- a/crates/lentil_http/src/body.rs
+++ b/crates/lentil_http/src/body.rs
@@ -10,8 +10,8 @@
 
 use crate::framing;
 
-/// Size of a read buffer, in bytes.
-const READ_BYTES: usize = 16 * 1024;
+/// Largest read of a body, in bytes.
+pub(crate) const READ_BYTES: usize = 16 * 1024;
 
 /// Reads a body of any size. Fails when too many bytes arrive that belong to no body.
 #[derive(Debug)]
@@ -38,6 +38,8 @@
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        let size = buffer.len().min(READ_BYTES);
+        let buffer = &mut buffer[..size];
         let poll = || Pin::new(&mut this.inner).poll_read(context, buffer);
         let (result, left) = framing::with_allowance(this.allowance, poll);
         this.allowance = match result {
--- a/crates/lentil_http/src/framing.rs
+++ b/crates/lentil_http/src/framing.rs
@@ -6,8 +6,14 @@
 
 use std::{cell::Cell, io};
 
+use crate::body::READ_BYTES;
+
 /// Most bytes that are read without a byte of a body. One read more may arrive.
-pub const MAX_FRAMING_BYTES: usize = 16 * 1024;
+///
+/// After a read that ended within the line of a chunk, the HTTP library takes a whole buffer
+/// for the rest of that line and reads again before it decodes what follows the line. So a
+/// sound body may take more than one buffer.
+pub const MAX_FRAMING_BYTES: usize = 2 * READ_BYTES;
 
 thread_local! {
     /// Bytes that may still be read; `None` while no body is read.
