--- a/crates/lentil_forward/tests/http_call.rs
+++ b/crates/lentil_forward/tests/http_call.rs
@@ -134,3 +134,23 @@
         futures_lite::future::or(calls, server).await;
     });
 }
+
+#[rstest]
+#[case(b"HTTP/1.1 000 -\r\nContent-Length: 2\r\n\r\n{}")]
+#[case(b"HTTP/1.1 600 -\r\nContent-Length: 2\r\n\r\n{}")]
+fn an_answer_with_a_status_that_http_does_not_know_is_an_error(#[case] answer: &'static [u8]) {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = [0; 1_024];
+            assert!(stream.read(&mut request).await.unwrap() > 0);
+            stream.write_all(answer).await.unwrap();
+        };
+        let call = Call::default();
+        let reply = call.send(address, call.timeout);
+        let (reply, ()) = futures_lite::future::zip(reply, serve).await;
+        assert!(matches!(reply, Err(CallError::Read(_))), "{reply:?}");
+    });
+}
